Lay the workspace, the shared types and the checks

Cause: nothing stood yet. One module for each program and a root module with the typed values, the seams (Router, Endpoints, Keeper, Claims, Admission, Documents, Members, Timer), the engines', callers' and table's messages, the token arithmetic, the numbered events and the command line.

Ruled out: one module for all (the house style wants one for each program); document types below the root package (the seams need them, and a root package can not import what lies below it).

--- /dev/null
+++ b/cmd/chicorybench/entry/doc.go
@@ -0,0 +1,3 @@
+// Package entry is the command line of chicorybench: the table of its verbs, with each
+// verb in a file of its own.
+package entry
--- /dev/null
+++ b/cmd/chicorybench/entry/verbs.go
@@ -0,0 +1,15 @@
+package entry
+
+import "chicoryhall.example/chicoryhall/command"
+
+// program lists every verb of chicorybench.
+var program = command.Program{
+	Name:    "chicorybench",
+	Summary: "sends load, judges the answers from the ledgers and compares results",
+	Verbs:   []command.Verb{},
+}
+
+// Main runs chicorybench and exits.
+func Main() {
+	program.Main()
+}
--- /dev/null
+++ b/cmd/chicorybench/main.go
@@ -0,0 +1,8 @@
+// Command chicorybench is described by "chicorybench help".
+package main
+
+import "chicoryhall.example/chicoryhall/cmd/chicorybench/entry"
+
+func main() {
+	entry.Main()
+}
--- /dev/null
+++ b/cmd/chicoryctl/main.go
@@ -0,0 +1,8 @@
+// Command chicoryctl is described by "chicoryctl help".
+package main
+
+import "chicoryhall.example/chicoryhall/cmd/chicoryctl/entry"
+
+func main() {
+	entry.Main()
+}
--- /dev/null
+++ b/cmd/chicorystand/entry/verbs.go
@@ -0,0 +1,15 @@
+package entry
+
+import "chicoryhall.example/chicoryhall/command"
+
+// program lists every verb of chicorystand.
+var program = command.Program{
+	Name:    "chicorystand",
+	Summary: "stands in for engines, plain services, the platform, the balancer and faulty links",
+	Verbs:   []command.Verb{},
+}
+
+// Main runs chicorystand and exits.
+func Main() {
+	program.Main()
+}
--- /dev/null
+++ b/cmd/chicorystand/main.go
@@ -0,0 +1,8 @@
+// Command chicorystand is described by "chicorystand help".
+package main
+
+import "chicoryhall.example/chicoryhall/cmd/chicorystand/entry"
+
+func main() {
+	entry.Main()
+}
--- /dev/null
+++ b/command/usage.go
@@ -0,0 +1,41 @@
+package command
+
+import (
+	"flag"
+	"fmt"
+	"io"
+)
+
+func (p *Program) writeUsage(w io.Writer) {
+	fmt.Fprintf(w, "%s: %s\n\nUsage: %s VERB [flags] [arguments]\n\nVerbs:\n", p.Name, p.Summary, p.Name)
+	for _, verb := range p.Verbs {
+		fmt.Fprintf(w, "  %-14s %s\n", verb.Name, verb.Summary)
+	}
+	fmt.Fprintf(w, "  %-14s %s\n", "reference", "Prints the reference page of all verbs.")
+	fmt.Fprintf(w, "\nRun \"%s VERB --help\" for the flags of one verb.\n", p.Name)
+}
+
+func (p *Program) writeVerb(w io.Writer, verb *Verb) {
+	fmt.Fprintf(w, "Usage: %s %s [flags] %s\n\n%s\n", p.Name, verb.Name, verb.Arguments, verb.Summary)
+	if verb.Detail != "" {
+		fmt.Fprintf(w, "\n%s\n", verb.Detail)
+	}
+	flags := flag.NewFlagSet(verb.Name, flag.ContinueOnError)
+	flags.SetOutput(w)
+	verb.New(flags)
+	fmt.Fprint(w, "\nFlags:\n")
+	flags.PrintDefaults()
+}
+
+// writeReference writes every usage text as one Markdown section.
+func (p *Program) writeReference(w io.Writer) {
+	fmt.Fprintf(w, "## %s\n\n```text\n", p.Name)
+	p.writeUsage(w)
+	fmt.Fprint(w, "```\n")
+	for i := range p.Verbs {
+		fmt.Fprintf(w, "\n### %s %s\n\n```text\n", p.Name, p.Verbs[i].Name)
+		p.writeVerb(w, &p.Verbs[i])
+		fmt.Fprint(w, "```\n")
+	}
+	fmt.Fprintln(w)
+}
--- /dev/null
+++ b/document/doc.go
@@ -0,0 +1,3 @@
+// Package document defines the service document: the one YAML file with which
+// a team describes its service, with its strict parser, checks and differences.
+package document
--- /dev/null
+++ b/requests.go
@@ -0,0 +1,104 @@
+package chicoryhall
+
+import (
+	"context"
+	"time"
+
+	"chicoryhall.example/chicoryhall/digest"
+)
+
+// RequestRecord is all that a daemon must know to go on with a request.
+type RequestRecord struct {
+	ID           RequestID    `json:"id"`
+	Service      ServiceName  `json:"service"`
+	Organisation Organisation `json:"organisation"`
+	Class        ClassName    `json:"class"`
+	// Key is the caller's idempotency key, or empty.
+	Key       string `json:"key,omitempty"`
+	Prompt    string `json:"prompt,omitempty"`
+	MaxTokens int    `json:"maxTokens,omitempty"`
+	Operation string `json:"operation,omitempty"`
+	Body      string `json:"body,omitempty"`
+	// Async tells that the caller fetches the answer later.
+	Async       bool      `json:"async,omitempty"`
+	Deadline    time.Time `json:"deadline"`
+	TraceParent string    `json:"traceParent,omitempty"`
+	// Attempt is the highest attempt started so far.
+	Attempt int `json:"attempt"`
+	// Tokens are those that may have reached the caller.
+	Tokens []digest.Token `json:"tokens,omitempty"`
+	// Finished tells that Outcome is final.
+	Finished bool    `json:"finished"`
+	Outcome  Outcome `json:"outcome"`
+}
+
+// Keeper keeps accepted requests alive beyond the daemon that accepted them.
+type Keeper interface {
+	// Accept returns once a daemon on another VM holds the record, or with an error.
+	Accept(ctx context.Context, record RequestRecord) error
+	// Attempt raises the attempt at the second holder before its first byte goes out.
+	Attempt(ctx context.Context, id RequestID, attempt int) error
+	// Tokens hands on tokens from position; release is called when they may reach the caller,
+	// with an error when this daemon has been replaced as the holder.
+	Tokens(id RequestID, position int, tokens []digest.Token, release func(error))
+	// Finish records the outcome for later fetches and lets go of the request.
+	Finish(id RequestID, outcome Outcome)
+}
+
+// ClaimState is what the table knows of a request that may run at most once.
+type ClaimState int
+
+//go:generate go tool enumer -type=ClaimState -json -text -transform=lower -trimprefix=Claim -output=claimstate_enumer.go
+
+// The states of a claim.
+const (
+	// ClaimOurs means that this daemon may send the request, once.
+	ClaimOurs ClaimState = iota
+	// ClaimTaken means that another try holds the claim without an outcome yet.
+	ClaimTaken
+	// ClaimDone means that the outcome is stored.
+	ClaimDone
+)
+
+// Claim is the answer to a claim.
+type Claim struct {
+	State ClaimState
+	// Answer is the stored body when State is ClaimDone.
+	Answer string
+	// Fingerprint is of the request that holds the key.
+	Fingerprint string
+}
+
+// Claims lets a request that is not idempotent run at most once.
+type Claims interface {
+	// Claim inserts the key; an error means that nothing was claimed or that it cannot be known,
+	// and that the request must not be sent.
+	Claim(ctx context.Context, organisation Organisation, service ServiceName, key, fingerprint string) (Claim, error)
+	// Record stores the outcome of a claim that is ours.
+	Record(ctx context.Context, organisation Organisation, service ServiceName, key, answer string) error
+}
+
+// AdmissionQuery asks whether a request may start.
+type AdmissionQuery struct {
+	Service      ServiceName
+	Class        ClassName
+	Organisation Organisation
+	Deadline     time.Time
+	// Expected is the time that the request needs once started.
+	Expected time.Duration
+	// Tokens is the work asked for.
+	Tokens int
+}
+
+// Admission decides which requests start, wait or are shed.
+type Admission interface {
+	// Enter calls start at once or later when the request may run, or refuse with the time to
+	// come back; exactly one of the two is called, once.
+	Enter(query AdmissionQuery, start func(Permit), refuse func(retryAfter time.Duration, reason string))
+}
+
+// Permit is the right to run one request.
+type Permit interface {
+	// Release gives the place back; it is idempotent.
+	Release()
+}
--- /dev/null
+++ b/timer/queue.go
@@ -0,0 +1,63 @@
+package timer
+
+import (
+	"container/heap"
+	"sync/atomic"
+	"time"
+)
+
+// subscription is one entry in the queue of calls to come.
+type subscription struct {
+	due       time.Time
+	period    time.Duration
+	call      func(now time.Time)
+	sequence  uint64
+	cancelled atomic.Bool
+}
+
+// Cancel stops further calls.
+func (s *subscription) Cancel() {
+	s.cancelled.Store(true)
+}
+
+// queue orders subscriptions by due time, then by age.
+type queue []*subscription
+
+func (q queue) Len() int { return len(q) }
+
+func (q queue) Less(i, j int) bool {
+	if q[i].due.Equal(q[j].due) {
+		return q[i].sequence < q[j].sequence
+	}
+	return q[i].due.Before(q[j].due)
+}
+
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+func (q *queue) Push(x any) { *q = append(*q, x.(*subscription)) }
+
+func (q *queue) Pop() any {
+	old := *q
+	last := len(old) - 1
+	item := old[last]
+	old[last] = nil
+	*q = old[:last]
+	return item
+}
+
+// popDue removes and returns the first subscription due at or before now.
+func (q *queue) popDue(now time.Time) *subscription {
+	for len(*q) > 0 {
+		first := (*q)[0]
+		if first.cancelled.Load() {
+			heap.Pop(q)
+			continue
+		}
+		if first.due.After(now) {
+			return nil
+		}
+		heap.Pop(q)
+		return first
+	}
+	return nil
+}
--- /dev/null
+++ b/timer/service.go
@@ -0,0 +1,113 @@
+package timer
+
+import (
+	"container/heap"
+	"context"
+	"sync"
+	"time"
+
+	"chicoryhall.example/chicoryhall"
+)
+
+// maxIdle bounds how long the service sleeps when nothing is due.
+const maxIdle = time.Hour
+
+// Service is a chicoryhall.Timer on the system's clock.
+type Service struct {
+	mu       sync.Mutex
+	queue    queue
+	sequence uint64
+	wake     chan struct{}
+}
+
+// New returns a Service whose calls begin once Serve runs.
+func New() *Service {
+	return &Service{wake: make(chan struct{}, 1)}
+}
+
+// Now returns the system's time.
+func (s *Service) Now() time.Time {
+	return time.Now()
+}
+
+// Every calls tick once per period.
+func (s *Service) Every(period time.Duration, tick func(now time.Time)) chicoryhall.Subscription {
+	return s.add(period, period, tick)
+}
+
+// After calls fire once after delay.
+func (s *Service) After(delay time.Duration, fire func(now time.Time)) chicoryhall.Subscription {
+	return s.add(delay, 0, fire)
+}
+
+func (s *Service) add(delay, period time.Duration, call func(time.Time)) *subscription {
+	s.mu.Lock()
+	s.sequence++
+	item := &subscription{due: time.Now().Add(delay), period: period, call: call, sequence: s.sequence}
+	heap.Push(&s.queue, item)
+	first := s.queue[0] == item
+	s.mu.Unlock()
+	if first {
+		s.signal()
+	}
+	return item
+}
+
+func (s *Service) signal() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Serve calls the subscribers until ctx ends.
+func (s *Service) Serve(ctx context.Context) error {
+	sleep := time.NewTimer(0)
+	defer sleep.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-sleep.C:
+		case <-s.wake:
+		}
+		s.runDue()
+		sleep.Reset(s.untilNext())
+	}
+}
+
+func (s *Service) runDue() {
+	for {
+		now := time.Now()
+		s.mu.Lock()
+		item := s.queue.popDue(now)
+		s.mu.Unlock()
+		if item == nil {
+			return
+		}
+		item.call(now)
+		s.repeat(item, now)
+	}
+}
+
+func (s *Service) repeat(item *subscription, now time.Time) {
+	if item.period == 0 || item.cancelled.Load() {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	item.due = item.due.Add(item.period)
+	if item.due.Before(now) {
+		item.due = now.Add(item.period)
+	}
+	heap.Push(&s.queue, item)
+}
+
+func (s *Service) untilNext() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.queue) == 0 {
+		return maxIdle
+	}
+	return max(0, time.Until(s.queue[0].due))
+}
