Lay the daemon's supervisor tree, the serve verb and the engine client

The daemon is built part by part; each part has a file in cmd/chicoryhall/daemon and is replaced there behind its interface from the root package. The engine client streams answers piece by piece through nbhttp's parser.

--- /dev/null
+++ b/cmd/chicoryhall/daemon/builder.go
@@ -0,0 +1,94 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/engine"
+	"chicoryhall.example/chicoryhall/event"
+	"chicoryhall.example/chicoryhall/settings"
+	"chicoryhall.example/chicoryhall/timer"
+)
+
+// partStopTimeout bounds how long a supervisor waits for one part to end.
+const partStopTimeout = 2 * time.Second
+
+// builder holds the parts of one daemon while it is built and while it runs.
+type builder struct {
+	settings settings.Daemon
+	options  Options
+	log      *event.Logger
+
+	root       *suture.Supervisor
+	base       *suture.Supervisor
+	knowledge  *suture.Supervisor
+	decisions  *suture.Supervisor
+	interfaces *suture.Supervisor
+
+	timer     *timer.Service
+	engines   *engine.Client
+	documents chicoryhall.Documents
+	endpoints chicoryhall.Endpoints
+	router    chicoryhall.Router
+	admission chicoryhall.Admission
+	keeper    chicoryhall.Keeper
+	claims    chicoryhall.Claims
+
+	// drains are called in order at a graceful shutdown, each bounded by drainTimeout.
+	drains []func(ctx context.Context)
+}
+
+// step builds one part.
+type step struct {
+	name  string
+	build func() error
+}
+
+// steps lists the parts in the order of their dependencies.
+func (b *builder) steps() []step {
+	return []step{
+		{"timer", b.buildTimer},
+		{"engine client", b.buildEngines},
+		{"documents", b.buildDocuments},
+		{"endpoints", b.buildEndpoints},
+		{"router", b.buildRouter},
+		{"admission", b.buildAdmission},
+		{"keeper", b.buildKeeper},
+		{"claims", b.buildClaims},
+		{"callers", b.buildCallers},
+	}
+}
+
+func newBuilder(own settings.Daemon, options Options, log *event.Logger) *builder {
+	b := &builder{settings: own, options: options, log: log}
+	b.root = b.newSupervisor("daemon")
+	b.base = b.newSupervisor("base")
+	b.knowledge = b.newSupervisor("knowledge")
+	b.decisions = b.newSupervisor("decisions")
+	b.interfaces = b.newSupervisor("interfaces")
+	for _, child := range []*suture.Supervisor{b.base, b.knowledge, b.decisions, b.interfaces} {
+		b.root.Add(child)
+	}
+	return b
+}
+
+func (b *builder) newSupervisor(name string) *suture.Supervisor {
+	return suture.New(name, suture.Spec{EventHook: b.report, Timeout: partStopTimeout})
+}
+
+// report logs what suture tells of a part that failed.
+func (b *builder) report(happened suture.Event) {
+	b.log.Log(event.PartRestarted, "detail", happened.String())
+}
+
+// drain runs the parts' graceful shutdown within the settings' drainTimeout.
+func (b *builder) drain() {
+	ctx, cancel := context.WithTimeout(context.Background(), b.settings.DrainTimeout)
+	defer cancel()
+	for _, drain := range b.drains {
+		drain(ctx)
+	}
+}
--- /dev/null
+++ b/cmd/chicoryhall/daemon/callers.go
@@ -0,0 +1,6 @@
+package daemon
+
+// buildCallers adds the callers' interface.
+func (b *builder) buildCallers() error {
+	return nil
+}
--- /dev/null
+++ b/cmd/chicoryhall/entry/serve.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"os"
+	"strings"
+
+	"github.com/charmbracelet/log"
+	"github.com/goccy/go-yaml"
+	"github.com/pkg/errors"
+
+	"chicoryhall.example/chicoryhall/cmd/chicoryhall/daemon"
+	"chicoryhall.example/chicoryhall/command"
+	"chicoryhall.example/chicoryhall/event"
+	"chicoryhall.example/chicoryhall/settings"
+)
+
+// serveVerb runs a daemon until it is told to stop.
+var serveVerb = command.Verb{
+	Name:    "serve",
+	Summary: "Runs one daemon until SIGTERM or an interrupt, then shuts down gracefully.",
+	New: func(flags *flag.FlagSet) command.Run {
+		path := flags.String("settings", "", "the daemon's settings `FILE`")
+		documents := flags.String("documents", "", "comma-separated `FILES` of documents in force from the start, for tests without a platform")
+		return func(ctx context.Context, streams command.Streams, _ []string) error {
+			if *path == "" {
+				return command.UsageError("the flag -settings is missing")
+			}
+			return serve(ctx, streams, *path, splitList(*documents))
+		}
+	},
+}
+
+func serve(ctx context.Context, streams command.Streams, path string, documents []string) error {
+	own, err := readSettings(path)
+	if err != nil {
+		return err
+	}
+	level, err := log.ParseLevel(own.LogLevel)
+	if err != nil {
+		level = log.InfoLevel
+	}
+	logger := event.NewLogger(streams.Err, "chicoryhall", level)
+	built, err := daemon.New(own, daemon.Options{Documents: documents}, logger)
+	if err != nil {
+		return err
+	}
+	return built.Serve(ctx)
+}
+
+func readSettings(path string) (settings.Daemon, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return settings.Daemon{}, errors.WithMessage(err, "read settings")
+	}
+	var own settings.Daemon
+	err = yaml.NewDecoder(bytes.NewReader(text), yaml.Strict()).Decode(&own)
+	return own, errors.WithMessagef(err, "parse settings %s", path)
+}
+
+func splitList(text string) []string {
+	if text == "" {
+		return nil
+	}
+	return strings.Split(text, ",")
+}
--- /dev/null
+++ b/engine/client.go
@@ -0,0 +1,209 @@
+package engine
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+	"github.com/lesismal/nbio/nbhttp"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"chicoryhall.example/chicoryhall"
+)
+
+const (
+	// dialTimeout bounds the wait for a new connection.
+	dialTimeout = time.Second
+	// idleTimeout ends a connection that carried nothing for so long.
+	idleTimeout = 20 * time.Second
+	// maxIdlePerAddress bounds the idle connections kept for one endpoint.
+	maxIdlePerAddress = 64
+	// readLimit bounds one piece of an answer, in bytes.
+	readLimit = 16 << 20
+)
+
+// errStopped is the cause of failures after the client has stopped.
+var errStopped = errors.New("the client is stopped")
+
+// Client exchanges HTTP messages with endpoints over reused nbio connections.
+type Client struct {
+	timer   chicoryhall.Timer
+	loop    *nbhttp.Engine
+	dials   errgroup.Group
+	stopped atomic.Bool
+
+	mu   sync.Mutex
+	idle map[string][]*connection
+}
+
+// NewClient returns a Client whose event loop runs until Serve ends.
+func NewClient(timer chicoryhall.Timer) (*Client, error) {
+	logging.SetLevel(logging.LevelNone)
+	loop := nbhttp.NewEngine(nbhttp.Config{Name: "engine-client", ReadLimit: readLimit, SupportServerOnly: true})
+	if err := loop.Start(); err != nil {
+		return nil, errors.WithMessage(err, "start the engine client's event loop")
+	}
+	return &Client{timer: timer, loop: loop, idle: map[string][]*connection{}}, nil
+}
+
+// Serve keeps the client running until ctx ends.
+func (c *Client) Serve(ctx context.Context) error {
+	tick := c.timer.Every(idleTimeout/2, c.closeIdle)
+	defer tick.Cancel()
+	<-ctx.Done()
+	c.stopped.Store(true)
+	c.loop.Stop()
+	return c.dials.Wait()
+}
+
+// String names the part in the supervisor's reports.
+func (c *Client) String() string { return "engine client" }
+
+// exchange is one request and the receiver of its answer.
+type exchange struct {
+	address string
+	step    string
+	request []byte
+	// fresh demands a new connection.
+	fresh    bool
+	receiver receiver
+}
+
+// receiver gets an answer piece by piece; exactly one of onWhole and onFailure ends it.
+type receiver interface {
+	// onSending is called right before the first byte is written.
+	onSending(conn *connection)
+	onStatus(code int)
+	// onBody gets a piece that is valid during the call only.
+	onBody(piece []byte) error
+	onWhole()
+	onFailure(failure *Error)
+}
+
+// send starts an exchange; its receiver is called on other goroutines.
+func (c *Client) send(x exchange) {
+	if !x.fresh {
+		if conn := c.takeIdle(x.address); conn != nil && conn.begin(x) {
+			return
+		}
+	}
+	c.dials.Go(func() error {
+		c.dial(x)
+		return nil
+	})
+}
+
+// dial opens a new connection and sends the request on it.
+func (c *Client) dial(x exchange) {
+	if c.stopped.Load() {
+		x.receiver.onFailure(&Error{kind: FailureClosed, step: x.step, peer: x.address, cause: errStopped})
+		return
+	}
+	plain, err := net.DialTimeout("tcp", x.address, dialTimeout)
+	if err != nil {
+		x.receiver.onFailure(dialError(x, err))
+		return
+	}
+	raw, err := nbio.NBConn(plain)
+	if err != nil {
+		x.receiver.onFailure(&Error{kind: FailureUnreachable, step: x.step, peer: x.address, cause: err})
+		return
+	}
+	conn := newConnection(c, x.address, raw)
+	if _, err := c.loop.AddConn(raw); err != nil {
+		x.receiver.onFailure(&Error{kind: FailureUnreachable, step: x.step, peer: x.address, cause: err})
+		return
+	}
+	if !conn.begin(x) {
+		x.receiver.onFailure(&Error{kind: FailureBroken, step: x.step, peer: x.address, cause: net.ErrClosed})
+	}
+}
+
+func dialError(x exchange, err error) *Error {
+	kind := FailureUnreachable
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		kind = FailureRefused
+	}
+	return &Error{kind: kind, step: x.step, peer: x.address, cause: err}
+}
+
+// takeIdle returns the idle connection that was used last, or nil.
+func (c *Client) takeIdle(address string) *connection {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	idle := c.idle[address]
+	if len(idle) == 0 {
+		return nil
+	}
+	conn := idle[len(idle)-1]
+	c.idle[address] = idle[:len(idle)-1]
+	return conn
+}
+
+// putIdle keeps a connection for the next exchange, or closes it.
+func (c *Client) putIdle(conn *connection) {
+	c.mu.Lock()
+	full := len(c.idle[conn.address]) >= maxIdlePerAddress
+	if !full {
+		conn.idleSince = c.timer.Now()
+		c.idle[conn.address] = append(c.idle[conn.address], conn)
+	}
+	c.mu.Unlock()
+	if full {
+		conn.close()
+	}
+}
+
+// dropIdle forgets a connection that was closed while idle.
+func (c *Client) dropIdle(closed *connection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	idle := c.idle[closed.address]
+	for i, conn := range idle {
+		if conn == closed {
+			c.idle[closed.address] = append(idle[:i], idle[i+1:]...)
+			return
+		}
+	}
+}
+
+// ForgetIdle closes the idle connections to an endpoint whose open ones have gone silent.
+func (c *Client) ForgetIdle(address string) {
+	c.mu.Lock()
+	idle := c.idle[address]
+	delete(c.idle, address)
+	c.mu.Unlock()
+	for _, conn := range idle {
+		conn.close()
+	}
+}
+
+// closeIdle closes the connections that have been idle for too long.
+func (c *Client) closeIdle(now time.Time) {
+	var old []*connection
+	c.mu.Lock()
+	for address, idle := range c.idle {
+		kept := idle[:0]
+		for _, conn := range idle {
+			if now.Sub(conn.idleSince) > idleTimeout {
+				old = append(old, conn)
+			} else {
+				kept = append(kept, conn)
+			}
+		}
+		c.idle[address] = kept
+		if len(kept) == 0 {
+			delete(c.idle, address)
+		}
+	}
+	c.mu.Unlock()
+	for _, conn := range old {
+		conn.close()
+	}
+}
