--- /dev/null
+++ b/peer/frames.go
@@ -0,0 +1,100 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"chicoryhall.example/chicoryhall"
+)
+
+const (
+	// maxMessageBytes bounds one message in either direction.
+	maxMessageBytes = 4 << 20
+	// frameHeaderBytes is the big-endian length before each message.
+	frameHeaderBytes = 4
+	// writeTimeout bounds one write to a peer that does not read.
+	writeTimeout = 2 * time.Second
+)
+
+// frames is a jsonrpc2.ObjectStream of length-prefixed JSON messages.
+type frames struct {
+	conn   net.Conn
+	reader *bufio.Reader
+	timer  chicoryhall.Timer
+	// reads counts whole messages received.
+	reads atomic.Int64
+	// lastRead and lastWritten are the sizes of the newest messages in bytes;
+	// each is used by one goroutine at a time.
+	lastRead int
+	counter  func(sent int)
+}
+
+func newFrames(conn net.Conn, timer chicoryhall.Timer) *frames {
+	return &frames{conn: conn, reader: bufio.NewReader(conn), timer: timer, counter: func(int) {}}
+}
+
+// WriteObject sends one message.
+func (f *frames) WriteObject(object any) error {
+	message, err := json.Marshal(object)
+	if err != nil {
+		return fmt.Errorf("encode message: %w", err)
+	}
+	if len(message) > maxMessageBytes {
+		return fmt.Errorf("message of %d bytes exceeds the limit of %d", len(message), maxMessageBytes)
+	}
+	frame := make([]byte, frameHeaderBytes, frameHeaderBytes+len(message))
+	binary.BigEndian.PutUint32(frame, uint32(len(message)))
+	frame = append(frame, message...)
+	f.counter(len(frame))
+	if err := f.conn.SetWriteDeadline(f.timer.Now().Add(writeTimeout)); err != nil {
+		return fmt.Errorf("set write deadline: %w", err)
+	}
+	if _, err := f.conn.Write(frame); err != nil {
+		_ = f.conn.Close() // A part of the frame may have gone out.
+		return fmt.Errorf("write message: %w", err)
+	}
+	return nil
+}
+
+// ReadObject receives one message.
+func (f *frames) ReadObject(object any) error {
+	message, err := readFrame(f.reader)
+	if err != nil {
+		return err
+	}
+	f.lastRead = frameHeaderBytes + len(message)
+	f.reads.Add(1)
+	return json.Unmarshal(message, object)
+}
+
+// Close closes the connection.
+func (f *frames) Close() error {
+	return f.conn.Close()
+}
+
+// readFrame reads the length and the bytes of one message.
+func readFrame(reader io.Reader) ([]byte, error) {
+	var header [frameHeaderBytes]byte
+	if _, err := io.ReadFull(reader, header[:]); err != nil {
+		return nil, err
+	}
+	size := binary.BigEndian.Uint32(header[:])
+	if size > maxMessageBytes {
+		return nil, fmt.Errorf("message of %d bytes exceeds the limit of %d", size, maxMessageBytes)
+	}
+	message := make([]byte, size)
+	if _, err := io.ReadFull(reader, message); err != nil {
+		return nil, err
+	}
+	return message, nil
+}
+
+var _ jsonrpc2.ObjectStream = (*frames)(nil)
--- /dev/null
+++ b/peer/handle.go
@@ -0,0 +1,40 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"chicoryhall.example/chicoryhall"
+)
+
+// handler answers one method with undecoded parameters.
+type handler func(ctx context.Context, from chicoryhall.DaemonID, params json.RawMessage) (any, error)
+
+// Handle registers the idempotent handler of a method; a notification's result is dropped.
+func Handle[P, R any](n *Node, method string, handle func(ctx context.Context, from chicoryhall.DaemonID, params P) (R, error)) {
+	n.register(method, func(ctx context.Context, from chicoryhall.DaemonID, raw json.RawMessage) (any, error) {
+		var params P
+		if err := json.Unmarshal(raw, &params); err != nil {
+			return nil, &jsonrpc2.Error{
+				Code:    jsonrpc2.CodeInvalidParams,
+				Message: fmt.Sprintf("decode parameters of %s: %v", method, err),
+			}
+		}
+		return handle(ctx, from, params)
+	})
+}
+
+// Notify sends a message that has no answer; delivery is not assured.
+func Notify[P any](ctx context.Context, n *Node, to chicoryhall.DaemonID, method string, params P) error {
+	return n.notify(ctx, to, method, params)
+}
+
+// Call sends one request to a daemon and returns its decoded answer.
+func Call[R, P any](ctx context.Context, peers chicoryhall.Peers, to chicoryhall.DaemonID, method string, params P) (R, error) {
+	var result R
+	err := peers.Call(ctx, to, method, params, &result)
+	return result, err
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,134 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+
+	"github.com/sourcegraph/jsonrpc2"
+	"golang.org/x/sync/errgroup"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/event"
+)
+
+const (
+	methodHello = "peer.hello"
+	methodPing  = "peer.ping"
+	// maxConcurrentCalls bounds the calls of one connection that run at once.
+	maxConcurrentCalls = 1024
+	// codeBusy answers a call beyond maxConcurrentCalls.
+	codeBusy = -32001
+	// codeNoHello answers a call on a connection whose peer gave no name.
+	codeNoHello = -32002
+)
+
+// hello opens a connection; both sides tell who they are.
+type hello struct {
+	ID chicoryhall.DaemonID `json:"id"`
+}
+
+// inbound answers the calls of one connection that a peer opened.
+type inbound struct {
+	node  *Node
+	from  chicoryhall.DaemonID
+	group errgroup.Group
+}
+
+// answer serves one accepted connection until it closes.
+func (n *Node) answer(ctx context.Context, conn net.Conn) {
+	stream := newFrames(conn, n.timer)
+	side := &inbound{node: n}
+	side.group.SetLimit(maxConcurrentCalls)
+	options := append(n.meter.attach(stream), jsonrpc2.SetLogger(protocolLogger{n.logger, conn.RemoteAddr().String()}))
+	rpc := jsonrpc2.NewConn(ctx, stream, side, options...)
+	<-rpc.DisconnectNotify()
+	_ = side.group.Wait()
+}
+
+// Handle answers one message; it runs on the connection's reading goroutine.
+func (s *inbound) Handle(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	switch request.Method {
+	case methodHello:
+		s.meet(ctx, conn, request)
+	case methodPing:
+		_ = conn.Reply(ctx, request.ID, struct{}{})
+	default:
+		from := s.from
+		if !s.group.TryGo(func() error { s.run(ctx, conn, from, request); return nil }) {
+			refuse(ctx, conn, request, &jsonrpc2.Error{Code: codeBusy, Message: "too many calls at once"})
+		}
+	}
+}
+
+func (s *inbound) meet(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	var greeting hello
+	if err := json.Unmarshal(rawParams(request), &greeting); err != nil || greeting.ID == "" {
+		refuse(ctx, conn, request, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "the greeting names no daemon"})
+		return
+	}
+	s.from = greeting.ID
+	_ = conn.Reply(ctx, request.ID, hello{ID: s.node.self})
+}
+
+func (s *inbound) run(ctx context.Context, conn *jsonrpc2.Conn, from chicoryhall.DaemonID, request *jsonrpc2.Request) {
+	handle, ok := s.node.handlerOf(request.Method)
+	if !ok {
+		refuse(ctx, conn, request, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no such method: " + request.Method})
+		return
+	}
+	if from == "" {
+		refuse(ctx, conn, request, &jsonrpc2.Error{Code: codeNoHello, Message: "the connection has no greeting"})
+		return
+	}
+	result, err := handle(ctx, from, rawParams(request))
+	if request.Notif {
+		return
+	}
+	if err != nil {
+		refuse(ctx, conn, request, asRPCError(err))
+		return
+	}
+	_ = conn.Reply(ctx, request.ID, result)
+}
+
+func refuse(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request, err *jsonrpc2.Error) {
+	if !request.Notif {
+		_ = conn.ReplyWithError(ctx, request.ID, err)
+	}
+}
+
+func asRPCError(err error) *jsonrpc2.Error {
+	if rpcError, ok := err.(*jsonrpc2.Error); ok {
+		return rpcError
+	}
+	return &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
+}
+
+func rawParams(request *jsonrpc2.Request) json.RawMessage {
+	if request.Params == nil {
+		return json.RawMessage("null")
+	}
+	return *request.Params
+}
+
+// protocolLogger writes the library's complaints as events.
+type protocolLogger struct {
+	logger *event.Logger
+	peer   string
+}
+
+// Printf logs one complaint.
+func (l protocolLogger) Printf(_ string, values ...any) {
+	if l.logger != nil {
+		l.logger.Log(event.PeerProtocolError, append([]any{"peer", l.peer}, details(values)...)...)
+	}
+}
+
+func details(values []any) []any {
+	pairs := make([]any, 0, 2*len(values))
+	for _, value := range values {
+		pairs = append(pairs, "detail", value)
+	}
+	return pairs
+}
