--- a/document.go
+++ b/document.go
@@ -23,6 +23,8 @@
 	Layers  int    `yaml:"layers"`
 	// KVBytes is the KV cache of one position in one layer, in bytes.
 	KVBytes int `yaml:"kvBytes"`
+	// ActivationBytes is what one engine hands to the next for one token, in bytes.
+	ActivationBytes int `yaml:"activationBytes,omitempty"`
 }
 
 // DocumentClass is one kind of request of the service.
--- /dev/null
+++ b/pipeline/bench_test.go
@@ -0,0 +1,27 @@
+package pipeline_test
+
+import (
+	"fmt"
+	"testing"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/pipeline"
+)
+
+var benchSizes = []struct{ engines, domains int }{{30, 3}, {420, 5}}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, size := range benchSizes {
+		b.Run(fmt.Sprintf("engines=%d", size.engines), func(b *testing.B) {
+			document := documentOf(size.engines, size.domains)
+			router := pipeline.New(newFakeEndpoints(), pipeline.Options{Seed: 1})
+			query := chicoryhall.RouteQuery{Document: document, From: domainName(0), Positions: 100, Remaining: 100, Now: start}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := router.Choose(query); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pipeline/fixture_test.go
@@ -0,0 +1,80 @@
+package pipeline_test
+
+import (
+	"fmt"
+	"time"
+
+	"chicoryhall.example/chicoryhall"
+)
+
+// fakeEndpoints is a chicoryhall.Endpoints over a map; missing endpoints are ready and idle.
+type fakeEndpoints struct {
+	views   map[chicoryhall.EngineID]chicoryhall.EndpointView
+	changed func(chicoryhall.EngineID, chicoryhall.EndpointState)
+}
+
+func newFakeEndpoints() *fakeEndpoints {
+	return &fakeEndpoints{views: make(map[chicoryhall.EngineID]chicoryhall.EndpointView)}
+}
+
+func (f *fakeEndpoints) View(id chicoryhall.EngineID) chicoryhall.EndpointView { return f.views[id] }
+
+func (f *fakeEndpoints) Observe(chicoryhall.EngineID, chicoryhall.Observation) {}
+
+func (f *fakeEndpoints) Begin(id chicoryhall.EngineID) { f.add(id, 1) }
+
+func (f *fakeEndpoints) End(id chicoryhall.EngineID) { f.add(id, -1) }
+
+func (f *fakeEndpoints) add(id chicoryhall.EngineID, n int) {
+	view := f.views[id]
+	view.InFlight += n
+	f.views[id] = view
+}
+
+func (f *fakeEndpoints) Subscribe(changed func(chicoryhall.EngineID, chicoryhall.EndpointState)) {
+	f.changed = changed
+}
+
+func (f *fakeEndpoints) setState(id chicoryhall.EngineID, state chicoryhall.EndpointState) {
+	view := f.views[id]
+	view.State = state
+	f.views[id] = view
+	if f.changed != nil {
+		f.changed(id, state)
+	}
+}
+
+var kinds = []chicoryhall.DocumentAccelerator{
+	{Kind: "fast", StepTime: time.Millisecond, LayerTime: 10 * time.Microsecond, Batch: 32},
+	{Kind: "middle", StepTime: 2 * time.Millisecond, LayerTime: 20 * time.Microsecond, Batch: 16},
+	{Kind: "slow", StepTime: 3 * time.Millisecond, LayerTime: 40 * time.Microsecond, Batch: 8},
+}
+
+// layersPerRange is the length of each range of the usual document.
+const layersPerRange = 8
+
+// documentOf returns a service over engines in the given number of domains; three layer ranges.
+func documentOf(engines, domains int) *chicoryhall.Document {
+	document := &chicoryhall.Document{
+		Service:      "draft",
+		Kind:         chicoryhall.ServicePipeline,
+		Model:        chicoryhall.DocumentModel{Name: "m", Version: "1", Layers: 3 * layersPerRange, KVBytes: 4096},
+		Accelerators: kinds,
+	}
+	for i := range engines {
+		from := i % 3 * layersPerRange
+		document.Endpoints = append(document.Endpoints, chicoryhall.DocumentEndpoint{
+			ID:            chicoryhall.EngineID(fmt.Sprintf("e%03d", i)),
+			Address:       fmt.Sprintf("127.0.0.1:%d", 20000+i),
+			FailureDomain: domainName(i / 3 % domains),
+			Accelerator:   kinds[i/(3*domains)%len(kinds)].Kind,
+			From:          from,
+			To:            from + layersPerRange,
+		})
+	}
+	return document
+}
+
+func domainName(i int) chicoryhall.FailureDomain {
+	return chicoryhall.FailureDomain(fmt.Sprintf("d%d", i))
+}
--- /dev/null
+++ b/pipeline/imports.go
@@ -0,0 +1,79 @@
+package pipeline
+
+import (
+	"slices"
+
+	"chicoryhall.example/chicoryhall"
+)
+
+// chooseImports lets new hops import KV from excluded stages of the last attempt that still
+// hold it, where that is faster than prefill.
+func (s *search) chooseImports(hops []hop, query *chicoryhall.RouteQuery) {
+	if len(query.Keep) == 0 {
+		return
+	}
+	for i := range hops {
+		if hops[i].Keep {
+			continue
+		}
+		exporter, ok := s.exporterOf(hops[i], query)
+		if !ok {
+			continue
+		}
+		if s.importTime(hops[i], exporter, query) < s.prefillTime(hops, i, query) {
+			hops[i].ImportFrom = exporter.Address
+			hops[i].ImportAttempt = query.Attempt
+		}
+	}
+}
+
+// exporterOf returns a stage of the last attempt that holds the hop's KV and may not go on.
+func (s *search) exporterOf(h hop, query *chicoryhall.RouteQuery) (hop, bool) {
+	for _, stage := range query.Keep {
+		if stage.From > h.From || stage.To < h.To || !slices.Contains(query.Exclude, stage.Engine) {
+			continue
+		}
+		endpoint, known := endpointOf(s.plan.document, stage.Engine)
+		state := s.view(stage.Engine).State
+		if known && (state == chicoryhall.EndpointReady || state == chicoryhall.EndpointLeaving) {
+			return hop{Hop: stage, domain: s.domainOf(endpoint.FailureDomain)}, true
+		}
+	}
+	return hop{}, false
+}
+
+// importTime is the expected time to fetch the hop's KV from an exporter, in nanoseconds.
+func (s *search) importTime(h, exporter hop, query *chicoryhall.RouteQuery) float64 {
+	bytes := float64(s.plan.model.KVBytes) * float64(h.To-h.From) * float64(query.Positions)
+	request := s.plan.links[h.domain][exporter.domain].delay
+	return request + s.plan.links[exporter.domain][h.domain].send(bytes)
+}
+
+// prefillTime is the expected time to rebuild a hop's KV: the stages before it run again too,
+// because their outputs are its inputs.
+func (s *search) prefillTime(hops []hop, index int, query *chicoryhall.RouteQuery) float64 {
+	total := 0.0
+	for i := 0; i <= index; i++ {
+		total += hops[i].speed.prefill(hops[i].To-hops[i].From, query.Positions)
+	}
+	return total
+}
+
+// buildTime is the time that one hop adds before the next token can start.
+func (s *search) buildTime(hops []hop, index int, query *chicoryhall.RouteQuery) float64 {
+	h := hops[index]
+	switch {
+	case h.ImportFrom != "":
+		exporter, _ := s.exporterOf(h, query)
+		return s.importTime(h, exporter, query)
+	case h.Keep && !prefillsLater(hops, index):
+		return 0
+	default:
+		return h.speed.prefill(h.To-h.From, query.Positions)
+	}
+}
+
+// prefillsLater reports whether a later hop rebuilds its KV by prefill.
+func prefillsLater(hops []hop, index int) bool {
+	return slices.ContainsFunc(hops[index+1:], func(h hop) bool { return !h.Keep && h.ImportFrom == "" })
+}
--- /dev/null
+++ b/pipeline/load.go
@@ -0,0 +1,33 @@
+package pipeline
+
+import (
+	"math"
+	"time"
+
+	"chicoryhall.example/chicoryhall"
+)
+
+// maxSlowdown bounds how much a reported step time may raise an engine's expected time.
+const maxSlowdown = 20
+
+// load is what is expected to be at an engine now.
+type load struct {
+	streams float64
+	// step is the reported mean step time in nanoseconds, or 0.
+	step float64
+}
+
+// loadOf joins the late report with the work that this daemon itself has in flight.
+func loadOf(view chicoryhall.EndpointView) load {
+	reported := view.Load.Running + view.Load.Waiting
+	return load{
+		streams: float64(reported + view.InFlight),
+		step:    float64(view.Load.StepMicros) * float64(time.Microsecond),
+	}
+}
+
+// slowdown tells how much longer the engine's steps take than a full batch should.
+func (l load) slowdown(v speed, layers int) float64 {
+	full := v.step + v.layer*float64(layers)*v.batch
+	return math.Min(maxSlowdown, math.Max(1, l.step/full))
+}
--- /dev/null
+++ b/pipeline/router_test.go
@@ -0,0 +1,236 @@
+package pipeline_test
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/pipeline"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func drawDocument(t *rapid.T) *chicoryhall.Document {
+	layers := rapid.IntRange(1, 12).Draw(t, "layers")
+	document := &chicoryhall.Document{
+		Service:      "draft",
+		Kind:         chicoryhall.ServicePipeline,
+		Model:        chicoryhall.DocumentModel{Name: "m", Version: "1", Layers: layers, KVBytes: 1024},
+		Accelerators: kinds,
+	}
+	for i := range rapid.IntRange(1, 12).Draw(t, "engines") {
+		from := rapid.IntRange(0, layers-1).Draw(t, "from")
+		document.Endpoints = append(document.Endpoints, chicoryhall.DocumentEndpoint{
+			ID:            chicoryhall.EngineID(fmt.Sprintf("e%d", i)),
+			Address:       fmt.Sprintf("127.0.0.1:%d", 20000+i),
+			FailureDomain: domainName(rapid.IntRange(0, 2).Draw(t, "domain")),
+			Accelerator:   rapid.SampledFrom(kinds).Draw(t, "kind").Kind,
+			From:          from,
+			To:            rapid.IntRange(from+1, layers).Draw(t, "to"),
+		})
+	}
+	return document
+}
+
+func drawView(t *rapid.T, document *chicoryhall.Document, id chicoryhall.EngineID) chicoryhall.EndpointView {
+	view := chicoryhall.EndpointView{
+		State:    chicoryhall.EndpointState(rapid.SampledFrom([]int{0, 0, 0, 0, 1, 2, 3, 4}).Draw(t, "state")),
+		InFlight: rapid.IntRange(0, 40).Draw(t, "inFlight"),
+	}
+	if rapid.Bool().Draw(t, "reported") {
+		view.Load = chicoryhall.Load{Engine: id, Running: rapid.IntRange(0, 40).Draw(t, "running")}
+		from := rapid.IntRange(0, document.Model.Layers-1).Draw(t, "heldFrom")
+		to := rapid.IntRange(from+1, document.Model.Layers).Draw(t, "heldTo")
+		version := rapid.SampledFrom([]string{"1", "1", "1", "0"}).Draw(t, "version")
+		view.Load.Holdings = []chicoryhall.Holding{{Model: "m", Version: version, From: from, To: to}}
+	}
+	return view
+}
+
+// holds reports whether the endpoint holds layers [from,to) of the document's model.
+func holds(document *chicoryhall.Document, view chicoryhall.EndpointView, id chicoryhall.EngineID, from, to int) bool {
+	if view.Load.Engine != "" {
+		held := view.Load.Holdings[0]
+		return held.Version == "1" && held.From <= from && to <= held.To
+	}
+	for _, endpoint := range document.Endpoints {
+		if endpoint.ID == id {
+			return endpoint.From <= from && to <= endpoint.To
+		}
+	}
+	return false
+}
+
+// checkRoute fails unless each layer is run once, in order, by distinct engines that hold it and
+// may get the work.
+func checkRoute(t *rapid.T, query chicoryhall.RouteQuery, endpoints *fakeEndpoints, route chicoryhall.Route) {
+	next := 0
+	var met []chicoryhall.EngineID
+	for _, hop := range route.Hops {
+		view := endpoints.views[hop.Engine]
+		must.Eq(t, next, hop.From)
+		must.Less(t, hop.To, hop.From)
+		must.False(t, slices.Contains(met, hop.Engine), must.Sprintf("engine %s twice", hop.Engine))
+		must.False(t, slices.Contains(query.Exclude, hop.Engine), must.Sprintf("excluded engine %s", hop.Engine))
+		must.True(t, holds(query.Document, view, hop.Engine, hop.From, hop.To))
+		if hop.Keep {
+			must.True(t, view.State == chicoryhall.EndpointReady || view.State == chicoryhall.EndpointLeaving)
+		} else {
+			must.Eq(t, chicoryhall.EndpointReady, view.State)
+		}
+		met = append(met, hop.Engine)
+		next = hop.To
+	}
+	must.Eq(t, query.Document.Model.Layers, next)
+}
+
+// checkUncovered fails unless exactly the named layers have no ready engine.
+func checkUncovered(t *rapid.T, query chicoryhall.RouteQuery, endpoints *fakeEndpoints, err error) {
+	var uncovered *pipeline.UncoveredError
+	must.True(t, errors.As(err, &uncovered), must.Sprintf("%v", err))
+	for layer := range query.Document.Model.Layers {
+		covered := slices.ContainsFunc(query.Document.Endpoints, func(e chicoryhall.DocumentEndpoint) bool {
+			view := endpoints.views[e.ID]
+			return view.State == chicoryhall.EndpointReady && !slices.Contains(query.Exclude, e.ID) &&
+				holds(query.Document, view, e.ID, layer, layer+1)
+		})
+		named := slices.ContainsFunc(uncovered.Layers, func(r pipeline.LayerRange) bool {
+			return r.From <= layer && layer < r.To
+		})
+		must.Eq(t, !covered, named, must.Sprintf("layer %d", layer))
+	}
+	must.Positive(t, len(uncovered.Layers))
+}
+
+// TestEveryLayerOnce drives choices, endpoint changes, failures and repairs. Mutations that it
+// catches: dropping the state check in newPlan and bestOf; dropping s.exclude in reset; dropping
+// mergeRepeats; dropping the holdings check in keptHop.
+func TestEveryLayerOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		document := drawDocument(t)
+		endpoints := newFakeEndpoints()
+		for _, endpoint := range document.Endpoints {
+			endpoints.views[endpoint.ID] = drawView(t, document, endpoint.ID)
+		}
+		router := pipeline.New(endpoints, pipeline.Options{Seed: rapid.Uint64().Draw(t, "seed")})
+		query := chicoryhall.RouteQuery{Document: document, From: domainName(0), Positions: 10, Remaining: 20, Now: start}
+		for range rapid.IntRange(1, 6).Draw(t, "choices") {
+			route, err := router.Choose(query)
+			if err != nil {
+				checkUncovered(t, query, endpoints, err)
+				return
+			}
+			checkRoute(t, query, endpoints, route)
+			query = nextAttempt(t, query, endpoints, route)
+		}
+	})
+}
+
+// nextAttempt fails one stage of the route and keeps the others.
+func nextAttempt(t *rapid.T, query chicoryhall.RouteQuery, endpoints *fakeEndpoints, route chicoryhall.Route) chicoryhall.RouteQuery {
+	failed := rapid.IntRange(0, len(route.Hops)-1).Draw(t, "failed")
+	id := route.Hops[failed].Engine
+	query.Attempt++
+	query.Exclude = append(slices.Clone(query.Exclude), id)
+	query.Keep = slices.Delete(slices.Clone(route.Hops), failed, failed+1)
+	other := rapid.SampledFrom(query.Document.Endpoints).Draw(t, "other").ID
+	endpoints.setState(other, chicoryhall.EndpointState(rapid.IntRange(0, 4).Draw(t, "otherState")))
+	return query
+}
+
+// TestRepairKeepsSurvivors replaces only the missing range. Mutation that it catches: ignoring
+// query.Keep in choose.
+func TestRepairKeepsSurvivors(t *testing.T) {
+	document := documentOf(30, 3)
+	endpoints := newFakeEndpoints()
+	router := pipeline.New(endpoints, pipeline.Options{Seed: 1})
+	query := chicoryhall.RouteQuery{Document: document, From: domainName(0), Positions: 100, Remaining: 50, Now: start}
+	first, err := router.Choose(query)
+	must.NoError(t, err)
+	must.Len(t, 3, first.Hops)
+	endpoints.setState(first.Hops[1].Engine, chicoryhall.EndpointDead)
+	query.Attempt = 1
+	query.Exclude = []chicoryhall.EngineID{first.Hops[1].Engine}
+	query.Keep = []chicoryhall.Hop{first.Hops[0], first.Hops[2]}
+	second, err := router.Choose(query)
+	must.NoError(t, err)
+	must.Len(t, 3, second.Hops)
+	for _, i := range []int{0, 2} {
+		must.Eq(t, first.Hops[i].Engine, second.Hops[i].Engine)
+		must.True(t, second.Hops[i].Keep)
+		must.Eq(t, 1, second.Hops[i].ImportAttempt)
+	}
+	must.NotEq(t, first.Hops[1].Engine, second.Hops[1].Engine)
+	must.False(t, second.Hops[1].Keep)
+}
+
+// TestImportAgainstPrefill compares the two ways to build KV over links that differ a
+// hundredfold. Mutation that it catches: importing whenever an exporter exists.
+func TestImportAgainstPrefill(t *testing.T) {
+	cases := []struct {
+		name           string
+		bytesPerSecond int64
+		wantImport     bool
+	}{
+		{"fast link", 1_000_000_000, true},
+		{"slow link", 10_000_000, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			document := documentOf(6, 2)
+			document.Links = []chicoryhall.DocumentLink{
+				{From: domainName(0), To: domainName(1), Delay: time.Millisecond, BytesPerSecond: c.bytesPerSecond},
+				{From: domainName(1), To: domainName(0), Delay: time.Millisecond, BytesPerSecond: c.bytesPerSecond},
+			}
+			endpoints := newFakeEndpoints()
+			endpoints.setState("e001", chicoryhall.EndpointLeaving)
+			router := pipeline.New(endpoints, pipeline.Options{Seed: 1})
+			route, err := router.Choose(chicoryhall.RouteQuery{
+				Document: document, From: domainName(0), Positions: 200, Remaining: 50, Now: start, Attempt: 3,
+				Exclude: []chicoryhall.EngineID{"e001"},
+				Keep: []chicoryhall.Hop{
+					{Engine: "e000", From: 0, To: 8},
+					{Engine: "e001", Address: "127.0.0.1:20001", From: 8, To: 16},
+					{Engine: "e002", From: 16, To: 24},
+				},
+			})
+			must.NoError(t, err)
+			must.Eq(t, "e004", string(route.Hops[1].Engine))
+			must.Eq(t, c.wantImport, route.Hops[1].ImportFrom == "127.0.0.1:20001")
+		})
+	}
+}
+
+func TestPlainServiceGetsOneEndpoint(t *testing.T) {
+	document := &chicoryhall.Document{Service: "booking", Kind: chicoryhall.ServicePlain, Endpoints: []chicoryhall.DocumentEndpoint{
+		{ID: "p1", Address: "127.0.0.1:1"}, {ID: "p2", Address: "127.0.0.1:2"},
+	}}
+	endpoints := newFakeEndpoints()
+	endpoints.setState("p1", chicoryhall.EndpointDead)
+	route, err := pipeline.New(endpoints, pipeline.Options{Seed: 1}).Choose(chicoryhall.RouteQuery{Document: document, Now: start})
+	must.NoError(t, err)
+	must.Eq(t, []chicoryhall.Hop{{Engine: "p2", Address: "127.0.0.1:2"}}, route.Hops)
+}
+
+func TestStateChangeIsSeenAtOnce(t *testing.T) {
+	document := documentOf(6, 1)
+	endpoints := newFakeEndpoints()
+	router := pipeline.New(endpoints, pipeline.Options{Seed: 1})
+	query := chicoryhall.RouteQuery{Document: document, From: domainName(0), Now: start}
+	route, err := router.Choose(query)
+	must.NoError(t, err)
+	for _, hop := range route.Hops {
+		endpoints.setState(hop.Engine, chicoryhall.EndpointLeaving)
+	}
+	next, err := router.Choose(query)
+	must.NoError(t, err)
+	for i, hop := range next.Hops {
+		must.NotEq(t, route.Hops[i].Engine, hop.Engine)
+	}
+}
