--- /dev/null
+++ b/document/check.go
@@ -0,0 +1,157 @@
+package document
+
+import (
+	"fmt"
+	"regexp"
+	"time"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/strict"
+)
+
+// The bounds of a document's values.
+const (
+	maxLayers    = 1000
+	maxKVBytes   = 1 << 24 // bytes of one position in one layer
+	maxPriority  = 100
+	maxTimeout   = 24 * time.Hour
+	maxStepTime  = 10 * time.Second
+	maxBatch     = 100_000
+	maxShare     = 1_000_000
+	maxEndpoints = 16
+	maxDelay     = 10 * time.Second
+	maxPercent   = 100
+	maxRate      = 1e9 // requests a second
+)
+
+// credential is the form of an organisation's credential.
+var credential = regexp.MustCompile(`^sha256:[0-9a-f]{64}$`)
+
+func check(file *strict.File, d *chicoryhall.Document) {
+	file.Word("service", string(d.Service))
+	file.Word("team", d.Team)
+	checkModel(file, d)
+	checkClasses(file, d)
+	checkOrganisations(file, d)
+	file.Range("retries.budgetPercent", int64(d.Retries.BudgetPercent), 0, maxPercent)
+	file.Range("retries.endpoints", int64(d.Retries.Endpoints), 1, maxEndpoints)
+	checkAccelerators(file, d)
+	checkLinks(file, d)
+	checkEndpoints(file, d)
+	checkCover(file, d)
+}
+
+func checkModel(file *strict.File, d *chicoryhall.Document) {
+	if d.Kind == chicoryhall.ServicePlain {
+		if file.Known("model") {
+			file.Report("model", "a plain service has no model; leave it out, or write kind: pipeline")
+		}
+		return
+	}
+	if !file.Known("model") {
+		if file.Known("kind") {
+			file.Report("model", "the field is missing; a pipeline service needs its name, version, layers and kvBytes")
+		}
+		return
+	}
+	file.Word("model.name", d.Model.Name)
+	file.Word("model.version", d.Model.Version)
+	file.Range("model.layers", int64(d.Model.Layers), 1, maxLayers)
+	file.Range("model.kvBytes", int64(d.Model.KVBytes), 1, maxKVBytes)
+}
+
+func checkClasses(file *strict.File, d *chicoryhall.Document) {
+	if file.Known("classes") && len(d.Classes) == 0 {
+		file.Report("classes", "the list is empty; write at least one class")
+	}
+	seen := newNames(file)
+	for i, class := range d.Classes {
+		path := fmt.Sprintf("classes[%d]", i)
+		seen.add(path+".name", string(class.Name))
+		file.Range(path+".priority", int64(class.Priority), 0, maxPriority)
+		file.Duration(path+".timeout", class.Timeout, time.Millisecond, maxTimeout)
+		file.Duration(path+".firstToken", class.FirstToken, time.Microsecond, maxTimeout)
+		if class.FirstToken > class.Timeout && file.Known(path+".firstToken") && file.Known(path+".timeout") {
+			file.Report(path+".firstToken", "%s is later than the timeout of %s; write a shorter time", class.FirstToken, class.Timeout)
+		}
+	}
+}
+
+func checkOrganisations(file *strict.File, d *chicoryhall.Document) {
+	if file.Known("organisations") && len(d.Organisations) == 0 {
+		file.Warn("organisations", "the list is empty; nobody can call the service")
+	}
+	seen := newNames(file)
+	credentials := map[string]int{}
+	for i, organisation := range d.Organisations {
+		path := fmt.Sprintf("organisations[%d]", i)
+		seen.add(path+".name", string(organisation.Name))
+		file.Range(path+".share", int64(organisation.Share), 1, maxShare)
+		if rate := organisation.RequestsPerSecond; file.Known(path+".requestsPerSecond") && (rate <= 0 || rate > maxRate) {
+			file.Report(path+".requestsPerSecond", "%g is out of range; write requests a second above 0 and up to %g", rate, maxRate)
+		}
+		checkCredential(file, path+".credential", organisation.Credential)
+		if other, twice := credentials[organisation.Credential]; twice && file.Known(path+".credential") {
+			file.Report(path+".credential", "it is also the credential of organisations[%d]; give each its own", other)
+		}
+		credentials[organisation.Credential] = i
+	}
+}
+
+// checkCredential never shows the text: a token may have been written in place of its digest.
+func checkCredential(file *strict.File, path, text string) {
+	if file.Known(path) && !credential.MatchString(text) {
+		file.Report(path, "this is no digest; write sha256: and the 64 hex digits of the token's SHA-256, never the token")
+	}
+}
+
+func checkAccelerators(file *strict.File, d *chicoryhall.Document) {
+	seen := newNames(file)
+	for i, accelerator := range d.Accelerators {
+		path := fmt.Sprintf("accelerators[%d]", i)
+		seen.add(path+".kind", string(accelerator.Kind))
+		file.Duration(path+".stepTime", accelerator.StepTime, 0, maxStepTime)
+		file.Duration(path+".layerTime", accelerator.LayerTime, 0, maxStepTime)
+		file.Range(path+".batch", int64(accelerator.Batch), 1, maxBatch)
+	}
+}
+
+func checkLinks(file *strict.File, d *chicoryhall.Document) {
+	seen := map[[2]chicoryhall.FailureDomain]int{}
+	for i, link := range d.Links {
+		path := fmt.Sprintf("links[%d]", i)
+		file.Word(path+".from", string(link.From))
+		file.Word(path+".to", string(link.To))
+		file.Duration(path+".delay", link.Delay, 0, maxDelay)
+		if file.Known(path+".bytesPerSecond") && link.BytesPerSecond < 1 {
+			file.Report(path+".bytesPerSecond", "%d is out of range; write bytes a second above 0", link.BytesPerSecond)
+		}
+		key := [2]chicoryhall.FailureDomain{link.From, link.To}
+		if other, twice := seen[key]; twice {
+			file.Report(path, "links[%d] has the same ends; write each link once", other)
+		}
+		seen[key] = i
+	}
+}
+
+// names finds names that stand twice in one list.
+type names struct {
+	file *strict.File
+	seen map[string]string
+}
+
+func newNames(file *strict.File) *names {
+	return &names{file: file, seen: map[string]string{}}
+}
+
+func (n *names) add(path, name string) {
+	n.file.Word(path, name)
+	if !n.file.Known(path) {
+		return
+	}
+	if other, twice := n.seen[name]; twice {
+		n.file.Report(path, "%q is also the name at %s; write another", name, other)
+		return
+	}
+	n.seen[name] = path
+}
--- /dev/null
+++ b/document/endpoints.go
@@ -0,0 +1,98 @@
+package document
+
+import (
+	"fmt"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/strict"
+)
+
+func checkEndpoints(file *strict.File, d *chicoryhall.Document) {
+	if file.Known("endpoints") && len(d.Endpoints) == 0 {
+		file.Report("endpoints", "the list is empty; write at least one endpoint")
+	}
+	ids := newNames(file)
+	addresses := map[string]int{}
+	for i, endpoint := range d.Endpoints {
+		path := fmt.Sprintf("endpoints[%d]", i)
+		ids.add(path+".id", string(endpoint.ID))
+		file.Word(path+".failureDomain", string(endpoint.FailureDomain))
+		file.Address(path+".address", endpoint.Address)
+		if other, twice := addresses[endpoint.Address]; twice && file.Known(path+".address") {
+			file.Report(path+".address", "%s is also the address of endpoints[%d]; write another", endpoint.Address, other)
+		}
+		addresses[endpoint.Address] = i
+		if d.Kind == chicoryhall.ServicePipeline {
+			checkEngine(file, d, path, endpoint)
+		} else if endpoint.From != 0 || endpoint.To != 0 {
+			file.Report(path, "a plain endpoint holds no layers; leave from and to out")
+		}
+	}
+}
+
+func checkEngine(file *strict.File, d *chicoryhall.Document, path string, endpoint chicoryhall.DocumentEndpoint) {
+	if !hasAccelerator(d, endpoint.Accelerator) {
+		file.Report(path+".accelerator", "the kind %q is not in accelerators; write one of them", endpoint.Accelerator)
+	}
+	layers := d.Model.Layers
+	if layers < 1 {
+		return
+	}
+	if endpoint.From < 0 || endpoint.From >= layers {
+		file.Report(path+".from", "%d is no layer; write a number from 0 to %d", endpoint.From, layers-1)
+		return
+	}
+	if endpoint.To <= endpoint.From || endpoint.To > layers {
+		file.Report(path+".to", "%d does not end the range; write a number from %d to %d", endpoint.To, endpoint.From+1, layers)
+	}
+}
+
+func hasAccelerator(d *chicoryhall.Document, kind chicoryhall.AcceleratorKind) bool {
+	for i := range d.Accelerators {
+		if d.Accelerators[i].Kind == kind {
+			return true
+		}
+	}
+	return false
+}
+
+// checkCover reports the layers from which no chain of engines goes on, and
+// warns of a layer range that one engine alone holds.
+func checkCover(file *strict.File, d *chicoryhall.Document) {
+	if d.Kind != chicoryhall.ServicePipeline || len(d.Endpoints) == 0 || !file.Known("model.layers") {
+		return
+	}
+	reached := Reach(d.Endpoints, "")
+	if reached < d.Model.Layers {
+		file.Report("endpoints", "no chain of engines covers the model: layers %d to %d have none; "+
+			"add an engine with from: %d", reached, d.Model.Layers, reached)
+		return
+	}
+	for i := range d.Endpoints {
+		id := d.Endpoints[i].ID
+		if Reach(d.Endpoints, id) < d.Model.Layers {
+			file.Warn(fmt.Sprintf("endpoints[%d]", i), "no chain is left without %s; add a second engine for its layers", id)
+		}
+	}
+}
+
+// Reach returns the layer up to which a chain of engines goes, each beginning
+// where the one before it ends, without the engine named.
+func Reach(endpoints []chicoryhall.DocumentEndpoint, without chicoryhall.EngineID) int {
+	reached := map[int]bool{0: true}
+	for grown := true; grown; {
+		grown = false
+		for i := range endpoints {
+			e := &endpoints[i]
+			if e.ID != without && e.To > e.From && reached[e.From] && !reached[e.To] {
+				reached[e.To] = true
+				grown = true
+			}
+		}
+	}
+	last := 0
+	for layer := range reached {
+		last = max(last, layer)
+	}
+	return last
+}
--- /dev/null
+++ b/settings/load.go
@@ -0,0 +1,81 @@
+package settings
+
+import (
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+
+	"chicoryhall.example/chicoryhall/strict"
+)
+
+// maxDrainTimeout bounds Daemon.DrainTimeout.
+const maxDrainTimeout = time.Hour
+
+// Load reads and checks a settings file; mistakes in it are a strict.Problems.
+func Load(path string) (*Daemon, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings")
+	}
+	return Parse(path, text)
+}
+
+// Parse checks the text of a settings file; mistakes in it are a strict.Problems.
+func Parse(name string, text []byte) (*Daemon, error) {
+	var d Daemon
+	file := strict.Decode(name, text, &d)
+	check(file, &d)
+	if err := file.Err(); err != nil {
+		return nil, err
+	}
+	return &d, nil
+}
+
+func check(file *strict.File, d *Daemon) {
+	file.Word("id", string(d.ID))
+	file.Word("region", string(d.Region))
+	file.Word("failureDomain", string(d.FailureDomain))
+	checkListen(file, d.Listen)
+	checkSeeds(file, d.Seeds)
+	file.Address("platform.table", d.Platform.Table)
+	file.Address("platform.objects", d.Platform.Objects)
+	file.Address("platform.weights", d.Platform.Weights)
+	file.Address("platform.vmList", d.Platform.VMList)
+	if (d.TLS.Certificate == "") != (d.TLS.Key == "") {
+		file.Report("tls", "one of certificate and key is missing; write both, or leave tls out for plain TCP")
+	}
+	file.Duration("drainTimeout", d.DrainTimeout, time.Second, maxDrainTimeout)
+	if _, err := log.ParseLevel(d.LogLevel); d.LogLevel != "" && err != nil {
+		file.Report("logLevel", "%q is not known; write one of: debug, info, warn, error", d.LogLevel)
+	}
+}
+
+func checkListen(file *strict.File, listen Listen) {
+	seen := map[string]string{}
+	for _, one := range []struct{ path, address string }{
+		{"listen.callers", listen.Callers},
+		{"listen.operators", listen.Operators},
+		{"listen.peers", listen.Peers},
+	} {
+		file.Address(one.path, one.address)
+		if other, twice := seen[one.address]; twice && file.Known(one.path) {
+			file.Report(one.path, "%s is also the address of %s; write another port", one.address, other)
+		}
+		seen[one.address] = one.path
+	}
+}
+
+func checkSeeds(file *strict.File, seeds []string) {
+	seen := map[string]bool{}
+	for i, seed := range seeds {
+		path := "seeds[" + strconv.Itoa(i) + "]"
+		file.Address(path, seed)
+		if seen[seed] {
+			file.Report(path, "%s is given twice; write it once", seed)
+		}
+		seen[seed] = true
+	}
+}
--- /dev/null
+++ b/strict/check.go
@@ -0,0 +1,74 @@
+package strict
+
+import (
+	"net/netip"
+	"strings"
+	"time"
+)
+
+// Address checks that the text at path is IP:PORT with a port from 1 to 65535.
+func (f *File) Address(path, text string) {
+	if !f.Known(path) {
+		return
+	}
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		f.Report(path, "%q is no address; write IP:PORT with numbers, such as 127.0.0.1:8080", text)
+		return
+	}
+	if address.Port() == 0 {
+		f.Report(path, "%q has the port 0; write a port from 1 to 65535", text)
+	}
+}
+
+// Word checks that the text at path is one non-empty word of at most maxWord bytes.
+func (f *File) Word(path, text string) {
+	const maxWord = 100
+	if !f.Known(path) {
+		return
+	}
+	if text == "" {
+		f.Report(path, "the text is empty; write a name")
+		return
+	}
+	if len(text) > maxWord || strings.ContainsFunc(text, notInWord) {
+		f.Report(path, "%q is no name; write at most %d letters, digits, \"-\", \"_\" and \".\"", text, maxWord)
+	}
+}
+
+func notInWord(r rune) bool {
+	switch {
+	case r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z', r >= '0' && r <= '9':
+		return false
+	case r == '-', r == '_', r == '.':
+		return false
+	}
+	return true
+}
+
+// Range checks that the number at path lies from low to high.
+func (f *File) Range(path string, n, low, high int64) {
+	if f.Known(path) && (n < low || n > high) {
+		f.Report(path, "%d is out of range; write a number from %d to %d", n, low, high)
+	}
+}
+
+// Duration checks that the time at path lies from low to high.
+func (f *File) Duration(path string, d, low, high time.Duration) {
+	if f.Known(path) && (d < low || d > high) {
+		f.Report(path, "%s is out of range; write a time from %s to %s", d, low, high)
+	}
+}
+
+// Known tells whether the field at path was given and had no mistake so far.
+func (f *File) Known(path string) bool {
+	if _, given := f.places[path]; !given {
+		return false
+	}
+	for i := range f.problems {
+		if f.problems[i].Path == path && !f.problems[i].Warning {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/strict/scalar.go
@@ -0,0 +1,154 @@
+package strict
+
+import (
+	"encoding"
+	"fmt"
+	"math"
+	"reflect"
+	"strconv"
+	"time"
+
+	"github.com/goccy/go-yaml/ast"
+)
+
+func (f *File) duration(node ast.Node, path string, target reflect.Value) {
+	text, ok := scalarText(node)
+	if !ok {
+		f.Report(path, "this is %s; write a time with its unit, such as 250ms, 3s or 5m", describe(node))
+		return
+	}
+	if _, err := strconv.ParseFloat(text, 64); err == nil {
+		f.Report(path, "the time %s has no unit; write it with one, such as %sms or %ss", text, text, text)
+		return
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		f.Report(path, "%q is no time; write a number with its unit, such as 250ms, 3s or 5m", text)
+		return
+	}
+	target.SetInt(int64(d))
+}
+
+func (f *File) text(node ast.Node, path string, target reflect.Value) {
+	text, ok := scalarText(node)
+	if !ok {
+		f.Report(path, "this is %s; write one word", describe(node))
+		return
+	}
+	err := target.Addr().Interface().(encoding.TextUnmarshaler).UnmarshalText([]byte(text))
+	if err != nil {
+		f.Report(path, "%q is not known; write %s", text, example(target.Type()))
+	}
+}
+
+func (f *File) scalar(node ast.Node, path string, target reflect.Value) {
+	text, ok := scalarText(node)
+	if !ok {
+		f.Report(path, "this is %s; write %s", describe(node), example(target.Type()))
+		return
+	}
+	switch target.Kind() {
+	case reflect.String:
+		target.SetString(text)
+	case reflect.Bool:
+		f.bool(node, path, target)
+	case reflect.Int, reflect.Int64:
+		n, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			f.Report(path, "%q is no whole number; write %s", text, example(target.Type()))
+			return
+		}
+		target.SetInt(n)
+	case reflect.Float64:
+		n, err := strconv.ParseFloat(text, 64)
+		if err != nil || math.IsNaN(n) || math.IsInf(n, 0) {
+			f.Report(path, "%q is no number; write %s", text, example(target.Type()))
+			return
+		}
+		target.SetFloat(n)
+	default:
+		panic(fmt.Sprintf("strict: the type %s is not supported", target.Type()))
+	}
+}
+
+func (f *File) bool(node ast.Node, path string, target reflect.Value) {
+	b, ok := node.(*ast.BoolNode)
+	if !ok {
+		f.Report(path, "this is %s; write true or false", describe(node))
+		return
+	}
+	target.SetBool(b.Value)
+}
+
+// scalarText returns the text of a scalar as it was written.
+func scalarText(node ast.Node) (string, bool) {
+	switch n := node.(type) {
+	case *ast.StringNode:
+		return n.Value, true
+	case *ast.LiteralNode:
+		return n.Value.Value, true
+	case *ast.IntegerNode, *ast.FloatNode, *ast.BoolNode, *ast.InfinityNode, *ast.NanNode:
+		return n.GetToken().Value, true
+	}
+	return "", false
+}
+
+// describe names what a node is, for messages.
+func describe(node ast.Node) string {
+	switch n := node.(type) {
+	case *ast.MappingNode, *ast.MappingValueNode:
+		return "a mapping"
+	case *ast.SequenceNode:
+		return "a list"
+	case *ast.NullNode:
+		return "empty"
+	case *ast.StringNode:
+		return fmt.Sprintf("the text %q", n.Value)
+	}
+	return fmt.Sprintf("the value %s", node.GetToken().Value)
+}
+
+// example shows a value of the type.
+func example(t reflect.Type) string {
+	if t == durationType {
+		return "a time with its unit, such as 250ms"
+	}
+	if reflect.PointerTo(t).Implements(textType) {
+		return "one of: " + words(t)
+	}
+	switch t.Kind() {
+	case reflect.Struct:
+		return "a mapping of its fields"
+	case reflect.Slice:
+		return "a list, or [] for none"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Int, reflect.Int64:
+		return "a whole number"
+	case reflect.Float64:
+		return "a number"
+	default:
+		return "a text"
+	}
+}
+
+// maxWords bounds how many names of an enum are tried.
+const maxWords = 16
+
+// words lists the names of an enum, whose values count up from 0.
+func words(t reflect.Type) string {
+	list := ""
+	for i := range int64(maxWords) {
+		value := reflect.New(t).Elem()
+		value.SetInt(i)
+		text, err := value.Interface().(encoding.TextMarshaler).MarshalText()
+		if err != nil || value.Addr().Interface().(encoding.TextUnmarshaler).UnmarshalText(text) != nil {
+			break
+		}
+		if list != "" {
+			list += ", "
+		}
+		list += string(text)
+	}
+	return list
+}
