--- a/engine/stream.go
+++ b/engine/stream.go
@@ -63,24 +63,20 @@
 	return fmt.Sprintf("stream %s attempt %d", s.start.Stream, s.start.Attempt)
 }
 
-// Abandon ends the attempt without further calls and cancels it at the engine.
+// Abandon ends the attempt at this side without further calls; the engine keeps its KV.
 func (s *Stream) Abandon() {
 	s.mu.Lock()
 	conn := s.conn
 	again := s.canceled
 	s.canceled = true
 	s.mu.Unlock()
-	if again || s.closing {
-		return
-	}
-	if conn != nil {
+	if !again && conn != nil {
 		conn.abandon(s)
 	}
-	s.client.cancel(s.address, s.start.Stream, s.start.Attempt)
 }
 
-// cancel tells an engine that an attempt is not wanted any more; a failure needs no reaction.
-func (c *Client) cancel(address string, id chicoryhall.RequestID, attempt int) {
+// Cancel tells an engine that an attempt is not wanted any more; a failure needs no reaction.
+func (c *Client) Cancel(address string, id chicoryhall.RequestID, attempt int) {
 	path := fmt.Sprintf("/v1/streams/%s?attempt=%d", url.PathEscape(string(id)), attempt)
 	request := appendRequest(nil, "DELETE", path, address, nil)
 	c.send(exchange{address: address, step: "cancel stream", request: request, receiver: ignored{}})
--- a/requests.go
+++ b/requests.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"chicoryhall.example/chicoryhall/digest"
 )
 
@@ -45,6 +47,48 @@
 	Finish(id RequestID, outcome Outcome)
 }
 
+// ErrReplaced tells that another daemon has become the holder of a request.
+var ErrReplaced = errors.New("another daemon holds the request")
+
+// Result is how a request ended.
+type Result struct {
+	Outcome Outcome `json:"outcome"`
+	// Reason names why there is no answer, as documents of problems spell it, or is empty.
+	Reason string `json:"reason,omitempty"`
+	// RetryAfter is the time to come back, or 0 where a repeat does not help.
+	RetryAfter time.Duration `json:"retryAfter,omitempty"`
+	// Body is the answer of a plain service.
+	Body string `json:"body,omitempty"`
+}
+
+// Follower is told what becomes of a request, call after call.
+type Follower interface {
+	// OnAccepted tells that the request is held and will end with an outcome.
+	OnAccepted()
+	// OnTokens gives tokens from position; they follow the ones before without a gap.
+	OnTokens(position int, tokens []digest.Token)
+	// OnFinish is the last call.
+	OnFinish(result Result)
+}
+
+// Requests are the requests that this daemon runs or has finished lately.
+type Requests interface {
+	// Follow tells follower of the request from position on; false means that it is not known here.
+	Follow(id RequestID, organisation Organisation, position int, follower Follower) (stop func(), found bool)
+	// Cancel ends a request; false means that it is not known here.
+	Cancel(id RequestID, organisation Organisation) bool
+	// Resume goes on with a request whose daemon was lost, with a raised attempt.
+	Resume(record RequestRecord) error
+}
+
+// Forwarder reaches the requests of other daemons.
+type Forwarder interface {
+	// Follow asks the daemon that holds the request; false means that none is known to hold it.
+	Follow(ctx context.Context, id RequestID, organisation Organisation, position int, follower Follower) (stop func(), found bool)
+	// Cancel asks the daemon that holds the request; false means that none is known to hold it.
+	Cancel(ctx context.Context, id RequestID, organisation Organisation) bool
+}
+
 // ClaimState is what the table knows of a request that may run at most once.
 type ClaimState int
 
