Compute the throughput bound by a linear program over ways

pipeline.Bound solves max flow with the engines' time and the links' bytes as resources shared by all layer cuts, by column generation: the shortest path under the resources' prices is the next column. A plain max-flow cannot state that a link's capacity is shared by several cuts, nor that an engine may run part of its range; gonum's simplex needs all ways enumerated. Both serve as references in the tests (Dinic without link limits, lp.Simplex with).

--- a/pipeline/bench_test.go
+++ b/pipeline/bench_test.go
@@ -25,3 +25,18 @@
 		})
 	}
 }
+
+func BenchmarkBound(b *testing.B) {
+	for _, size := range benchSizes {
+		b.Run(fmt.Sprintf("engines=%d", size.engines), func(b *testing.B) {
+			document := documentOf(size.engines, size.domains)
+			endpoints := newFakeEndpoints()
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := pipeline.Bound(document, endpoints.View, pipeline.Mix{}); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pipeline/bound_test.go
@@ -0,0 +1,179 @@
+package pipeline_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"gonum.org/v1/gonum/graph/network"
+	"gonum.org/v1/gonum/graph/simple"
+	"gonum.org/v1/gonum/mat"
+	"gonum.org/v1/gonum/optimize/convex/lp"
+	"pgregory.net/rapid"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/pipeline"
+)
+
+// boundTolerance is the relative difference allowed between two solvers.
+const boundTolerance = 1e-4
+
+func mustBeClose(t must.T, want, got float64) {
+	t.Helper()
+	must.True(t, math.Abs(want-got) <= boundTolerance*math.Max(want, got), must.Sprintf("want %g, got %g", want, got))
+}
+
+// rateOf is the rate of one engine of a kind with full batches.
+func rateOf(kind chicoryhall.DocumentAccelerator, layers int) float64 {
+	step := kind.StepTime.Seconds() + kind.LayerTime.Seconds()*float64(layers*kind.Batch)
+	return float64(kind.Batch) / step
+}
+
+func kindOf(name chicoryhall.AcceleratorKind) chicoryhall.DocumentAccelerator {
+	for _, kind := range kinds {
+		if kind.Kind == name {
+			return kind
+		}
+	}
+	panic("unknown kind " + string(name))
+}
+
+// TestBoundIsMaxFlow compares the bound with gonum's maximum flow where cuts align and links do
+// not limit. Mutation that it catches: entering only the first column in maxFlow.
+func TestBoundIsMaxFlow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		document := documentOf(rapid.IntRange(3, 40).Draw(t, "engines"), rapid.IntRange(1, 4).Draw(t, "domains"))
+		document.Model.ActivationBytes = 1
+		endpoints := newFakeEndpoints()
+		graph := simple.NewWeightedDirectedGraph(0, 0)
+		capacity := make([]float64, 3)
+		for _, endpoint := range document.Endpoints {
+			if rapid.Float64Range(0, 1).Draw(t, "lost") < 0.2 {
+				endpoints.setState(endpoint.ID, chicoryhall.EndpointDead)
+				continue
+			}
+			capacity[endpoint.From/layersPerRange] += rateOf(kindOf(endpoint.Accelerator), layersPerRange)
+		}
+		for i, c := range capacity {
+			graph.SetWeightedEdge(simple.WeightedEdge{F: simple.Node(i), T: simple.Node(i + 1), W: c})
+		}
+		want := network.MaxFlowDinic(graph, simple.Node(0), simple.Node(3), 1e-9)
+		got, err := pipeline.Bound(document, endpoints.View, pipeline.Mix{})
+		if err != nil {
+			must.Eq(t, 0, want)
+			return
+		}
+		mustBeClose(t, want, got)
+	})
+}
+
+// TestBoundIsLinearProgram compares the bound with gonum's simplex method over all ways of a
+// small service with narrow links. Mutation that it catches: leaving out enterSlack, or the
+// link's use in market.usage.
+func TestBoundIsLinearProgram(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		document := documentOf(rapid.IntRange(9, 27).Draw(t, "engines"), 3)
+		for from := range 3 {
+			for to := range 3 {
+				if from != to {
+					document.Links = append(document.Links, chicoryhall.DocumentLink{
+						From: domainName(from), To: domainName(to), Delay: time.Millisecond,
+						BytesPerSecond: int64(rapid.IntRange(100_000, 100_000_000).Draw(t, "bytesPerSecond")),
+					})
+				}
+			}
+		}
+		endpoints := newFakeEndpoints()
+		for _, endpoint := range document.Endpoints {
+			if rapid.Float64Range(0, 1).Draw(t, "lost") < 0.3 {
+				endpoints.setState(endpoint.ID, chicoryhall.EndpointDead)
+			}
+		}
+		got, err := pipeline.Bound(document, endpoints.View, pipeline.Mix{})
+		if err != nil {
+			return
+		}
+		mustBeClose(t, referenceBound(document, endpoints), got)
+	})
+}
+
+// referenceBound enumerates the ways over (domain, kind) groups of each range and solves the
+// whole program at once.
+func referenceBound(document *chicoryhall.Document, endpoints *fakeEndpoints) float64 {
+	type groupKey struct {
+		stage  int
+		domain chicoryhall.FailureDomain
+		kind   chicoryhall.AcceleratorKind
+	}
+	rows := make(map[string]int)
+	var capacities []float64
+	row := func(name string, capacity float64) int {
+		if _, ok := rows[name]; !ok {
+			rows[name] = len(capacities)
+			capacities = append(capacities, 0)
+		}
+		capacities[rows[name]] += capacity
+		return rows[name]
+	}
+	stages := make([][]groupKey, 3)
+	for _, endpoint := range document.Endpoints {
+		if endpoints.views[endpoint.ID].State != chicoryhall.EndpointReady {
+			continue
+		}
+		key := groupKey{endpoint.From / layersPerRange, endpoint.FailureDomain, endpoint.Accelerator}
+		if _, ok := rows[fmt.Sprint(key)]; !ok {
+			stages[key.stage] = append(stages[key.stage], key)
+		}
+		row(fmt.Sprint(key), rateOf(kindOf(key.kind), layersPerRange))
+	}
+	for _, link := range document.Links {
+		row(string(link.From+">"+link.To), float64(link.BytesPerSecond)/(8<<10))
+	}
+	var columns [][]float64
+	for _, a := range stages[0] {
+		for _, b := range stages[1] {
+			for _, c := range stages[2] {
+				way := []groupKey{a, b, c}
+				column := make([]float64, len(capacities))
+				for i, key := range way {
+					column[rows[fmt.Sprint(key)]]++
+					if i > 0 && way[i-1].domain != key.domain {
+						column[rows[string(way[i-1].domain+">"+key.domain)]]++
+					}
+				}
+				columns = append(columns, column)
+			}
+		}
+	}
+	return solve(columns, capacities)
+}
+
+// solve returns max sum(x) with the columns' use within the capacities.
+func solve(columns [][]float64, capacities []float64) float64 {
+	matrix := mat.NewDense(len(capacities), len(columns)+len(capacities), nil)
+	objective := make([]float64, len(columns)+len(capacities))
+	basis := make([]int, len(capacities))
+	for j, column := range columns {
+		objective[j] = -1
+		matrix.SetCol(j, column)
+	}
+	for i := range capacities {
+		matrix.Set(i, len(columns)+i, 1)
+		basis[i] = len(columns) + i
+	}
+	value, _, err := lp.Simplex(objective, matrix, capacities, 1e-9, basis)
+	if err != nil {
+		panic(err)
+	}
+	return -value
+}
+
+func TestBoundNamesUncoveredLayers(t *testing.T) {
+	document := documentOf(3, 1)
+	endpoints := newFakeEndpoints()
+	endpoints.setState("e001", chicoryhall.EndpointLeaving)
+	_, err := pipeline.Bound(document, endpoints.View, pipeline.Mix{})
+	must.EqError(t, err, `choose route: service "draft" has no ready engine for layers [8,16)`)
+}
--- a/pipeline/fill.go
+++ b/pipeline/fill.go
@@ -121,7 +121,7 @@
 	start, _ := slices.BinarySearch(s.plan.cuts, from)
 	end, _ := slices.BinarySearch(s.plan.cuts, to)
 	for range maxRepeats {
-		way, ok := s.path(start, end, before, after)
+		way, _, ok := s.path(s, start, end, before, after)
 		if !ok {
 			return nil, false
 		}
@@ -145,7 +145,7 @@
 func (s *search) mergeRepeats(way []placed) ([]placed, bool) {
 	for i := 0; i < len(way); i++ {
 		for j := len(way) - 1; j > i; j-- {
-			if way[j].engine != way[i].engine {
+			if s.offers[way[j].group].engine != s.offers[way[i].group].engine {
 				continue
 			}
 			if way[j].group != way[i].group {
@@ -161,7 +161,7 @@
 }
 
 func (s *search) newHop(piece placed) hop {
-	chosen := s.plan.engines[piece.engine]
+	chosen := s.plan.engines[s.offers[piece.group].engine]
 	h := hop{
 		Hop: chicoryhall.Hop{
 			Engine: chosen.id, Address: chosen.address,
@@ -180,10 +180,9 @@
 	route := chicoryhall.Route{Hops: make([]chicoryhall.Hop, 0, len(hops))}
 	first, between := 0.0, 0.0
 	before := s.domainOf(query.From)
-	bytes := activationBytes(s.plan.model)
 	for i := range hops {
 		h := &hops[i]
-		between += s.tokenTime(h.speed, h.load, h.To-h.From) + s.plan.links[before][h.domain].send(bytes)
+		between += s.tokenTime(h.speed, h.load, h.To-h.From) + s.plan.links[before][h.domain].send(s.activation)
 		first += s.buildTime(hops, i, query)
 		before = h.domain
 		route.Hops = append(route.Hops, s.wireHop(h.Hop))
--- a/pipeline/imports.go
+++ b/pipeline/imports.go
@@ -44,7 +44,7 @@
 
 // importTime is the expected time to fetch the hop's KV from an exporter, in nanoseconds.
 func (s *search) importTime(h, exporter hop, query *chicoryhall.RouteQuery) float64 {
-	bytes := float64(s.plan.model.KVBytes) * float64(h.To-h.From) * float64(query.Positions)
+	bytes := float64(s.plan.document.Model.KVBytes) * float64(h.To-h.From) * float64(query.Positions)
 	request := s.plan.links[h.domain][exporter.domain].delay
 	return request + s.plan.links[exporter.domain][h.domain].send(bytes)
 }
--- /dev/null
+++ b/pipeline/path.go
@@ -0,0 +1,160 @@
+package pipeline
+
+import (
+	"math"
+	"slices"
+)
+
+// costs prices the parts of a way through a plan.
+type costs interface {
+	// usable reports whether a group may be part of the way.
+	usable(group int) bool
+	// hop is the cost of a group that runs the layers between two cuts.
+	hop(group, from, to int) float64
+	// link is the cost of the way from one failure domain to another.
+	link(from, to int) float64
+}
+
+// anyDomain stands for a way that may begin or end in every failure domain at no cost.
+const anyDomain = -1
+
+// noGroup marks the node at which a way begins.
+const noGroup = -1
+
+// node is the cheapest way to one cut that ends in one failure domain.
+type node struct {
+	cost float64
+	// group, from and domain give the last hop and where it came from.
+	group  int
+	from   int
+	domain int
+}
+
+// placed is one hop of a way: a group that runs the layers between two cuts.
+type placed struct {
+	group int
+	from  int
+	to    int
+}
+
+// finder searches the cheapest way over (cut, failure domain) nodes; its memory is reused.
+type finder struct {
+	plan  *plan
+	nodes []node
+	way   []placed
+}
+
+// reset makes the finder work on a plan.
+func (f *finder) reset(p *plan) {
+	f.plan = p
+	f.nodes = resized(f.nodes, len(p.cuts)*len(p.domains))
+}
+
+// at returns the node of a cut and a failure domain.
+func (f *finder) at(cut, domain int) *node {
+	return &f.nodes[cut*len(f.plan.domains)+domain]
+}
+
+// path returns the cheapest hops from cut start to cut end and their cost. The way begins in
+// domain before and goes on to domain after; each may be anyDomain. The result is valid until
+// the next call.
+func (f *finder) path(c costs, start, end, before, after int) ([]placed, float64, bool) {
+	for i := range f.nodes {
+		f.nodes[i] = node{cost: math.Inf(1), group: noGroup}
+	}
+	for domain := range f.plan.domains {
+		if before == anyDomain || before == domain {
+			f.at(start, domain).cost = 0
+		}
+	}
+	for cut := start; cut < end; cut++ {
+		f.leave(c, cut, end)
+	}
+	last, cost := f.cheapestEnd(c, end, after)
+	if last < 0 {
+		return nil, cost, false
+	}
+	return f.trace(end, last), cost, true
+}
+
+// leave extends the ways that have reached a cut by every group that can go on from there.
+func (f *finder) leave(c costs, cut, end int) {
+	for i := range f.plan.groups {
+		g := &f.plan.groups[i]
+		if g.from > cut {
+			return
+		}
+		if cut < g.to && c.usable(i) {
+			f.extend(c, i, cut, end)
+		}
+	}
+}
+
+// extend adds the hops of one group that start at a cut.
+func (f *finder) extend(c costs, group, cut, end int) {
+	g := &f.plan.groups[group]
+	before, cost := f.cheapestBefore(c, cut, g.domain)
+	if before < 0 {
+		return
+	}
+	for to := cut + 1; to <= min(g.to, end); to++ {
+		total := cost + c.hop(group, cut, to)
+		if reached := f.at(to, g.domain); total < reached.cost {
+			*reached = node{cost: total, group: group, from: cut, domain: before}
+		}
+	}
+}
+
+// cheapestBefore returns the domain from which a cut is entered at the least cost, or -1.
+func (f *finder) cheapestBefore(c costs, cut, domain int) (int, float64) {
+	best, cost := -1, math.Inf(1)
+	for before := range f.plan.domains {
+		reached := f.at(cut, before)
+		if math.IsInf(reached.cost, 1) {
+			continue
+		}
+		if total := reached.cost + c.link(before, domain); total < cost {
+			best, cost = before, total
+		}
+	}
+	return best, cost
+}
+
+// cheapestEnd returns the domain in which the cheapest way ends, or -1.
+func (f *finder) cheapestEnd(c costs, end, after int) (int, float64) {
+	best, cost := -1, math.Inf(1)
+	for domain := range f.plan.domains {
+		total := f.at(end, domain).cost
+		if after != anyDomain {
+			total += c.link(domain, after)
+		}
+		if total < cost {
+			best, cost = domain, total
+		}
+	}
+	return best, cost
+}
+
+// trace reads the hops of a way back from its end.
+func (f *finder) trace(cut, domain int) []placed {
+	f.way = f.way[:0]
+	for {
+		n := *f.at(cut, domain)
+		if n.group == noGroup {
+			slices.Reverse(f.way)
+			return f.way
+		}
+		f.way = append(f.way, placed{group: n.group, from: n.from, to: cut})
+		cut, domain = n.from, n.domain
+	}
+}
+
+// resized returns a zeroed slice of the wanted length that reuses the old memory.
+func resized[T any](old []T, length int) []T {
+	if cap(old) < length {
+		return make([]T, length)
+	}
+	old = old[:length]
+	clear(old)
+	return old
+}
--- a/pipeline/plan.go
+++ b/pipeline/plan.go
@@ -37,7 +37,6 @@
 	byID    map[chicoryhall.EngineID]int
 	groups  []group
 	links   [][]link
-	model   chicoryhall.DocumentModel
 }
 
 // rangeKey tells groups apart while a plan is built.
@@ -63,7 +62,6 @@
 		built:    now,
 		layers:   layersOf(document),
 		byID:     make(map[chicoryhall.EngineID]int, len(document.Endpoints)),
-		model:    document.Model,
 	}
 	speeds := speedsOf(document)
 	ranges := make(map[rangeKey][]int)
