Add the load, its judge and a small deployment to the bench

Cause: nothing could send load or say whether a promise held. chicorybench draws open-loop arrivals from a seed, reads server-sent events with a caller's library, resumes cut answers at another daemon, verifies each answer from its prompt, reads the stand-ins' ledgers, and prints and saves one table. "layout" writes documents, settings, plan and process list of a deployment.

Ruled out: nbhttp's client for the bench (holds an answer back until whole); own parsing of server-sent events (go-sse does it).

--- /dev/null
+++ b/cmd/chicorybench/entry/layout.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"context"
+	"flag"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"chicoryhall.example/chicoryhall/cmd/chicorybench/layout"
+	"chicoryhall.example/chicoryhall/command"
+)
+
+// layoutVerb writes a deployment for one machine.
+var layoutVerb = command.Verb{
+	Name:      "layout",
+	Arguments: "FOLDER",
+	Summary:   "Writes the documents, settings, plan and process list of a small deployment into a folder.",
+	Detail: `The deployment runs both users' services at Lantern Vow's places: three failure
+domains with daemons, a platform, a balancer, engines of three accelerator
+kinds and plain services. scripts/deployment starts what the folder lists.`,
+	New: func(flags *flag.FlagSet) command.Run {
+		options := layout.Options{}
+		flags.Float64Var(&options.Scale, "scale", 0.3, "`SIZE` against one of today's users")
+		flags.IntVar(&options.PortOffset, "port-offset", 0, "`NUMBER` added to every port")
+		flags.Uint64Var(&options.Seed, "seed", 1, "`SEED` of the load")
+		flags.DurationVar(&options.Duration, "duration", 20*time.Second, "`TIME` of the load")
+		flags.Float64Var(&options.Load, "load", 1, "`FACTOR` on all rates")
+		flags.BoolVar(&options.Faults, "faults", true, "crash an engine and kill a daemon on the way")
+		return func(_ context.Context, _ command.Streams, arguments []string) error {
+			if len(arguments) != 1 {
+				return command.UsageError("name one folder, got %d", len(arguments))
+			}
+			folder, err := filepath.Abs(arguments[0])
+			if err != nil {
+				return errors.Wrap(err, "folder")
+			}
+			return layout.New(options).Write(folder)
+		}
+	},
+}
--- /dev/null
+++ b/cmd/chicorybench/layout/plan.go
@@ -0,0 +1,107 @@
+package layout
+
+import (
+	"path/filepath"
+	"time"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/cmd/chicorybench/plan"
+)
+
+// The rates at scale 1 and load 1, in requests per second of one service.
+const (
+	rateDrafts       = 60.0
+	rateQueries      = 60.0
+	rateAvailability = 60.0
+	rateHolds        = 15.0
+	ratePages        = 40.0
+	promptBytes      = 400
+	answerTokens     = 48
+	plainBytes       = 60
+)
+
+// plan returns the traffic of both users with its faults.
+func (l *Layout) plan(folder string) plan.Plan {
+	p := plan.Plan{
+		Seed:     l.options.Seed,
+		Duration: l.options.Duration,
+		Targets:  []string{l.addr(portBalancer)},
+		Ledgers:  l.controls(),
+	}
+	for i := range l.services {
+		s := &l.services[i]
+		p.Documents = append(p.Documents, filepath.Join(folder, documentFolder, string(s.document.Service)+".yaml"))
+		for _, class := range s.document.Classes {
+			p.Traffic = append(p.Traffic, l.traffic(s, class)...)
+		}
+	}
+	if l.options.Faults {
+		p.Faults = l.faults(folder)
+	}
+	return p
+}
+
+// traffic splits a class's rate over the organisations by their shares.
+func (l *Layout) traffic(s *service, class chicoryhall.DocumentClass) []plan.Traffic {
+	shares := 0
+	for _, o := range s.document.Organisations {
+		shares += o.Share
+	}
+	lines := make([]plan.Traffic, 0, len(s.tokens))
+	for i, o := range s.document.Organisations {
+		line := plan.Traffic{
+			Service:      s.document.Service,
+			Class:        class.Name,
+			Organisation: o.Name,
+			Token:        s.tokens[i],
+			Rate:         rateOf(class.Name) * l.options.Scale * l.options.Load * float64(o.Share) / float64(shares),
+			PromptBytes:  plainBytes,
+			Operation:    string(class.Name),
+			Timeout:      class.Timeout,
+		}
+		if s.document.Kind == chicoryhall.ServicePipeline {
+			line.PromptBytes = promptBytes
+			line.MaxTokens = answerTokens
+			line.Operation = ""
+		}
+		lines = append(lines, line)
+	}
+	return lines
+}
+
+func rateOf(class chicoryhall.ClassName) float64 {
+	switch class {
+	case "draft":
+		return rateDrafts
+	case "query":
+		return rateQueries
+	case "availability":
+		return rateAvailability
+	case "hold":
+		return rateHolds
+	}
+	return ratePages
+}
+
+// faults crashes one engine and kills one daemon at the thirds of the run.
+func (l *Layout) faults(folder string) []plan.Fault {
+	victim := l.services[0].document.Endpoints[1]
+	killed := l.daemons[len(l.daemons)-1]
+	third := l.options.Duration / 3
+	return []plan.Fault{
+		{
+			At:       third.Round(time.Millisecond),
+			Name:     "engine " + string(victim.ID) + " crashes",
+			Control:  l.controlOf(victim.Address),
+			Path:     "/crash",
+			Recovery: true,
+		},
+		{
+			At:       (2 * third).Round(time.Millisecond),
+			Name:     "daemon " + string(killed.id) + " is killed",
+			PIDFile:  filepath.Join(folder, "pids", string(killed.id)),
+			Signal:   "KILL",
+			Recovery: true,
+		},
+	}
+}
--- /dev/null
+++ b/cmd/chicorybench/layout/services.go
@@ -0,0 +1,71 @@
+package layout
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"chicoryhall.example/chicoryhall"
+)
+
+// newService returns a service with its organisations; the first one is the large one.
+func newService(name chicoryhall.ServiceName, team, organisation string, kind chicoryhall.ServiceKind) service {
+	s := service{document: chicoryhall.Document{
+		Service: name,
+		Team:    team,
+		Kind:    kind,
+		Retries: chicoryhall.DocumentRetries{BudgetPercent: 20, Endpoints: 4},
+	}}
+	for i := range organisationsOf {
+		token := fmt.Sprintf("%s-%s-%d", name, organisation, i+1)
+		hash := sha256.Sum256([]byte(token))
+		s.tokens = append(s.tokens, token)
+		s.document.Organisations = append(s.document.Organisations, chicoryhall.DocumentOrganisation{
+			Name:              chicoryhall.Organisation(fmt.Sprintf("%s-%d", organisation, i+1)),
+			Credential:        "sha256:" + hex.EncodeToString(hash[:]),
+			Share:             organisationsOf - i,
+			RequestsPerSecond: 1000,
+		})
+	}
+	return s
+}
+
+func newModel(name string) chicoryhall.DocumentModel {
+	return chicoryhall.DocumentModel{Name: name, Version: "1", Layers: layersPerModel, KVBytes: tokenBytesOfKV}
+}
+
+func lanternVowDrafting() service {
+	s := newService("reply-drafting", "lantern-vow", "studio", chicoryhall.ServicePipeline)
+	s.document.Model = newModel("drafter")
+	s.document.Classes = []chicoryhall.DocumentClass{
+		{Name: "draft", Priority: 1, Idempotent: true, Timeout: 20 * time.Second, FirstToken: 400 * time.Millisecond},
+	}
+	return s
+}
+
+func lanternVowBooking() service {
+	s := newService("venue-booking", "lantern-vow", "partner", chicoryhall.ServicePlain)
+	s.document.Classes = []chicoryhall.DocumentClass{
+		{Name: "availability", Priority: 0, Idempotent: true, Timeout: 3 * time.Second, FirstToken: 100 * time.Millisecond},
+		{Name: "hold", Priority: 0, Idempotent: false, Timeout: 5 * time.Second, FirstToken: 200 * time.Millisecond},
+	}
+	return s
+}
+
+func associationAssistant() service {
+	s := newService("manual-assistant", "association", "garage", chicoryhall.ServicePipeline)
+	s.document.Model = newModel("assistant")
+	s.document.Classes = []chicoryhall.DocumentClass{
+		{Name: "query", Priority: 0, Idempotent: true, Timeout: 15 * time.Second, FirstToken: 400 * time.Millisecond},
+	}
+	return s
+}
+
+func associationLibrary() service {
+	s := newService("manual-library", "association", "garage", chicoryhall.ServicePlain)
+	s.document.Classes = []chicoryhall.DocumentClass{
+		{Name: "page", Priority: 1, Idempotent: true, Timeout: 5 * time.Second, FirstToken: 200 * time.Millisecond},
+	}
+	return s
+}
--- /dev/null
+++ b/cmd/chicorybench/layout/write.go
@@ -0,0 +1,112 @@
+package layout
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/pkg/errors"
+
+	"chicoryhall.example/chicoryhall/settings"
+)
+
+// The names of what Write puts into its folder.
+const (
+	documentFolder = "documents"
+	daemonFolder   = "daemons"
+	planFile       = "plan.yaml"
+	processFile    = "processes"
+	operatorFile   = "operator-tokens"
+	operatorPort   = "operator"
+)
+
+// operatorTokens are the tokens of the two teams, for this deployment only.
+const operatorTokens = "lantern-vow lantern-vow-operator\nassociation association-operator\n"
+
+// Write puts the whole deployment into a folder.
+func (l *Layout) Write(folder string) error {
+	for _, name := range []string{documentFolder, daemonFolder} {
+		if err := os.MkdirAll(filepath.Join(folder, name), 0o755); err != nil {
+			return errors.Wrap(err, "make folder")
+		}
+	}
+	for _, s := range l.services {
+		if err := writeYAML(filepath.Join(folder, documentFolder, string(s.document.Service)+".yaml"), s.document); err != nil {
+			return err
+		}
+	}
+	for i := range l.daemons {
+		path := filepath.Join(folder, daemonFolder, string(l.daemons[i].id)+".yaml")
+		if err := writeYAML(path, l.daemonSettings(&l.daemons[i], folder)); err != nil {
+			return err
+		}
+	}
+	if err := writeYAML(filepath.Join(folder, planFile), l.plan(folder)); err != nil {
+		return err
+	}
+	if err := writeText(filepath.Join(folder, operatorFile), operatorTokens); err != nil {
+		return err
+	}
+	if err := writeText(filepath.Join(folder, operatorPort), l.daemons[0].operators+"\n"); err != nil {
+		return err
+	}
+	return writeText(filepath.Join(folder, processFile), l.processes(folder))
+}
+
+func (l *Layout) daemonSettings(d *daemon, folder string) settings.Daemon {
+	seeds := make([]string, 0, len(l.daemons))
+	for _, other := range l.daemons {
+		if other.id != d.id {
+			seeds = append(seeds, other.peers)
+		}
+	}
+	return settings.Daemon{
+		ID:            d.id,
+		Region:        region,
+		FailureDomain: d.domain,
+		Listen:        settings.Listen{Callers: d.callers, Operators: d.operators, Peers: d.peers},
+		Seeds:         seeds,
+		Platform: settings.Platform{
+			Table:   l.addr(portTable),
+			Objects: l.addr(portObjects),
+			Weights: l.addr(portWeights),
+			VMList:  l.addr(portVMList),
+		},
+		OperatorTokensFile: filepath.Join(folder, operatorFile),
+		DrainTimeout:       drainTimeout,
+		LogLevel:           "info",
+	}
+}
+
+// processes returns one line for each process: its name, program and arguments.
+func (l *Layout) processes(folder string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "platform chicorystand platform -table %s -objects %s -weights %s -vm-list %s -vm-lag %v -control %s\n",
+		l.addr(portTable), l.addr(portObjects), l.addr(portWeights), l.addr(portVMList), vmListLag, l.control(0))
+	for _, s := range l.services {
+		for _, e := range l.endpointProcesses(&s) {
+			fmt.Fprintln(&b, e)
+		}
+	}
+	callers := make([]string, 0, len(l.daemons))
+	for _, d := range l.daemons {
+		fmt.Fprintf(&b, "%s chicoryhall serve -settings %s\n", d.id, filepath.Join(folder, daemonFolder, string(d.id)+".yaml"))
+		callers = append(callers, d.callers)
+	}
+	fmt.Fprintf(&b, "balancer chicorystand balancer -listen %s -targets %s\n", l.addr(portBalancer), strings.Join(callers, ","))
+	return b.String()
+}
+
+func writeYAML(path string, value any) error {
+	text, err := yaml.Marshal(value)
+	if err != nil {
+		return errors.Wrapf(err, "encode %s", path)
+	}
+	return writeText(path, string(text))
+}
+
+func writeText(path, text string) error {
+	return errors.Wrap(os.WriteFile(path, []byte(text), 0o600), "write layout")
+}
--- /dev/null
+++ b/cmd/chicorybench/router/client.go
@@ -0,0 +1,100 @@
+package router
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/caller"
+)
+
+const (
+	dialTimeout = time.Second
+	// retryPause lies between two tries of a caller whose connection failed.
+	retryPause = 50 * time.Millisecond
+	// deadlineGrace is how long after its deadline a caller still waits for the final answer.
+	deadlineGrace = 2 * time.Second
+	// notablePause is the shortest time without tokens that is kept as a Pause.
+	notablePause   = 80 * time.Millisecond
+	maxIdlePerHost = 4096
+)
+
+// Client sends requests to a list of targets in turn.
+type Client struct {
+	targets []string
+	next    atomic.Uint64
+	http    *http.Client
+}
+
+// New returns a Client of the callers' addresses.
+func New(targets []string) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: maxIdlePerHost,
+		DisableCompression:  true,
+	}
+	return &Client{targets: targets, http: &http.Client{Transport: transport}}
+}
+
+func (c *Client) target() string {
+	return c.targets[int(c.next.Add(1))%len(c.targets)]
+}
+
+// Do carries one request through to its end.
+func (c *Client) Do(ctx context.Context, request *Request) *Exchange {
+	now := time.Now()
+	e := &exchange{
+		client:  c,
+		request: request,
+		result:  &Exchange{Started: now, Ending: EndedLost},
+	}
+	limited, cancel := context.WithDeadline(ctx, now.Add(request.Timeout+deadlineGrace))
+	defer cancel()
+	e.run(limited)
+	e.result.Finished = time.Now()
+	return e.result
+}
+
+// submit posts the request.
+func (c *Client) submit(ctx context.Context, request *Request) (*http.Response, error) {
+	body, err := json.Marshal(request.Submission)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode submission")
+	}
+	url := "http://" + c.target() + "/v1/services/" + string(request.Service) + "/requests"
+	message, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "make submission")
+	}
+	message.Header.Set("Authorization", "Bearer "+request.Token)
+	message.Header.Set("Content-Type", caller.MediaTypeJSON)
+	message.Header.Set(caller.HeaderIdempotencyKey, request.Key)
+	message.Header.Set(caller.HeaderRequestTimeout, request.Timeout.String())
+	response, err := c.http.Do(message)
+	return response, errors.Wrap(err, "submit")
+}
+
+// resume asks for the rest of an answer behind the last position received.
+func (c *Client) resume(ctx context.Context, request *Request, id chicoryhall.RequestID, last int) (*http.Response, error) {
+	url := "http://" + c.target() + "/v1/requests/" + string(id)
+	message, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "make resume")
+	}
+	message.Header.Set("Authorization", "Bearer "+request.Token)
+	message.Header.Set("Accept", caller.MediaTypeEvents)
+	if last >= 0 {
+		message.Header.Set(caller.HeaderLastEventID, strconv.Itoa(last))
+	}
+	response, err := c.http.Do(message)
+	return response, errors.Wrap(err, "resume")
+}
--- /dev/null
+++ b/cmd/chicorybench/router/exchange.go
@@ -0,0 +1,203 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tmaxmax/go-sse"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/caller"
+)
+
+// maxBody bounds what is read of an answer that is not a stream.
+const maxBody = 1 << 20
+
+// exchange is one request on its way.
+type exchange struct {
+	client    *Client
+	request   *Request
+	result    *Exchange
+	id        chicoryhall.RequestID
+	lastToken time.Time
+}
+
+// run submits, and goes on or submits again after lost connections, until a final answer.
+func (e *exchange) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		response, err := e.send(ctx)
+		if err != nil {
+			pause(ctx)
+			continue
+		}
+		final := e.read(response)
+		response.Body.Close()
+		if final {
+			return
+		}
+		pause(ctx)
+	}
+}
+
+func (e *exchange) send(ctx context.Context) (*http.Response, error) {
+	if e.id == "" {
+		return e.client.submit(ctx, e.request)
+	}
+	e.result.Resumed++
+	return e.client.resume(ctx, e.request, e.id, len(e.result.Tokens)-1)
+}
+
+// read takes in one HTTP answer and reports whether it was final.
+func (e *exchange) read(response *http.Response) bool {
+	e.noteID(response)
+	switch {
+	case response.StatusCode == http.StatusOK && isStream(response):
+		return e.readStream(response.Body)
+	case response.StatusCode == http.StatusOK:
+		return e.readAnswer(response.Body)
+	case response.StatusCode == http.StatusAccepted:
+		return false
+	case response.StatusCode == http.StatusNotFound && e.id != "":
+		e.restart()
+		return false
+	}
+	return e.readProblem(response.Body)
+}
+
+func (e *exchange) noteID(response *http.Response) {
+	id := chicoryhall.RequestID(response.Header.Get(caller.HeaderRequestID))
+	if id == "" || id == e.id {
+		return
+	}
+	e.id = id
+	e.result.IDs = append(e.result.IDs, id)
+}
+
+// restart forgets the tokens so far: no daemon knows the request any more.
+func (e *exchange) restart() {
+	e.id = ""
+	e.result.Restarted++
+	e.result.Tokens = nil
+}
+
+func (e *exchange) readStream(body io.Reader) bool {
+	for event, err := range sse.Read(body, nil) {
+		if err != nil {
+			return false
+		}
+		switch event.Type {
+		case caller.EventEnd:
+			return e.end(event.Data)
+		case caller.EventError:
+			return e.readProblem(strings.NewReader(event.Data))
+		case "":
+			e.token(event)
+		}
+	}
+	return false
+}
+
+// end accepts a whole answer; one that is shorter than it says is read on.
+func (e *exchange) end(data string) bool {
+	var end caller.End
+	if err := json.Unmarshal([]byte(data), &end); err != nil {
+		return false
+	}
+	if end.Tokens != len(e.result.Tokens) {
+		e.result.Skipped++
+	}
+	e.result.Ending = EndedAnswered
+	return true
+}
+
+func (e *exchange) token(event sse.Event) {
+	var token caller.TokenEvent
+	position, err := strconv.Atoi(event.LastEventID)
+	if err != nil || json.Unmarshal([]byte(event.Data), &token) != nil {
+		e.result.Skipped++
+		return
+	}
+	switch expected := len(e.result.Tokens); {
+	case position < expected:
+		e.result.Repeated++
+		return
+	case position > expected:
+		e.result.Skipped++
+	}
+	e.result.Tokens = append(e.result.Tokens, token.Token)
+	e.timeToken()
+}
+
+func (e *exchange) timeToken() {
+	now := time.Now()
+	if e.result.FirstToken == 0 {
+		e.result.FirstToken = now.Sub(e.result.Started)
+		e.lastToken = now
+		return
+	}
+	gap := now.Sub(e.lastToken)
+	e.result.Gaps = append(e.result.Gaps, gap)
+	if gap > notablePause {
+		e.result.Pauses = append(e.result.Pauses, Pause{From: e.lastToken, To: now})
+	}
+	e.lastToken = now
+}
+
+func (e *exchange) readAnswer(body io.Reader) bool {
+	var answer caller.Answer
+	if err := json.NewDecoder(io.LimitReader(body, maxBody)).Decode(&answer); err != nil {
+		return false
+	}
+	e.result.FirstToken = time.Since(e.result.Started)
+	e.result.Body = answer.Body
+	e.result.Tokens = answer.Tokens
+	e.result.Ending = endingOf(answer.Outcome)
+	return true
+}
+
+func (e *exchange) readProblem(body io.Reader) bool {
+	var problem caller.Problem
+	if err := json.NewDecoder(io.LimitReader(body, maxBody)).Decode(&problem); err != nil {
+		return false
+	}
+	e.result.Detail = problem.Detail
+	e.result.RetryAfter = problem.RetryAfterSeconds > 0
+	if problem.Request != "" && problem.Request != e.id {
+		e.result.IDs = append(e.result.IDs, problem.Request)
+	}
+	e.result.Ending = endingOf(problem.Outcome)
+	if isFaulty(problem.Status) {
+		e.result.Ending = EndedRejected
+	}
+	return true
+}
+
+func isFaulty(status int) bool {
+	return status >= 400 && status < 500 && status != http.StatusTooManyRequests && status != http.StatusConflict
+}
+
+func endingOf(outcome chicoryhall.Outcome) Ending {
+	switch outcome {
+	case chicoryhall.Answered:
+		return EndedAnswered
+	case chicoryhall.NotRun:
+		return EndedNotRun
+	}
+	return EndedUnknown
+}
+
+func isStream(response *http.Response) bool {
+	return strings.HasPrefix(response.Header.Get("Content-Type"), caller.MediaTypeEvents)
+}
+
+func pause(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(retryPause):
+	}
+}
