Add the model engine stand-in

Each engine computes tokens by package digest, batches continuously and passes activations along the route over its own framed connections.

--- /dev/null
+++ b/cmd/chicorystand/modelengine/engine.go
@@ -0,0 +1,157 @@
+package modelengine
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/cmd/chicorystand/fetch"
+	"chicoryhall.example/chicoryhall/cmd/chicorystand/serve"
+	"chicoryhall.example/chicoryhall/cmd/chicorystand/stage"
+	"chicoryhall.example/chicoryhall/event"
+)
+
+// Engine is one stand-in engine.
+type Engine struct {
+	settings Settings
+	timer    chicoryhall.Timer
+	log      *event.Logger
+	server   *serve.Server
+	network  *stage.Network
+	client   *fetch.Client
+	started  time.Time
+	tasks    chan func(context.Context)
+
+	// The rest is touched only through do.
+	mu       sync.Mutex
+	frozen   bool
+	backlog  []func()
+	faults   Faults
+	random   *rand.Rand
+	holdings []chicoryhall.Holding
+	loading  int
+	leaving  bool
+	fence    int64
+	orders   int64
+	attempts attempts
+	states   map[stateKey]*stageState
+	drivers  map[chicoryhall.RequestID]*driver
+	sequence uint64
+	batch    batch
+	cache    cache
+	reports  []chicoryhall.Load
+	ledger   ledger
+}
+
+// New returns an Engine that listens once Serve runs.
+func New(settings Settings, timer chicoryhall.Timer, log *event.Logger) (*Engine, error) {
+	client, err := fetch.New()
+	if err != nil {
+		return nil, err
+	}
+	e := &Engine{
+		client:   client,
+		settings: settings,
+		timer:    timer,
+		log:      log,
+		started:  timer.Now(),
+		tasks:    make(chan func(context.Context), maxTasks),
+		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		attempts: newAttempts(),
+		states:   map[stateKey]*stageState{},
+		drivers:  map[chicoryhall.RequestID]*driver{},
+		cache:    newCache(),
+		ledger:   newLedger(),
+	}
+	e.server = serve.New(settings.Listen, func(x *serve.Exchange) { e.do(func() { e.route(x) }) })
+	e.network = stage.NewNetwork(timer, e)
+	return e, nil
+}
+
+// Start begins to listen.
+func (e *Engine) Start() error {
+	if err := e.network.Start(); err != nil {
+		return err
+	}
+	if err := e.server.Start(); err != nil {
+		return err
+	}
+	e.do(func() {
+		e.setHoldings(e.initialHoldings())
+		e.report()
+	})
+	if e.settings.VMList != "" {
+		e.spawn(e.register)
+	}
+	e.timer.Every(max(e.settings.ReportLag/reportsPerLag, minReportPeriod), e.every(e.report))
+	e.timer.Every(waitCheckPeriod, e.every(e.checkWaiting))
+	e.timer.Every(expiryPeriod, e.every(e.expire))
+	e.log.Log(event.StandinServing, "engine", string(e.settings.ID), "address", e.server.Address())
+	return nil
+}
+
+// Address returns the IP:PORT in use.
+func (e *Engine) Address() string { return e.server.Address() }
+
+// Stop closes all connections.
+func (e *Engine) Stop() {
+	e.server.Stop()
+	e.network.Stop()
+	e.client.Stop()
+}
+
+// do runs one call after the others, or keeps it while the engine is frozen.
+func (e *Engine) do(call func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.frozen {
+		e.backlog = append(e.backlog, call)
+		return
+	}
+	call()
+}
+
+// every adapts a call to the timer; a frozen engine skips it.
+func (e *Engine) every(call func()) func(time.Time) {
+	return func(time.Time) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if !e.frozen {
+			call()
+		}
+	}
+}
+
+// after runs call through do when delay has passed.
+func (e *Engine) after(delay time.Duration, call func()) chicoryhall.Subscription {
+	return e.timer.After(delay, func(time.Time) { e.do(call) })
+}
+
+// Serve runs the engine's loads and imports until ctx ends.
+func (e *Engine) Serve(ctx context.Context) error {
+	return runTasks(ctx, e.tasks)
+}
+
+// Drain takes no new work and returns when no stream runs or ctx ends.
+func (e *Engine) Drain(ctx context.Context) {
+	e.do(func() { e.leaving = true })
+	for ctx.Err() == nil && e.running() > 0 {
+		wait := make(chan struct{})
+		e.timer.After(drainCheckPeriod, func(time.Time) { close(wait) })
+		<-wait
+	}
+}
+
+func (e *Engine) running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	count := 0
+	for _, state := range e.states {
+		if state.active {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/cmd/chicorystand/modelengine/ledger.go
@@ -0,0 +1,118 @@
+package modelengine
+
+import (
+	"slices"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/engine"
+)
+
+// Ledger is what an engine truly ran, for proofs.
+type Ledger struct {
+	Engine chicoryhall.EngineID `json:"engine"`
+	Runs   []Run                `json:"runs"`
+	Orders []OrderRun           `json:"orders"`
+}
+
+// Run is what was run of one attempt of a stream in one range of layers.
+type Run struct {
+	Stream  chicoryhall.RequestID `json:"stream"`
+	Attempt int                   `json:"attempt"`
+	From    int                   `json:"from"`
+	To      int                   `json:"to"`
+	// Index is the place in the route; the first place is 0.
+	Index int `json:"index"`
+	// Opens counts the times that the attempt was begun here.
+	Opens int `json:"opens"`
+	// Positions are the ranges of positions that were run, in order.
+	Positions []PositionRange `json:"positions"`
+	// Repeats counts the positions that were run more than once.
+	Repeats int `json:"repeats"`
+	// Imported is the number of positions whose KV came from another engine.
+	Imported int `json:"imported,omitempty"`
+	// AtMillis is the time of the first Open in Unix milliseconds.
+	AtMillis int64 `json:"atMillis"`
+}
+
+// PositionRange is a range of positions [From,To).
+type PositionRange struct {
+	From int `json:"from"`
+	To   int `json:"to"`
+}
+
+// OrderRun is one order that the engine got.
+type OrderRun struct {
+	Fence    int64                 `json:"fence"`
+	Holdings []chicoryhall.Holding `json:"holdings,omitempty"`
+	Leaving  bool                  `json:"leaving,omitempty"`
+	Refused  bool                  `json:"refused,omitempty"`
+}
+
+// run is the entry of the ledger that a state adds to.
+type run struct {
+	Run
+}
+
+// runKey names an entry of the ledger.
+type runKey struct {
+	stream   chicoryhall.RequestID
+	attempt  int
+	from, to int
+}
+
+// ledger holds the entries, the oldest first.
+type ledger struct {
+	runs   map[runKey]*run
+	order  []*run
+	Orders []OrderRun
+}
+
+func newLedger() ledger {
+	return ledger{runs: map[runKey]*run{}}
+}
+
+// open counts the begin of an attempt.
+func (l *ledger) open(start *engine.Start, hop chicoryhall.Hop, index int, atMillis int64) *run {
+	key := runKey{stream: start.Stream, attempt: start.Attempt, from: hop.From, to: hop.To}
+	entry := l.runs[key]
+	if entry == nil {
+		entry = &run{Run{
+			Stream: start.Stream, Attempt: start.Attempt, From: hop.From, To: hop.To, Index: index, AtMillis: atMillis,
+		}}
+		l.runs[key] = entry
+		l.order = append(l.order, entry)
+	}
+	entry.Opens++
+	if len(l.order) > maxLedgerStreams {
+		oldest := l.order[0]
+		delete(l.runs, runKey{stream: oldest.Stream, attempt: oldest.Attempt, from: oldest.From, to: oldest.To})
+		l.order = l.order[1:]
+	}
+	return entry
+}
+
+// add notes that positions [from,to) were run.
+func (r *run) add(from, to int) {
+	for _, known := range r.Positions {
+		r.Repeats += max(0, min(to, known.To)-max(from, known.From))
+	}
+	last := len(r.Positions) - 1
+	if last >= 0 && r.Positions[last].To == from {
+		r.Positions[last].To = to
+		return
+	}
+	r.Positions = append(r.Positions, PositionRange{From: from, To: to})
+}
+
+// Ledger returns what was truly run.
+func (e *Engine) Ledger() any {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := Ledger{Engine: e.settings.ID, Orders: slices.Clone(e.ledger.Orders), Runs: make([]Run, 0, len(e.ledger.order))}
+	for _, entry := range e.ledger.order {
+		copied := entry.Run
+		copied.Positions = slices.Clone(entry.Positions)
+		out.Runs = append(out.Runs, copied)
+	}
+	return out
+}
--- /dev/null
+++ b/cmd/chicorystand/serve/exchange.go
@@ -0,0 +1,124 @@
+package serve
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/lesismal/nbio"
+)
+
+// Exchange is one request and the way to answer it.
+type Exchange struct {
+	Method string
+	URL    *url.URL
+	Header http.Header
+	Body   []byte
+
+	server     *Server
+	connection *connection
+}
+
+// Failure is the body of an answer that reports an error.
+type Failure struct {
+	Error string `json:"error"`
+}
+
+// Decode reads the body as JSON; it answers 400 and returns false when that fails.
+func (x *Exchange) Decode(into any) bool {
+	if err := json.Unmarshal(x.Body, into); err != nil {
+		x.Fail(http.StatusBadRequest, "body is not the expected JSON: %v", err)
+		return false
+	}
+	return true
+}
+
+// Query returns one parameter of the URL.
+func (x *Exchange) Query(name string) string {
+	return x.URL.Query().Get(name)
+}
+
+// OnClose calls closed when the connection ends.
+func (x *Exchange) OnClose(closed func()) {
+	x.server.onClose(x.connection, closed)
+}
+
+// Reply answers with a status and a JSON body.
+func (x *Exchange) Reply(status int, body any) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		x.Fail(http.StatusInternalServerError, "answer was not encoded: %v", err)
+		return
+	}
+	x.ReplyBytes(status, "application/json", encoded)
+}
+
+// ReplyBytes answers with a status and a body.
+func (x *Exchange) ReplyBytes(status int, mediaType string, body []byte) {
+	out := x.head(status, mediaType)
+	out = append(out, "Content-Length: "...)
+	out = strconv.AppendInt(out, int64(len(body)), 10)
+	out = append(out, "\r\n\r\n"...)
+	x.write(append(out, body...))
+}
+
+// ReplyEmpty answers with a status and no body.
+func (x *Exchange) ReplyEmpty(status int) {
+	out := x.head(status, "")
+	if status != http.StatusNoContent {
+		out = append(out, "Content-Length: 0\r\n"...)
+	}
+	x.write(append(out, "\r\n"...))
+}
+
+// Fail answers with a status and a Failure.
+func (x *Exchange) Fail(status int, format string, arguments ...any) {
+	x.Reply(status, Failure{Error: fmt.Sprintf(format, arguments...)})
+}
+
+// Drop closes the connection without an answer.
+func (x *Exchange) Drop() {
+	_ = x.connection.inner.Close()
+}
+
+// Upgrade switches the connection to another protocol. Begin gets the connection and returns
+// what takes its bytes from now on.
+func (x *Exchange) Upgrade(protocol string, begin func(inner *nbio.Conn) (received func(data []byte))) {
+	c := x.connection
+	received := begin(c.inner)
+	c.inner.OnData(func(_ *nbio.Conn, data []byte) {
+		if !c.silent.Load() {
+			received(data)
+		}
+	})
+	x.write([]byte("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + protocol + "\r\n\r\n"))
+}
+
+// Silent reports whether the connection has been silenced.
+func (x *Exchange) Silent() bool {
+	return x.connection.silent.Load()
+}
+
+func (x *Exchange) head(status int, mediaType string) []byte {
+	out := make([]byte, 0, 256)
+	out = append(out, "HTTP/1.1 "...)
+	out = strconv.AppendInt(out, int64(status), 10)
+	out = append(out, ' ')
+	out = append(out, http.StatusText(status)...)
+	out = append(out, "\r\n"...)
+	if mediaType != "" {
+		out = append(out, "Content-Type: "...)
+		out = append(out, mediaType...)
+		out = append(out, "\r\n"...)
+	}
+	return out
+}
+
+func (x *Exchange) write(data []byte) {
+	if x.connection.silent.Load() {
+		return
+	}
+	_, _ = x.connection.inner.Write(data)
+}
--- /dev/null
+++ b/cmd/chicorystand/serve/server.go
@@ -0,0 +1,142 @@
+package serve
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/nbhttp"
+	"github.com/pkg/errors"
+)
+
+// maxBodyBytes bounds the body of one request.
+const maxBodyBytes = 64 << 20
+
+// keepAlive bounds the age of an idle connection; answers may stream for as long.
+const keepAlive = time.Hour
+
+// Server answers HTTP requests on one address.
+type Server struct {
+	listen  string
+	handler func(*Exchange)
+	engine  *nbhttp.Engine
+
+	mu          sync.Mutex
+	connections map[net.Conn]*connection
+}
+
+// connection is one open connection and what ends with it.
+type connection struct {
+	inner   *nbio.Conn
+	silent  atomic.Bool
+	onClose []func()
+}
+
+// New returns a Server for an IP:PORT that passes each request to handler.
+func New(listen string, handler func(*Exchange)) *Server {
+	return &Server{listen: listen, handler: handler, connections: map[net.Conn]*connection{}}
+}
+
+// Start begins to listen; the error names the address.
+func (s *Server) Start() error {
+	s.engine = nbhttp.NewEngine(nbhttp.Config{
+		Network:         "tcp",
+		Addrs:           []string{s.listen},
+		Handler:         http.HandlerFunc(s.serve),
+		MaxHTTPBodySize: maxBodyBytes,
+		KeepaliveTime:   keepAlive,
+		IOMod:           nbhttp.IOModNonBlocking,
+	})
+	s.engine.OnClose(func(c net.Conn, _ error) { s.closed(c) })
+	if err := s.engine.Start(); err != nil {
+		return errors.Wrapf(err, "listen on %s", s.listen)
+	}
+	return nil
+}
+
+// Address returns the IP:PORT in use.
+func (s *Server) Address() string {
+	return s.engine.AddrConfigs[0].Addr
+}
+
+// Stop closes the listener and all connections.
+func (s *Server) Stop() {
+	s.engine.Stop()
+}
+
+// Silence makes the open connections silent for good; new ones work.
+func (s *Server) Silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.connections {
+		c.silent.Store(true)
+	}
+}
+
+// OnClose calls closed once when the connection of x ends.
+func (s *Server) onClose(c *connection, closed func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, open := s.connections[c.inner]; open {
+		c.onClose = append(c.onClose, closed)
+	}
+}
+
+func (s *Server) closed(c net.Conn) {
+	s.mu.Lock()
+	known := s.connections[c]
+	delete(s.connections, c)
+	s.mu.Unlock()
+	if known == nil {
+		return
+	}
+	for _, call := range known.onClose {
+		call()
+	}
+}
+
+// connectionOf returns the entry of a response's connection.
+func (s *Server) connectionOf(response *nbhttp.Response) *connection {
+	wrapped, _ := response.Parser.Conn.(*nbhttp.Conn)
+	if wrapped == nil {
+		return nil
+	}
+	inner, _ := wrapped.Conn.(*nbio.Conn)
+	if inner == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.connections[inner]
+	if known != nil {
+		return known
+	}
+	known = &connection{inner: inner}
+	s.connections[inner] = known
+	if gone, _ := inner.IsClosed(); gone {
+		delete(s.connections, inner)
+	}
+	return known
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	response, ok := w.(*nbhttp.Response)
+	if !ok {
+		return
+	}
+	c := s.connectionOf(response)
+	if _, _, err := response.Hijack(); err != nil || c == nil || c.silent.Load() {
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	x := &Exchange{Method: r.Method, URL: r.URL, Header: r.Header, Body: body, server: s, connection: c}
+	if err != nil {
+		x.Fail(http.StatusBadRequest, "body was not read: %v", err)
+		return
+	}
+	s.handler(x)
+}
--- /dev/null
+++ b/cmd/chicorystand/serve/stream.go
@@ -0,0 +1,40 @@
+package serve
+
+import (
+	"net/http"
+	"strconv"
+)
+
+// Stream is an answer that is sent piece by piece.
+type Stream struct {
+	exchange *Exchange
+	ended    bool
+}
+
+// Stream begins an answer in pieces.
+func (x *Exchange) Stream(mediaType string) *Stream {
+	out := x.head(http.StatusOK, mediaType)
+	x.write(append(out, "Transfer-Encoding: chunked\r\n\r\n"...))
+	return &Stream{exchange: x}
+}
+
+// Write sends one piece at once.
+func (s *Stream) Write(piece []byte) {
+	if s.ended || len(piece) == 0 {
+		return
+	}
+	out := make([]byte, 0, len(piece)+16)
+	out = strconv.AppendInt(out, int64(len(piece)), 16)
+	out = append(out, "\r\n"...)
+	out = append(out, piece...)
+	s.exchange.write(append(out, "\r\n"...))
+}
+
+// End closes a whole answer; later pieces are dropped.
+func (s *Stream) End() {
+	if s.ended {
+		return
+	}
+	s.ended = true
+	s.exchange.write([]byte("0\r\n\r\n"))
+}
--- a/engine/messages.go
+++ b/engine/messages.go
@@ -114,6 +114,8 @@
 	To        int         `json:"to"`
 	Positions int         `json:"positions"`
 	Layers    []digest.KV `json:"layers"`
+	// Outputs are what the last layer of the range gave at each position.
+	Outputs []digest.Activation `json:"outputs"`
 	// Padding stands for the bytes of a real export.
 	Padding string `json:"padding,omitempty"`
 }
