Answer callers over the whole path

Package requests carries out the stream machine's decisions and calls plain services; package caller serves submissions, events, fetches and cancels.

--- /dev/null
+++ b/caller/handler.go
@@ -0,0 +1,216 @@
+package caller
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/event"
+	"chicoryhall.example/chicoryhall/requests"
+)
+
+// servicePath starts, and requestsSuffix ends, the path of submissions.
+const (
+	servicePath    = "/v1/services/"
+	requestsSuffix = "/requests"
+)
+
+// handle finds the handler of a whole request; no handler waits.
+func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
+	if socket, _, ok := socketOf(w); ok {
+		s.connections.of(socket).received.Store(0)
+	}
+	path := r.URL.Path
+	switch {
+	case strings.HasPrefix(path, servicePath) && strings.HasSuffix(path, requestsSuffix):
+		s.handleSubmission(w, r, strings.TrimSuffix(strings.TrimPrefix(path, servicePath), requestsSuffix))
+	case strings.HasPrefix(path, requestPath):
+		s.handleRequest(w, r, chicoryhall.RequestID(strings.TrimPrefix(path, requestPath)))
+	case path == "/healthz":
+		w.WriteHeader(http.StatusNoContent)
+	case path == "/readyz":
+		s.handleReady(w)
+	case path == "/metrics":
+		s.handleMetrics(w)
+	default:
+		s.refuse(w, r, newProblem(http.StatusNotFound, reasonUnknown, "path", "there is nothing at "+strconv.Quote(path)))
+	}
+}
+
+// refuse answers a request at once with a Problem.
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, problem Problem) {
+	s.parts.Log.Log(event.CallerRefused, "caller", r.RemoteAddr, "status", problem.Status, "field", problem.Field, "detail", problem.Detail)
+	if x, ok := s.newExchange(w, r); ok {
+		x.problem(problem)
+	}
+}
+
+func (s *Server) refuseMethod(w http.ResponseWriter, r *http.Request, allowed string) {
+	s.refuse(w, r, newProblem(http.StatusMethodNotAllowed, reasonMethod, "method", "the path takes "+allowed))
+}
+
+func (s *Server) handleReady(w http.ResponseWriter) {
+	if err := s.parts.Ready(); err != nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = w.Write([]byte(err.Error() + "\n"))
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) handleMetrics(w http.ResponseWriter) {
+	var page bytes.Buffer
+	s.parts.Metrics.Write(&page)
+	for _, write := range s.parts.MoreMetrics {
+		write(&page)
+	}
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	w.Header().Set("Content-Length", strconv.Itoa(page.Len()))
+	_, _ = w.Write(page.Bytes())
+}
+
+// handleSubmission starts a request and follows it.
+func (s *Server) handleSubmission(w http.ResponseWriter, r *http.Request, service string) {
+	if r.Method != http.MethodPost {
+		s.refuseMethod(w, r, http.MethodPost)
+		return
+	}
+	submission, problem := s.submissionOf(r, chicoryhall.ServiceName(service))
+	if problem != nil {
+		s.refuse(w, r, *problem)
+		return
+	}
+	started, err := s.parts.Requests.Submit(submission)
+	if err != nil {
+		s.refuse(w, r, submitProblem(err))
+		return
+	}
+	x, ok := s.newExchange(w, r)
+	if !ok {
+		return
+	}
+	x.id = started.ID()
+	x.state.onGone(started.Follow(0, x.followerOf(submission)))
+}
+
+// followerOf returns the writer of the form of answer that was asked for.
+func (x *exchange) followerOf(submission requests.Submission) chicoryhall.Follower {
+	switch {
+	case submission.Document.Kind == chicoryhall.ServicePlain:
+		return &wholeWriter{x: x}
+	case submission.Record.Async:
+		return &acceptWriter{x: x}
+	default:
+		return &eventWriter{x: x}
+	}
+}
+
+func submitProblem(err error) Problem {
+	switch {
+	case errors.Is(err, requests.ErrKeyReused):
+		return problemOf("", chicoryhall.Result{Outcome: chicoryhall.NotRun, Reason: requests.ReasonKeyReused})
+	case errors.Is(err, requests.ErrStopping):
+		problem := newProblem(http.StatusServiceUnavailable, reasonShutdown, "", "this daemon is stopping; send the request again")
+		problem.RetryAfterSeconds = 1
+		return problem
+	default:
+		return newProblem(http.StatusInternalServerError, "internal", "", err.Error())
+	}
+}
+
+// handleRequest resumes, fetches or cancels a request.
+func (s *Server) handleRequest(w http.ResponseWriter, r *http.Request, id chicoryhall.RequestID) {
+	credential, _ := credentialOf(r)
+	organisations := s.organisationsOf(credential)
+	if len(organisations) == 0 {
+		s.refuse(w, r, unauthorized())
+		return
+	}
+	switch r.Method {
+	case http.MethodGet:
+		s.handleFetch(w, r, id, organisations)
+	case http.MethodDelete:
+		s.handleCancel(w, r, id, organisations)
+	default:
+		s.refuseMethod(w, r, "GET or DELETE")
+	}
+}
+
+func (s *Server) handleCancel(w http.ResponseWriter, r *http.Request, id chicoryhall.RequestID, organisations []chicoryhall.Organisation) {
+	for _, organisation := range organisations {
+		if s.parts.Requests.Cancel(id, organisation) || s.parts.Forwarder.Cancel(r.Context(), id, organisation) {
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
+	}
+	s.refuse(w, r, unknownRequest(id))
+}
+
+// handleFetch goes on behind Last-Event-ID with events, or tells what is known.
+func (s *Server) handleFetch(w http.ResponseWriter, r *http.Request, id chicoryhall.RequestID, organisations []chicoryhall.Organisation) {
+	position, problem := positionOf(r)
+	if problem != nil {
+		s.refuse(w, r, *problem)
+		return
+	}
+	x, ok := s.newExchange(w, r)
+	if !ok {
+		return
+	}
+	x.id = id
+	wantsEvents := r.Header.Get(HeaderLastEventID) != "" || strings.Contains(r.Header.Get("Accept"), MediaTypeEvents)
+	if wantsEvents {
+		stop, found := s.follow(r, id, organisations, position, &eventWriter{x: x, position: position})
+		if !found {
+			x.problem(unknownRequest(id))
+			return
+		}
+		x.state.onGone(stop)
+		return
+	}
+	poll := &pollWriter{x: x}
+	stop, found := s.follow(r, id, organisations, 0, poll)
+	if !found {
+		x.problem(unknownRequest(id))
+		return
+	}
+	s.parts.Timer.After(pollWait, func(time.Time) {
+		stop()
+		poll.pending()
+	})
+}
+
+// follow looks for a request here and then at other daemons.
+func (s *Server) follow(r *http.Request, id chicoryhall.RequestID, organisations []chicoryhall.Organisation, position int,
+	follower chicoryhall.Follower,
+) (stop func(), found bool) {
+	for _, organisation := range organisations {
+		if stop, found := s.parts.Requests.Follow(id, organisation, position, follower); found {
+			return stop, true
+		}
+	}
+	for _, organisation := range organisations {
+		if stop, found := s.parts.Forwarder.Follow(r.Context(), id, organisation, position, follower); found {
+			return stop, true
+		}
+	}
+	return nil, false
+}
+
+// positionOf returns the first position that the caller does not have.
+func positionOf(r *http.Request) (int, *Problem) {
+	text := r.Header.Get(HeaderLastEventID)
+	if text == "" {
+		return 0, nil
+	}
+	last, err := strconv.Atoi(text)
+	if err != nil || last < 0 || last >= maxTokens {
+		return 0, refuse(HeaderLastEventID, strconv.Quote(text)+" is not the id of an event")
+	}
+	return last + 1, nil
+}
--- /dev/null
+++ b/caller/problem.go
@@ -0,0 +1,140 @@
+package caller
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/requests"
+	"chicoryhall.example/chicoryhall/stream"
+)
+
+// problemType starts the type of each Problem; the rest is its reason.
+const problemType = "urn:chicoryhall:problem:"
+
+// The reasons of problems that arise before a request exists.
+const (
+	reasonMalformed    = "malformed"
+	reasonTooLarge     = "too-large"
+	reasonUnauthorized = "unauthorized"
+	reasonUnknown      = "not-found"
+	reasonMethod       = "method"
+	reasonNotReady     = "not-ready"
+	reasonShutdown     = "shutdown"
+)
+
+// newProblem returns a Problem of a request that was not run.
+func newProblem(status int, reason, field, detail string) Problem {
+	return Problem{
+		Type: problemType + reason, Title: http.StatusText(status), Status: status,
+		Detail: detail, Field: field, Outcome: chicoryhall.NotRun,
+	}
+}
+
+func malformed(field, detail string) Problem {
+	return newProblem(http.StatusBadRequest, reasonMalformed, field, detail)
+}
+
+func tooLarge() Problem {
+	return newProblem(http.StatusRequestEntityTooLarge, reasonTooLarge, "body",
+		"the message is longer than "+strconv.Itoa(maxBody)+" bytes")
+}
+
+func unauthorized() Problem {
+	return newProblem(http.StatusUnauthorized, reasonUnauthorized, "Authorization",
+		"the header must be \"Bearer TOKEN\" with a token of an organisation that may call the service")
+}
+
+func unknownRequest(id chicoryhall.RequestID) Problem {
+	problem := newProblem(http.StatusNotFound, reasonUnknown, "id", "no daemon in reach knows the request, or it is not yours")
+	problem.Outcome = chicoryhall.Unknown
+	problem.Request = id
+	return problem
+}
+
+// problemOf explains a result without an answer.
+func problemOf(id chicoryhall.RequestID, result chicoryhall.Result) Problem {
+	status := statusOf(result)
+	problem := Problem{
+		Type: problemType + result.Reason, Title: http.StatusText(status), Status: status,
+		Detail: detailOf(result), Outcome: result.Outcome, Request: id,
+		RetryAfterSeconds: secondsOf(result.RetryAfter),
+	}
+	if result.Reason == requests.ReasonKeyReused {
+		problem.Field = HeaderIdempotencyKey
+	}
+	return problem
+}
+
+// statusOf returns the status code of a result without an answer.
+func statusOf(result chicoryhall.Result) int {
+	switch result.Reason {
+	case requests.ReasonKeyReused, stream.ReasonQuarantined.String():
+		return http.StatusUnprocessableEntity
+	case requests.ReasonClaimTaken, stream.ReasonCancelled.String():
+		return http.StatusConflict
+	}
+	if result.Outcome == chicoryhall.Unknown {
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusServiceUnavailable
+}
+
+// detailOf says in a sentence what a reason means.
+func detailOf(result chicoryhall.Result) string {
+	text := result.Body
+	if text == "" {
+		text = reasonDetails(result.Reason)
+	}
+	if result.Outcome == chicoryhall.NotRun {
+		return "the request was not run: " + text
+	}
+	return "the request may have run: " + text
+}
+
+func reasonDetails(reason string) string {
+	for _, known := range details {
+		if known.reason == reason {
+			return known.detail
+		}
+	}
+	return reason
+}
+
+// details explain the reasons.
+var details = []struct{ reason, detail string }{
+	{stream.ReasonNoRoute.String(), "no ready endpoints serve it now"},
+	{stream.ReasonDeadline.String(), "its deadline passed"},
+	{stream.ReasonCancelled.String(), "it was cancelled"},
+	{stream.ReasonEndpoints.String(), "it failed at as many endpoints as the service allows"},
+	{stream.ReasonBudget.String(), "the service's retry budget is spent"},
+	{stream.ReasonQuarantined.String(), "requests with its content crashed endpoints"},
+	{stream.ReasonNotIdempotent.String(), "an endpoint failed and the class may not be run again"},
+	{stream.ReasonOverload.String(), "the service is overloaded"},
+	{stream.ReasonHolder.String(), "no second daemon could hold it"},
+	{stream.ReasonClaim.String(), "the claim that lets it run once could not be confirmed"},
+	{stream.ReasonEndpointFailed.String(), "its endpoint failed"},
+	{stream.ReasonEndpointSilent.String(), "its endpoint stopped answering"},
+	{stream.ReasonEndpointRefused.String(), "its endpoint refused it"},
+	{requests.ReasonKeyReused, "the idempotency key was used with another request"},
+	{requests.ReasonClaimTaken, "another try with the idempotency key is running or ended without a known outcome"},
+	{requests.ReasonCallFailed, "the endpoint did not answer after it got the call"},
+}
+
+func secondsOf(d time.Duration) int {
+	return int(math.Ceil(d.Seconds()))
+}
+
+// appendProblem writes a whole HTTP answer with the problem.
+func appendProblem(buffer []byte, problem Problem, last bool) []byte {
+	body, err := json.Marshal(problem)
+	if err != nil {
+		body = []byte(`{}`)
+	}
+	head := answerHead{status: problem.Status, mediaType: MediaTypeProblem, request: problem.Request, last: last, retryAfter: problem.RetryAfterSeconds}
+	buffer = head.append(buffer, len(body))
+	return append(buffer, body...)
+}
--- /dev/null
+++ b/caller/server.go
@@ -0,0 +1,105 @@
+package caller
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+	"github.com/lesismal/nbio/nbhttp"
+	"github.com/pkg/errors"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/event"
+	"chicoryhall.example/chicoryhall/requests"
+)
+
+const (
+	// maxBody bounds a submission's body in bytes.
+	maxBody = 256 << 10
+	// maxHeaders bounds the request line and the headers in bytes.
+	maxHeaders = 16 << 10
+	// readTimeout bounds the time from a connection's start, or its last answer, to a whole request.
+	readTimeout = 30 * time.Second
+	// maxUnsent bounds the bytes that wait for a slow caller; above it the connection is cut.
+	maxUnsent = 256 << 10
+	// maxConnections bounds the callers' connections of one daemon.
+	maxConnections = 20000
+)
+
+// Parts are the parts that the callers' interface needs.
+type Parts struct {
+	Address   string
+	Timer     chicoryhall.Timer
+	Documents chicoryhall.Documents
+	Requests  *requests.Service
+	Forwarder chicoryhall.Forwarder
+	Metrics   *requests.Metrics
+	// MoreMetrics write the other parts' metrics.
+	MoreMetrics []func(io.Writer)
+	// Ready returns nil when the daemon may get requests, or says why not.
+	Ready func() error
+	Log   *event.Logger
+}
+
+// Server is the callers' interface.
+type Server struct {
+	parts       Parts
+	connections connections
+	loop        *nbhttp.Engine
+}
+
+// NewServer returns a Server that listens once Serve runs.
+func NewServer(parts Parts) *Server {
+	return &Server{parts: parts}
+}
+
+// String names the part in the supervisor's reports.
+func (s *Server) String() string { return "callers' interface" }
+
+// Serve answers callers until ctx ends.
+func (s *Server) Serve(ctx context.Context) error {
+	logging.SetLevel(logging.LevelNone)
+	s.loop = nbhttp.NewEngine(nbhttp.Config{
+		Name: "callers", Network: "tcp", Addrs: []string{s.parts.Address},
+		MaxLoad: maxConnections, ReadLimit: maxBody + maxHeaders, MaxHTTPBodySize: maxBody,
+		MaxWriteBufferSize: maxUnsent, KeepaliveTime: readTimeout,
+		Handler: http.HandlerFunc(s.handle), SupportServerOnly: true,
+	})
+	s.loop.Engine.OnData(s.onData)
+	s.loop.OnOpen(s.connections.opened)
+	s.loop.OnClose(func(c net.Conn, _ error) { s.connections.closed(c) })
+	if err := s.loop.Start(); err != nil {
+		return errors.WithMessagef(err, "listen for callers at %s", s.parts.Address)
+	}
+	s.parts.Log.Log(event.CallersListening, "address", s.parts.Address)
+	<-ctx.Done()
+	s.loop.Stop()
+	return ctx.Err()
+}
+
+// onData counts a request's bytes before they are parsed.
+func (s *Server) onData(c *nbio.Conn, data []byte) {
+	conn := s.connections.of(c)
+	if conn.received.Add(int64(len(data))) > maxBody+maxHeaders {
+		s.parts.Log.Log(event.CallerRefused, "caller", c.RemoteAddr(), "detail", "oversized message")
+		conn.refuse(c, tooLarge())
+		return
+	}
+	parser, ok := c.Session().(nbhttp.ParserCloser)
+	if !ok {
+		_ = c.Close()
+		return
+	}
+	if _, isTLS := tlsOf(parser); isTLS {
+		s.loop.TLSDataHandler(c, data)
+		return
+	}
+	if err := parser.Parse(data); err != nil {
+		s.parts.Log.Log(event.CallerRefused, "caller", c.RemoteAddr(), "detail", err)
+		conn.refuse(c, malformed("message", "the message is not HTTP/1.1: "+err.Error()))
+	}
+}
--- a/cmd/chicoryhall/daemon/builder.go
+++ b/cmd/chicoryhall/daemon/builder.go
@@ -9,6 +9,7 @@
 	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/engine"
 	"chicoryhall.example/chicoryhall/event"
+	"chicoryhall.example/chicoryhall/requests"
 	"chicoryhall.example/chicoryhall/settings"
 	"chicoryhall.example/chicoryhall/timer"
 )
@@ -28,14 +29,19 @@
 	decisions  *suture.Supervisor
 	interfaces *suture.Supervisor
 
-	timer     *timer.Service
-	engines   *engine.Client
-	documents chicoryhall.Documents
-	endpoints chicoryhall.Endpoints
-	router    chicoryhall.Router
-	admission chicoryhall.Admission
-	keeper    chicoryhall.Keeper
-	claims    chicoryhall.Claims
+	timer      *timer.Service
+	engines    *engine.Client
+	documents  chicoryhall.Documents
+	endpoints  chicoryhall.Endpoints
+	router     chicoryhall.Router
+	admission  chicoryhall.Admission
+	keeper     chicoryhall.Keeper
+	claims     chicoryhall.Claims
+	retries    requests.Retries
+	quarantine requests.Quarantine
+	forwarder  chicoryhall.Forwarder
+	metrics    *requests.Metrics
+	requests   *requests.Service
 
 	// drains are called in order at a graceful shutdown, each bounded by drainTimeout.
 	drains []func(ctx context.Context)
@@ -58,6 +64,10 @@
 		{"admission", b.buildAdmission},
 		{"keeper", b.buildKeeper},
 		{"claims", b.buildClaims},
+		{"retries", b.buildRetries},
+		{"quarantine", b.buildQuarantine},
+		{"forwarder", b.buildForwarder},
+		{"requests", b.buildRequests},
 		{"callers", b.buildCallers},
 	}
 }
--- /dev/null
+++ b/requests/service.go
@@ -0,0 +1,193 @@
+package requests
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/engine"
+	"chicoryhall.example/chicoryhall/event"
+)
+
+// Parts are the parts that requests need.
+type Parts struct {
+	Self          chicoryhall.DaemonID
+	FailureDomain chicoryhall.FailureDomain
+	Timer         chicoryhall.Timer
+	Engines       *engine.Client
+	Documents     chicoryhall.Documents
+	Endpoints     chicoryhall.Endpoints
+	Router        chicoryhall.Router
+	Admission     chicoryhall.Admission
+	Keeper        chicoryhall.Keeper
+	Claims        chicoryhall.Claims
+	Retries       Retries
+	Quarantine    Quarantine
+	Log           *event.Logger
+	Metrics       *Metrics
+}
+
+// Retries is the retry budget of each service.
+type Retries interface {
+	// Succeeded counts a request that was answered.
+	Succeeded(service chicoryhall.ServiceName)
+	// Take spends one retry; false means that the budget is spent until retryAfter has passed.
+	Take(service chicoryhall.ServiceName) (allowed bool, retryAfter time.Duration)
+}
+
+// Quarantine keeps requests that crash endpoints away from them.
+type Quarantine interface {
+	// Begin counts a request at an endpoint; false means that the request is refused.
+	Begin(id chicoryhall.RequestID, fingerprint uint64, at []chicoryhall.EngineID) bool
+	// End counts a request that has left its endpoints alive.
+	End(id chicoryhall.RequestID)
+	// Crashed tells that an endpoint was lost while the request was on it.
+	Crashed(id chicoryhall.RequestID, fingerprint uint64, endpoint chicoryhall.EngineID)
+}
+
+// ErrStopping is the refusal of new requests by a daemon that stops.
+var ErrStopping = errors.New("this daemon is stopping")
+
+// Service runs requests.
+type Service struct {
+	parts    Parts
+	window   *window
+	work     errgroup.Group
+	stopping atomic.Bool
+
+	mu    sync.Mutex
+	byID  map[chicoryhall.RequestID]*Request
+	byKey map[callerKey]*Request
+}
+
+// callerKey is an idempotency key as an organisation uses it with a service.
+type callerKey struct {
+	organisation chicoryhall.Organisation
+	service      chicoryhall.ServiceName
+	key          string
+}
+
+// New returns a Service.
+func New(parts Parts) *Service {
+	s := &Service{
+		parts: parts,
+		byID:  map[chicoryhall.RequestID]*Request{},
+		byKey: map[callerKey]*Request{},
+	}
+	s.window = newWindow(s.forget)
+	parts.Endpoints.Subscribe(s.endpointChanged)
+	return s
+}
+
+// Serve evicts old answers until ctx ends.
+func (s *Service) Serve(ctx context.Context) error {
+	tick := s.parts.Timer.Every(windowAge/windowSteps, s.window.expire)
+	defer tick.Cancel()
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// String names the part in the supervisor's reports.
+func (s *Service) String() string { return "requests" }
+
+// Live returns the number of requests in progress.
+func (s *Service) Live() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	live := 0
+	for _, r := range s.byID {
+		if !r.ended.Load() {
+			live++
+		}
+	}
+	return live
+}
+
+// Drain refuses new requests and waits until those in progress have ended or ctx ends.
+func (s *Service) Drain(ctx context.Context) {
+	s.stopping.Store(true)
+	done := make(chan struct{})
+	var check chicoryhall.Subscription
+	check = s.parts.Timer.Every(drainPoll, func(time.Time) {
+		if s.Live() == 0 {
+			check.Cancel()
+			close(done)
+		}
+	})
+	select {
+	case <-done:
+	case <-ctx.Done():
+		check.Cancel()
+	}
+}
+
+// drainPoll is the period at which Drain counts the requests in progress.
+const drainPoll = 20 * time.Millisecond
+
+// endpointChanged tells the requests that use an endpoint.
+func (s *Service) endpointChanged(id chicoryhall.EngineID, state chicoryhall.EndpointState) {
+	if state != chicoryhall.EndpointDead && state != chicoryhall.EndpointSuspect {
+		return
+	}
+	for _, r := range s.all() {
+		if !r.ended.Load() {
+			r.endpointState(id, state)
+		}
+	}
+}
+
+func (s *Service) all() []*Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]*Request, 0, len(s.byID))
+	for _, r := range s.byID {
+		all = append(all, r)
+	}
+	return all
+}
+
+func (s *Service) find(id chicoryhall.RequestID, organisation chicoryhall.Organisation) *Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.byID[id]
+	if r == nil || r.record.Organisation != organisation {
+		return nil
+	}
+	return r
+}
+
+// Follow tells follower of a request from position on.
+func (s *Service) Follow(id chicoryhall.RequestID, organisation chicoryhall.Organisation, position int,
+	follower chicoryhall.Follower,
+) (stop func(), found bool) {
+	r := s.find(id, organisation)
+	if r == nil {
+		return nil, false
+	}
+	return r.Follow(position, follower), true
+}
+
+// Cancel ends a request.
+func (s *Service) Cancel(id chicoryhall.RequestID, organisation chicoryhall.Organisation) bool {
+	r := s.find(id, organisation)
+	if r == nil {
+		return false
+	}
+	r.cancel()
+	return true
+}
+
+// forget drops a finished request.
+func (s *Service) forget(r *Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.byID, r.record.ID)
+	if key := r.key(); key.key != "" && s.byKey[key] == r {
+		delete(s.byKey, key)
+	}
+}
