Add the platform stand-in: table, objects, weights and the list of VMs

A transaction counts as one write whatever it changes, so that batched claims can be measured against the rate.

--- a/cmd/chicorystand/entry/verbs.go
+++ b/cmd/chicorystand/entry/verbs.go
@@ -6,7 +6,7 @@
 var program = command.Program{
 	Name:    "chicorystand",
 	Summary: "stands in for engines, plain services, the platform, the balancer and faulty links",
-	Verbs:   []command.Verb{engineVerb},
+	Verbs:   []command.Verb{engineVerb, platformVerb},
 }
 
 // Main runs chicorystand and exits.
--- /dev/null
+++ b/cmd/chicorystand/platform/faults.go
@@ -0,0 +1,88 @@
+package platform
+
+import (
+	"encoding/json"
+
+	"chicoryhall.example/chicoryhall/event"
+)
+
+//go:generate go tool enumer -type=Outage -json -text -transform=lower -trimprefix=Outage -output=outage_enumer.go
+
+// Outage tells how a service of the platform is down.
+type Outage int
+
+// The kinds of outages.
+const (
+	// OutageNone is no outage.
+	OutageNone Outage = iota
+	// OutageRefuse answers 503 to each request.
+	OutageRefuse
+	// OutageSilent answers nothing.
+	OutageSilent
+	// OutageDrop closes the connection without an answer.
+	OutageDrop
+)
+
+// Faults are the faults of the platform; the zero value has none.
+type Faults struct {
+	Table   ServiceFaults `json:"table"`
+	Objects ServiceFaults `json:"objects"`
+	Weights ServiceFaults `json:"weights"`
+	VMs     ServiceFaults `json:"vms"`
+	// StaleReads answers reads of the table from the last snapshot.
+	StaleReads bool `json:"staleReads,omitempty"`
+	// WritesPerSecond and ReadsPerSecond replace the rates of the settings; 0 keeps them.
+	WritesPerSecond float64 `json:"writesPerSecond,omitempty"`
+	ReadsPerSecond  float64 `json:"readsPerSecond,omitempty"`
+}
+
+// ServiceFaults are the faults of one service.
+type ServiceFaults struct {
+	Outage Outage `json:"outage,omitempty"`
+	// SlowMillis delays each answer.
+	SlowMillis int64 `json:"slowMillis,omitempty"`
+	// LoseAnswers is the number of writes, from the next on, that take effect and whose answer is lost.
+	LoseAnswers int `json:"loseAnswers,omitempty"`
+	// LoseSilently keeps the connection of a lost answer open instead of closing it.
+	LoseSilently bool `json:"loseSilently,omitempty"`
+}
+
+// Faults returns the faults set.
+func (p *Platform) Faults() any {
+	var faults Faults
+	p.gate.Inspect(func() { faults = p.faults })
+	return faults
+}
+
+// SetFaults replaces the faults.
+func (p *Platform) SetFaults(text []byte) error {
+	var faults Faults
+	if err := json.Unmarshal(text, &faults); err != nil {
+		return err
+	}
+	p.gate.Inspect(func() {
+		p.faults = faults
+		p.setRates()
+	})
+	return nil
+}
+
+// Act carries out a named action.
+func (p *Platform) Act(action string) bool {
+	switch action {
+	case "freeze":
+		p.gate.Freeze()
+	case "thaw":
+		p.gate.Thaw()
+	case "silence":
+		p.server.Silence()
+	case "snapshot":
+		p.gate.Inspect(func() { p.snapshot = p.rows.clone() })
+	case "restore":
+		p.gate.Inspect(func() { p.rows = p.snapshot.clone() })
+	default:
+		return false
+	}
+	p.log.Log(event.StandinActed, "action", action)
+	return true
+}
--- /dev/null
+++ b/cmd/chicorystand/platform/rows.go
@@ -0,0 +1,68 @@
+package platform
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"chicoryhall.example/chicoryhall/table"
+)
+
+// MaxChanges is the most rows that one transaction may change.
+const MaxChanges = 256
+
+// rows is the content of the table.
+type rows struct {
+	present map[string]table.Row
+	// removed keeps the last version of rows that were deleted, so that versions only grow.
+	removed map[string]int64
+}
+
+func newRows() *rows {
+	return &rows{present: map[string]table.Row{}, removed: map[string]int64{}}
+}
+
+func (r *rows) clone() *rows {
+	return &rows{present: maps.Clone(r.present), removed: maps.Clone(r.removed)}
+}
+
+// apply makes all changes of a transaction or none.
+func (r *rows) apply(transaction *table.Transaction) table.Result {
+	for i := range transaction.Changes {
+		change := &transaction.Changes[i]
+		row := r.present[change.Key]
+		row.Key = change.Key
+		if change.IfVersion != table.AnyVersion && change.IfVersion != row.Version {
+			return table.Result{Conflict: &row}
+		}
+	}
+	result := table.Result{Committed: true}
+	for i := range transaction.Changes {
+		result.Versions = append(result.Versions, r.change(&transaction.Changes[i], transaction.Nonce))
+	}
+	return result
+}
+
+func (r *rows) change(change *table.Change, nonce string) int64 {
+	version := max(r.present[change.Key].Version, r.removed[change.Key]) + 1
+	delete(r.removed, change.Key)
+	if change.Delete {
+		delete(r.present, change.Key)
+		r.removed[change.Key] = version
+		return version
+	}
+	r.present[change.Key] = table.Row{Key: change.Key, Value: change.Value, Version: version, Nonce: nonce}
+	return version
+}
+
+// prefixed returns the rows whose keys begin with prefix, in key order.
+func (r *rows) prefixed(prefix string) []table.Row {
+	found := []table.Row{}
+	for key, row := range r.present {
+		if strings.HasPrefix(key, prefix) {
+			found = append(found, row)
+		}
+	}
+	slices.SortFunc(found, func(a, b table.Row) int { return strings.Compare(a.Key, b.Key) })
+	return found
+}
