--- a/cmd/chicoryhall/daemon/admission.go
+++ b/cmd/chicoryhall/daemon/admission.go
@@ -1,25 +1,9 @@
 package daemon
 
-import (
-	"time"
-
-	"chicoryhall.example/chicoryhall"
-)
-
-// openAdmission is a chicoryhall.Admission that starts every request at once.
-type openAdmission struct{}
-
-type openPermit struct{}
+import "chicoryhall.example/chicoryhall/admission"
 
+// buildAdmission adds the decision which requests start.
 func (b *builder) buildAdmission() error {
-	b.admission = openAdmission{}
+	b.admission = admission.New(b.timer, b.documents, b.endpoints, b.members)
 	return nil
 }
-
-// Enter starts the request.
-func (openAdmission) Enter(_ chicoryhall.AdmissionQuery, start func(chicoryhall.Permit), _ func(time.Duration, string)) {
-	start(openPermit{})
-}
-
-// Release does nothing.
-func (openPermit) Release() {}
--- a/cmd/chicoryhall/daemon/builder.go
+++ b/cmd/chicoryhall/daemon/builder.go
@@ -34,6 +34,7 @@
 	documents  chicoryhall.Documents
 	endpoints  chicoryhall.Endpoints
 	router     chicoryhall.Router
+	members    chicoryhall.Members
 	admission  chicoryhall.Admission
 	keeper     chicoryhall.Keeper
 	claims     chicoryhall.Claims
@@ -59,6 +60,7 @@
 		{"timer", b.buildTimer},
 		{"engine client", b.buildEngines},
 		{"documents", b.buildDocuments},
+		{"members", b.buildMembers},
 		{"endpoints", b.buildEndpoints},
 		{"router", b.buildRouter},
 		{"admission", b.buildAdmission},
--- a/cmd/chicoryhall/daemon/documents.go
+++ b/cmd/chicoryhall/daemon/documents.go
@@ -1,17 +1,16 @@
 package daemon
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"os"
 	"slices"
 	"strings"
 
-	"github.com/goccy/go-yaml"
 	"github.com/pkg/errors"
 
 	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/document"
 )
 
 // fileVersion is the version of every document that was read from a file.
@@ -51,12 +50,12 @@
 	if err != nil {
 		return chicoryhall.InForce{}, errors.WithMessage(err, "read document")
 	}
-	document := &chicoryhall.Document{}
-	if err := yaml.NewDecoder(bytes.NewReader(text), yaml.Strict()).Decode(document); err != nil {
-		return chicoryhall.InForce{}, errors.WithMessagef(err, "parse document %s", path)
+	parsed, err := document.Parse(path, text)
+	if err != nil {
+		return chicoryhall.InForce{}, err
 	}
 	sum := sha256.Sum256(text)
-	return chicoryhall.InForce{Document: document, Version: fileVersion, Digest: hex.EncodeToString(sum[:])}, nil
+	return chicoryhall.InForce{Document: parsed, Version: fileVersion, Digest: hex.EncodeToString(sum[:])}, nil
 }
 
 // InForce returns the document of one service.
--- a/cmd/chicoryhall/daemon/endpoints.go
+++ b/cmd/chicoryhall/daemon/endpoints.go
@@ -1,43 +1,45 @@
 package daemon
 
 import (
-	"sync"
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
 
 	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/engine"
+	"chicoryhall.example/chicoryhall/watch"
 )
 
-// trafficEndpoints is a chicoryhall.Endpoints that knows this daemon's own traffic only.
-type trafficEndpoints struct {
-	mu       sync.Mutex
-	inFlight map[chicoryhall.EngineID]int
-}
+const (
+	// loadTimeout bounds one poll of an endpoint's load.
+	loadTimeout = time.Second
+	// maxPolls bounds the polls in progress; more of them wait.
+	maxPolls = 256
+)
 
+// buildEndpoints adds the view of endpoints, fed by load reports and this daemon's traffic.
 func (b *builder) buildEndpoints() error {
-	b.endpoints = &trafficEndpoints{inFlight: map[chicoryhall.EngineID]int{}}
+	loads := &loadPoller{engines: b.engines}
+	loads.polls.SetLimit(maxPolls)
+	view := watch.New(watch.Config{Timer: b.timer, Documents: b.documents, Loads: loads})
+	b.endpoints = view
+	b.knowledge.Add(view)
 	return nil
 }
 
-// View tells the work in flight.
-func (e *trafficEndpoints) View(id chicoryhall.EngineID) chicoryhall.EndpointView {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return chicoryhall.EndpointView{State: chicoryhall.EndpointReady, InFlight: e.inFlight[id]}
+// loadPoller is a watch.Loads over the engine client.
+type loadPoller struct {
+	engines *engine.Client
+	polls   errgroup.Group
 }
 
-// Observe is ignored.
-func (e *trafficEndpoints) Observe(chicoryhall.EngineID, chicoryhall.Observation) {}
-
-// Begin counts one more piece of work.
-func (e *trafficEndpoints) Begin(id chicoryhall.EngineID) { e.add(id, 1) }
-
-// End counts one piece of work less.
-func (e *trafficEndpoints) End(id chicoryhall.EngineID) { e.add(id, -1) }
-
-// Subscribe is ignored, as no state changes.
-func (e *trafficEndpoints) Subscribe(func(chicoryhall.EngineID, chicoryhall.EndpointState)) {}
-
-func (e *trafficEndpoints) add(id chicoryhall.EngineID, change int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.inFlight[id] += change
+// Load polls one endpoint; a poll above maxPolls is left out.
+func (l *loadPoller) Load(address string, done func(chicoryhall.Load, error)) {
+	l.polls.TryGo(func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
+		defer cancel()
+		done(l.engines.Load(ctx, address))
+		return nil
+	})
 }
--- a/cmd/chicoryhall/entry/serve.go
+++ b/cmd/chicoryhall/entry/serve.go
@@ -1,15 +1,11 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"flag"
-	"os"
 	"strings"
 
 	"github.com/charmbracelet/log"
-	"github.com/goccy/go-yaml"
-	"github.com/pkg/errors"
 
 	"chicoryhall.example/chicoryhall/cmd/chicoryhall/daemon"
 	"chicoryhall.example/chicoryhall/command"
@@ -34,7 +30,7 @@
 }
 
 func serve(ctx context.Context, streams command.Streams, path string, documents []string) error {
-	own, err := readSettings(path)
+	own, err := settings.Load(path)
 	if err != nil {
 		return err
 	}
@@ -43,23 +39,13 @@
 		level = log.InfoLevel
 	}
 	logger := event.NewLogger(streams.Err, "chicoryhall", level)
-	built, err := daemon.New(own, daemon.Options{Documents: documents}, logger)
+	built, err := daemon.New(*own, daemon.Options{Documents: documents}, logger)
 	if err != nil {
 		return err
 	}
 	return built.Serve(ctx)
 }
 
-func readSettings(path string) (settings.Daemon, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return settings.Daemon{}, errors.WithMessage(err, "read settings")
-	}
-	var own settings.Daemon
-	err = yaml.NewDecoder(bytes.NewReader(text), yaml.Strict()).Decode(&own)
-	return own, errors.WithMessagef(err, "parse settings %s", path)
-}
-
 func splitList(text string) []string {
 	if text == "" {
 		return nil
