--- /dev/null
+++ b/cmd/chicorystand/entry/balancer.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"context"
+	"flag"
+	"time"
+
+	"chicoryhall.example/chicoryhall/cmd/chicorystand/balancer"
+	"chicoryhall.example/chicoryhall/command"
+	"chicoryhall.example/chicoryhall/event"
+	"chicoryhall.example/chicoryhall/timer"
+)
+
+// checkPeriod is the time between two readiness checks of a daemon.
+const checkPeriod = 250 * time.Millisecond
+
+const balancerDetail = `Each argument is the callers' address of one daemon, IP:PORT. A new connection goes to the next
+daemon whose GET /readyz answered 200 or 204; without one it is closed.
+
+The control endpoint (-control) answers:
+  GET  /ledger    per daemon: ready, connections
+  POST /silence   makes the open connections silent for good; new ones work
+  POST /crash     ends the process at once with status 3`
+
+// balancerVerb runs the balancer.
+var balancerVerb = command.Verb{
+	Name:      "balancer",
+	Arguments: "DAEMON...",
+	Summary:   "Runs the stand-in of the platform's TCP balancer.",
+	Detail:    balancerDetail,
+	New:       newBalancer,
+}
+
+func newBalancer(flags *flag.FlagSet) command.Run {
+	listen := flags.String("listen", "", "`IP:PORT` for callers")
+	controlAddress := flags.String("control", "", "`IP:PORT` of the control endpoint; empty has none")
+	period := flags.Duration("check-period", checkPeriod, "`TIME` between two readiness checks of a daemon")
+	return func(ctx context.Context, streams command.Streams, arguments []string) error {
+		if *listen == "" || len(arguments) == 0 {
+			return command.UsageError("-listen and at least one DAEMON are needed")
+		}
+		p := process{program: "chicorystand balancer", control: *controlAddress}
+		p.build = func(clock *timer.Service, log *event.Logger) (part, error) {
+			return balancer.New(*listen, arguments, *period, clock, log)
+		}
+		return p.run(ctx, streams)
+	}
+}
--- /dev/null
+++ b/cmd/chicorystand/faultproxy/shaper.go
@@ -0,0 +1,49 @@
+package faultproxy
+
+import (
+	"time"
+
+	"chicoryhall.example/chicoryhall/cmd/chicorystand/relay"
+)
+
+// shaper applies a link's faults to one pair of connections.
+type shaper struct {
+	link *Link
+	// answered counts the bytes from the target.
+	answered int64
+}
+
+// Shape decides on one piece.
+func (s *shaper) Shape(direction relay.Direction, bytes int, now time.Time) relay.Verdict {
+	l := s.link
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.faults.Blackhole {
+		return relay.Verdict{Swallow: true}
+	}
+	verdict := relay.PassAll
+	verdict.Delay = time.Duration(l.faults.DelayMillis)*time.Millisecond + l.queueing(direction, bytes, now)
+	if direction == relay.ToTarget {
+		l.ledger.BytesTo += int64(bytes)
+		return verdict
+	}
+	l.ledger.BytesFrom += int64(bytes)
+	if limit := l.faults.CutAnswerAfter; limit > 0 && s.answered+int64(bytes) >= limit {
+		verdict.Pass = int(max(0, limit-s.answered))
+	}
+	s.answered += int64(bytes)
+	return verdict
+}
+
+// queueing returns how long a piece waits for the bandwidth of its direction.
+func (l *Link) queueing(direction relay.Direction, bytes int, now time.Time) time.Duration {
+	if l.faults.BytesPerSecond <= 0 {
+		return 0
+	}
+	begin := l.free[direction]
+	if begin.Before(now) {
+		begin = now
+	}
+	l.free[direction] = begin.Add(time.Duration(int64(bytes) * int64(time.Second) / l.faults.BytesPerSecond))
+	return l.free[direction].Sub(now)
+}
