Keep the order of delayed bytes in the relay

TestBytesPassInOrder/slow failed in 10 of 30 runs: pieces due almost together were sent by timer calls in another order. Each call now sends the first piece that waits; 30 of 30 runs passed.

--- a/cmd/chicorystand/relay/pair.go
+++ b/cmd/chicorystand/relay/pair.go
@@ -37,9 +37,9 @@
 	queued atomic.Int64
 	// closing ends the pair once all was written.
 	closing atomic.Bool
-	// release is when the last delayed piece for this end is due; delayed counts those pieces.
+	// delayed are the pieces kept back, in order; release is when the last is due.
+	delayed [][]byte
 	release time.Time
-	delayed int
 }
 
 // Silence swallows all further bytes; the connections stay open.
@@ -138,18 +138,23 @@
 	if due.Before(e.release) {
 		due = e.release
 	}
-	if e.delayed == 0 && !due.After(now) {
+	if len(e.delayed) == 0 && !due.After(now) {
 		e.send(data)
 		return
 	}
 	e.release = due
-	e.delayed++
-	p.relay.timer.After(due.Sub(now), func(time.Time) {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		e.delayed--
-		e.send(data)
-	})
+	e.delayed = append(e.delayed, data)
+	p.relay.timer.After(due.Sub(now), func(time.Time) { e.sendFirst() })
+}
+
+// sendFirst sends the first delayed piece. Each call is for one piece but not for a certain one:
+// calls that are due almost together may come in another order than their pieces.
+func (e *end) sendFirst() {
+	e.pair.mu.Lock()
+	defer e.pair.mu.Unlock()
+	first := e.delayed[0]
+	e.delayed = e.delayed[1:]
+	e.send(first)
 }
 
 // send writes a piece or keeps it until the connection is open; the pair is locked.
@@ -193,7 +198,7 @@
 func (e *end) finish() {
 	p := e.pair
 	p.mu.Lock()
-	waits := e.delayed > 0 || len(e.unsent) > 0
+	waits := len(e.delayed) > 0 || len(e.unsent) > 0
 	p.mu.Unlock()
 	if waits {
 		p.relay.timer.After(finishPeriod, func(time.Time) { e.finish() })
