Prove the stream machine over orders of inputs

TestInvariants and TestEnds (rapid) bring inputs lost, repeated, late and crossed. They found that routes could meet more engines in one place than the document allows; routed now gives up instead.

--- a/stream/machine.go
+++ b/stream/machine.go
@@ -194,6 +194,10 @@
 	if m.phase != phaseRouting {
 		return
 	}
+	if m.met.most(route.Hops) > m.config.MaxEndpoints {
+		m.giveUp(ReasonEndpoints, retryAfterFailure)
+		return
+	}
 	m.route = route
 	m.attempt++
 	m.opened, m.prefilled, m.reached = false, false, false
--- a/stream/places.go
+++ b/stream/places.go
@@ -43,3 +43,26 @@
 	}
 	return 0
 }
+
+// most returns the largest number of engines in one place if the hops were added.
+func (p *places) most(hops []chicoryhall.Hop) int {
+	most := 0
+	for _, hop := range hops {
+		count := 1
+		for _, known := range *p {
+			if known.from == hop.From {
+				count = known.with(hop.Engine)
+			}
+		}
+		most = max(most, count)
+	}
+	return most
+}
+
+// with returns the number of engines of the place if one more was met.
+func (p *place) with(id chicoryhall.EngineID) int {
+	if slices.Contains(p.engines, id) {
+		return len(p.engines)
+	}
+	return len(p.engines) + 1
+}
