--- /dev/null
+++ b/limit/limiter.go
@@ -0,0 +1,209 @@
+package limit
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"chicoryhall.example/chicoryhall"
+)
+
+const (
+	// AskPeriod is how often a daemon asks for what it lacks.
+	AskPeriod = time.Second
+	// LoanLifetime is how long a loan may be used.
+	LoanLifetime = 3 * time.Second
+	// BurstWindow is the time for which unused rate is kept.
+	BurstWindow = time.Second
+	// MinBurst is the least number of requests that a daemon may keep.
+	MinBurst = 1.0
+	// asksPerPeriod bounds the peers that are asked in one period.
+	asksPerPeriod = 4
+	// demandWeight is the weight of one period in the mean demand.
+	demandWeight = 0.5
+	// headroom is the factor by which a daemon keeps more than its mean demand.
+	headroom = 1.25
+)
+
+// key names one limited rate.
+type key struct {
+	service      chicoryhall.ServiceName
+	organisation chicoryhall.Organisation
+}
+
+// Limiter is one daemon's part of all limits; it is safe for concurrent use.
+type Limiter struct {
+	documents chicoryhall.Documents
+	members   chicoryhall.Members
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	buckets map[key]*bucket
+}
+
+// New returns a Limiter over the documents in force and the members alive.
+func New(documents chicoryhall.Documents, members chicoryhall.Members) *Limiter {
+	seed := xxhash.Sum64String(string(members.Self().ID))
+	return &Limiter{
+		documents: documents,
+		members:   members,
+		random:    rand.New(rand.NewPCG(seed, seed)),
+		buckets:   make(map[key]*bucket),
+	}
+}
+
+// Allow reports whether a request of the organisation may pass now, or after what time it may.
+// An organisation without a limit always passes.
+func (l *Limiter) Allow(service chicoryhall.ServiceName, organisation chicoryhall.Organisation, now time.Time) (bool, time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k := key{service, organisation}
+	b := l.buckets[k]
+	if b == nil {
+		base, limited := l.base(k)
+		if !limited {
+			return true, 0
+		}
+		b = newBucket(base, now)
+		l.buckets[k] = b
+	}
+	return b.take(now)
+}
+
+// base returns this daemon's own part of a rate: an equal part for each failure domain, divided
+// by the daemons of this domain that are not known to be dead.
+func (l *Limiter) base(k key) (float64, bool) {
+	inForce, ok := l.documents.InForce(k.service)
+	if !ok {
+		return 0, false
+	}
+	rate := rateOf(inForce.Document, k.organisation)
+	if rate <= 0 {
+		return 0, false
+	}
+	self := l.members.Self()
+	domains := []chicoryhall.FailureDomain{self.FailureDomain}
+	daemons := 1
+	for _, member := range l.members.All() {
+		domains = with(domains, member.FailureDomain)
+		if member.FailureDomain == self.FailureDomain && member.State != chicoryhall.MemberDead {
+			daemons++
+		}
+	}
+	for _, endpoint := range inForce.Document.Endpoints {
+		domains = with(domains, endpoint.FailureDomain)
+	}
+	return rate / float64(len(domains)) / float64(daemons), true
+}
+
+// rateOf returns the organisation's rate over all daemons, or 0 when it has no limit.
+func rateOf(document *chicoryhall.Document, organisation chicoryhall.Organisation) float64 {
+	for _, described := range document.Organisations {
+		if described.Name == organisation {
+			return described.RequestsPerSecond
+		}
+	}
+	return 0
+}
+
+// with returns the domains with one more unless it is there.
+func with(domains []chicoryhall.FailureDomain, domain chicoryhall.FailureDomain) []chicoryhall.FailureDomain {
+	if slices.Contains(domains, domain) {
+		return domains
+	}
+	return append(domains, domain)
+}
+
+// Tick takes one period's demand into the means and renews the bases; call it every AskPeriod.
+func (l *Limiter) Tick(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for k, b := range l.buckets {
+		base, limited := l.base(k)
+		if !limited || b.idle(now) {
+			delete(l.buckets, k)
+			continue
+		}
+		b.observe(now)
+		b.setBase(base, now)
+	}
+}
+
+// Asks returns what to ask of which peers of this failure domain now.
+func (l *Limiter) Asks() map[chicoryhall.DaemonID]Ask {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var wants []Want
+	for k, b := range l.buckets {
+		if lacking := b.lacking(); lacking > 0 {
+			wants = append(wants, Want{Service: k.service, Organisation: k.organisation, Rate: lacking})
+		}
+	}
+	if len(wants) == 0 {
+		return nil
+	}
+	sortWants(wants)
+	asks := make(map[chicoryhall.DaemonID]Ask)
+	for _, peer := range l.somePeers() {
+		asks[peer] = Ask{From: l.members.Self().ID, Wants: wants}
+	}
+	return asks
+}
+
+func sortWants(wants []Want) {
+	slices.SortFunc(wants, func(a, b Want) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Organisation, b.Organisation))
+	})
+}
+
+// somePeers draws daemons of this failure domain.
+func (l *Limiter) somePeers() []chicoryhall.DaemonID {
+	var peers []chicoryhall.DaemonID
+	self := l.members.Self()
+	for _, member := range l.members.All() {
+		if member.FailureDomain == self.FailureDomain && member.State == chicoryhall.MemberAlive {
+			peers = append(peers, member.ID)
+		}
+	}
+	l.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(asksPerPeriod, len(peers))]
+}
+
+// Lend answers a peer's Ask from what this daemon does not need itself.
+func (l *Limiter) Lend(ask Ask, now time.Time) Grant {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var grant Grant
+	for _, want := range ask.Wants {
+		k := key{want.Service, want.Organisation}
+		base, limited := l.base(k)
+		if !limited || !(want.Rate > 0) {
+			continue
+		}
+		b := l.buckets[k]
+		if b == nil {
+			b = newBucket(base, now)
+			b.tokens = 0
+			l.buckets[k] = b
+		}
+		if lent := b.lend(want.Rate, now); lent > 0 {
+			grant.Loans = append(grant.Loans, Want{Service: want.Service, Organisation: want.Organisation, Rate: lent})
+		}
+	}
+	return grant
+}
+
+// Receive takes over the loans of a peer that was asked at the given time.
+func (l *Limiter) Receive(grant Grant, asked, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, loan := range grant.Loans {
+		if b := l.buckets[key{loan.Service, loan.Organisation}]; b != nil && loan.Rate > 0 {
+			b.borrow(loan.Rate, asked.Add(LoanLifetime), now)
+		}
+	}
+}
