--- /dev/null
+++ b/cmd/chicorybench/slope/line.go
@@ -0,0 +1,52 @@
+package slope
+
+import (
+	"math"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// Point is one measured cost at one size of the driver.
+type Point struct {
+	Size float64 `json:"size"`
+	Cost float64 `json:"cost"`
+}
+
+// Line is a least-squares fit of cost over size.
+type Line struct {
+	Intercept float64 `json:"intercept"`
+	Slope     float64 `json:"slope"`
+	// Spread is the standard deviation of the points around the line.
+	Spread float64 `json:"spread"`
+}
+
+// Fit returns the least-squares line through the points; one size gives a flat line.
+func Fit(points []Point) Line {
+	sizes := make([]float64, 0, len(points))
+	costs := make([]float64, 0, len(points))
+	for _, point := range points {
+		sizes = append(sizes, point.Size)
+		costs = append(costs, point.Cost)
+	}
+	if stat.Variance(sizes, nil) == 0 || len(points) < 2 {
+		return Line{Intercept: stat.Mean(costs, nil)}
+	}
+	intercept, slope := stat.LinearRegression(sizes, costs, nil, false)
+	line := Line{Intercept: intercept, Slope: slope}
+	line.Spread = spread(line, points)
+	return line
+}
+
+func spread(line Line, points []Point) float64 {
+	sum := 0.0
+	for _, point := range points {
+		miss := point.Cost - line.At(point.Size)
+		sum += miss * miss
+	}
+	return math.Sqrt(sum / float64(len(points)))
+}
+
+// At returns the fitted cost at a size.
+func (l Line) At(size float64) float64 {
+	return l.Intercept + l.Slope*size
+}
--- /dev/null
+++ b/cmd/chicorybench/slope/measurement.go
@@ -0,0 +1,67 @@
+package slope
+
+import (
+	"encoding/json"
+	"os"
+
+	"github.com/pkg/errors"
+)
+
+// Measurement is one cost with its driver, as measured.
+type Measurement struct {
+	Name string `json:"name"`
+	// Unit is that of the cost, Driver what the sizes count.
+	Unit    string  `json:"unit"`
+	Driver  string  `json:"driver"`
+	Points  []Point `json:"points"`
+	Line    Line    `json:"line"`
+	Command string  `json:"command"`
+}
+
+// File holds all measurements of one run.
+type File struct {
+	Measurements []Measurement `json:"measurements"`
+}
+
+// Find returns a measurement by its name.
+func (f *File) Find(name string) (*Measurement, error) {
+	for i := range f.Measurements {
+		if f.Measurements[i].Name == name {
+			return &f.Measurements[i], nil
+		}
+	}
+	return nil, errors.Errorf("measurement %q is not in the result files; run make capacity", name)
+}
+
+// Merge puts the measurements of other in place of those of the same name.
+func (f *File) Merge(other *File) {
+	for _, added := range other.Measurements {
+		if known, err := f.Find(added.Name); err == nil {
+			*known = added
+			continue
+		}
+		f.Measurements = append(f.Measurements, added)
+	}
+}
+
+// Load reads a file of measurements; one that does not exist is empty.
+func Load(path string) (*File, error) {
+	text, err := os.ReadFile(path)
+	if os.IsNotExist(err) {
+		return &File{}, nil
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "load measurements")
+	}
+	var f File
+	return &f, errors.Wrapf(json.Unmarshal(text, &f), "measurements %s", path)
+}
+
+// Save writes the measurements.
+func (f *File) Save(path string) error {
+	text, err := json.MarshalIndent(f, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "encode measurements")
+	}
+	return errors.Wrap(os.WriteFile(path, append(text, '\n'), 0o644), "save measurements")
+}
--- /dev/null
+++ b/cmd/chicorybench/slope/slope_test.go
@@ -0,0 +1,30 @@
+package slope_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"chicoryhall.example/chicoryhall/cmd/chicorybench/slope"
+)
+
+func TestFit(t *testing.T) {
+	cases := []struct {
+		name   string
+		points []slope.Point
+		at     float64
+		want   float64
+		spread float64
+	}{
+		{"a line", []slope.Point{{1, 5}, {2, 7}, {4, 11}}, 10, 23, 0},
+		{"one size", []slope.Point{{3, 4}, {3, 6}}, 10, 5, 0},
+		{"points off the line", []slope.Point{{0, 1}, {0, -1}, {2, 5}, {2, 3}}, 4, 8, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			line := slope.Fit(c.points)
+			must.InDelta(t, c.want, line.At(c.at), 1e-9)
+			must.InDelta(t, c.spread, line.Spread, 1e-9)
+		})
+	}
+}
