Take answers without content in the stand-ins' client

Cause: nbhttp gives an answer without content no body; the balancer's readiness check (204) read from nil, its worker panicked and no daemon ever became ready: all 358 requests of a 5 s load were lost. Ruled out: the daemons, which answered directly; the balancer's list. Also: the layout follows the stand-ins' flags; every plain body is unique so that the judge counts executions over all request ids of one key.

--- a/cmd/chicorybench/judge/ledger.go
+++ b/cmd/chicorybench/judge/ledger.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,8 +20,8 @@
 
 // Ledger is what the stand-ins truly ran, over all of them.
 type Ledger struct {
-	// runs counts the executions of each call at plain services.
-	runs map[chicoryhall.RequestID]int
+	// runs counts the executions at plain services of each body; the bench makes every body unique.
+	runs map[string]int
 	// streams holds the requests of which an engine ran a position.
 	streams map[chicoryhall.RequestID]bool
 	read    int
@@ -29,7 +31,7 @@
 // ReadLedgers asks each stand-in's control address for its ledger.
 func ReadLedgers(ctx context.Context, addresses []string) *Ledger {
 	ledger := &Ledger{
-		runs:    make(map[chicoryhall.RequestID]int),
+		runs:    make(map[string]int),
 		streams: make(map[chicoryhall.RequestID]bool),
 	}
 	for _, address := range addresses {
@@ -62,25 +64,28 @@
 
 // checkNotRun compares "not run" with the ledgers.
 func (j *Judge) checkNotRun(row *result.Row, sent *load.Sent) {
-	for _, id := range sent.Exchange.IDs {
-		if j.ledger.runs[id] > 0 || j.ledger.streams[id] {
-			row.RanNotRun++
-			j.find(sent, "ran although the caller was told that it did not")
-			return
-		}
+	if j.ran(sent) {
+		row.RanNotRun++
+		j.find(sent, "ran although the caller was told that it did not")
+	}
+}
+
+// ran reports whether any stand-in started the request.
+func (j *Judge) ran(sent *load.Sent) bool {
+	if !sent.Request.Streamed {
+		return j.ledger.runs[sent.Request.Submission.Body] > 0
 	}
+	return slices.ContainsFunc(sent.Exchange.IDs, func(id chicoryhall.RequestID) bool { return j.ledger.streams[id] })
 }
 
-// checkRuns finds calls that ran more than once, and answers to calls that never ran.
+// checkRuns finds calls that ran more than once although they must not.
 func (j *Judge) checkRuns(row *result.Row, sent *load.Sent) {
 	if j.idempotent(sent) {
 		return
 	}
-	for _, id := range sent.Exchange.IDs {
-		if j.ledger.runs[id] > 1 {
-			row.Doubled++
-			j.find(sent, "the call ran more than once")
-		}
+	if runs := j.ledger.runs[sent.Request.Submission.Body]; runs > 1 {
+		row.Doubled++
+		j.find(sent, fmt.Sprintf("the call ran %d times", runs))
 	}
 }
 
@@ -95,14 +100,9 @@
 
 // wrongPlain tells what is not right with a plain answer, or nothing.
 func (j *Judge) wrongPlain(sent *load.Sent) string {
-	if j.ledger.missing > 0 || j.idempotent(sent) {
+	if j.ledger.missing > 0 || j.idempotent(sent) || j.ran(sent) {
 		return ""
 	}
-	for _, id := range sent.Exchange.IDs {
-		if j.ledger.runs[id] > 0 {
-			return ""
-		}
-	}
 	return "an answer came to a call that never ran"
 }
 
@@ -119,8 +119,8 @@
 }
 
 type callRun struct {
-	Request    chicoryhall.RequestID `json:"request"`
-	Executions int                   `json:"executions"`
+	Body    string `json:"body"`
+	Started int    `json:"started"`
 }
 
 func (l *Ledger) add(page *ledgerPage) {
@@ -128,6 +128,6 @@
 		l.streams[run.Stream] = true
 	}
 	for _, call := range page.Calls {
-		l.runs[call.Request] += call.Executions
+		l.runs[call.Body] += call.Started
 	}
 }
--- a/cmd/chicorybench/layout/endpoints.go
+++ b/cmd/chicorybench/layout/endpoints.go
@@ -15,7 +15,7 @@
 			continue
 		}
 		lines = append(lines, fmt.Sprintf("%s chicorystand plain -id %s -listen %s -failure-domain %s -vm-list %s -control %s",
-			e.ID, e.ID, e.Address, e.FailureDomain, l.addr(portVMList), l.controlOf(e.Address)))
+			e.ID, e.ID, e.Address, e.FailureDomain, l.addr(portPlatform), l.controlOf(e.Address)))
 	}
 	return lines
 }
@@ -28,7 +28,7 @@
 		e.ID, e.ID, e.Address, e.FailureDomain, e.Accelerator,
 		kind.StepTime, kind.LayerTime, kind.Batch, kvCapacity, s.document.Model.KVBytes, reportLag,
 		s.document.Model.Name, s.document.Model.Version, e.From, e.To, e.Fencing,
-		l.addr(portWeights), l.addr(portVMList), l.controlOf(e.Address))
+		l.addr(portPlatform), l.addr(portPlatform), l.controlOf(e.Address))
 }
 
 func acceleratorOf(s *service, kind chicoryhall.AcceleratorKind) chicoryhall.DocumentAccelerator {
--- a/cmd/chicorybench/layout/layout.go
+++ b/cmd/chicorybench/layout/layout.go
@@ -11,10 +11,7 @@
 const (
 	address         = "127.0.0.1"
 	portBalancer    = 7000
-	portTable       = 7001
-	portObjects     = 7002
-	portWeights     = 7003
-	portVMList      = 7004
+	portPlatform    = 7001
 	portControls    = 7100
 	portCallers     = 7300
 	portOperators   = 7400
--- a/cmd/chicorybench/layout/write.go
+++ b/cmd/chicorybench/layout/write.go
@@ -69,10 +69,10 @@
 		Listen:        settings.Listen{Callers: d.callers, Operators: d.operators, Peers: d.peers},
 		Seeds:         seeds,
 		Platform: settings.Platform{
-			Table:   l.addr(portTable),
-			Objects: l.addr(portObjects),
-			Weights: l.addr(portWeights),
-			VMList:  l.addr(portVMList),
+			Table:   l.addr(portPlatform),
+			Objects: l.addr(portPlatform),
+			Weights: l.addr(portPlatform),
+			VMList:  l.addr(portPlatform),
 		},
 		OperatorTokensFile: filepath.Join(folder, operatorFile),
 		DrainTimeout:       drainTimeout,
@@ -83,8 +83,8 @@
 // processes returns one line for each process: its name, program and arguments.
 func (l *Layout) processes(folder string) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "platform chicorystand platform -table %s -objects %s -weights %s -vm-list %s -vm-lag %v -control %s\n",
-		l.addr(portTable), l.addr(portObjects), l.addr(portWeights), l.addr(portVMList), vmListLag, l.control(0))
+	fmt.Fprintf(&b, "platform chicorystand platform -listen %s -vm-lag %v -control %s\n",
+		l.addr(portPlatform), vmListLag, l.control(0))
 	for _, s := range l.services {
 		for _, e := range l.endpointProcesses(&s) {
 			fmt.Fprintln(&b, e)
@@ -95,7 +95,7 @@
 		fmt.Fprintf(&b, "%s chicoryhall serve -settings %s\n", d.id, filepath.Join(folder, daemonFolder, string(d.id)+".yaml"))
 		callers = append(callers, d.callers)
 	}
-	fmt.Fprintf(&b, "balancer chicorystand balancer -listen %s -targets %s\n", l.addr(portBalancer), strings.Join(callers, ","))
+	fmt.Fprintf(&b, "balancer chicorystand balancer -listen %s %s\n", l.addr(portBalancer), strings.Join(callers, " "))
 	return b.String()
 }
 
--- a/cmd/chicorybench/load/arrivals.go
+++ b/cmd/chicorybench/load/arrivals.go
@@ -41,26 +41,28 @@
 
 func (s *source) draw() arrival {
 	s.sent++
+	key := fmt.Sprintf("%s-%d", s.prefix, s.sent)
 	seconds := s.random.ExpFloat64() / s.traffic.Rate
 	return arrival{
 		after: time.Duration(seconds * float64(time.Second)),
 		request: &router.Request{
 			Service:    s.traffic.Service,
 			Token:      s.traffic.Token,
-			Key:        fmt.Sprintf("%s-%d", s.prefix, s.sent),
+			Key:        key,
 			Timeout:    s.traffic.Timeout,
 			Streamed:   s.streamed,
-			Submission: s.submission(),
+			Submission: s.submission(key),
 		},
 	}
 }
 
-func (s *source) submission() caller.Submission {
+// submission draws a body; that of a plain call begins with its key and so is unique.
+func (s *source) submission(key string) caller.Submission {
 	if !s.streamed {
 		return caller.Submission{
 			Class:     s.traffic.Class,
 			Operation: s.traffic.Operation,
-			Body:      s.text(s.traffic.PromptBytes),
+			Body:      key + " " + s.text(s.traffic.PromptBytes),
 		}
 	}
 	return caller.Submission{
--- a/cmd/chicorystand/fetch/fetch.go
+++ b/cmd/chicorystand/fetch/fetch.go
@@ -1,5 +1,3 @@
-// Package fetch sends single HTTP requests from a stand-in to the others over
-// nbhttp: weights, exported KV and the registration in the list of VMs.
 package fetch
 
 import (
@@ -74,10 +72,14 @@
 	}
 }
 
+// read takes in an answer; nbhttp gives one without content no body at all.
 func read(response *http.Response, err error) answer {
 	if err != nil {
 		return answer{err: err}
 	}
+	if response.Body == nil {
+		return answer{status: response.StatusCode}
+	}
 	body, err := io.ReadAll(response.Body)
 	return answer{status: response.StatusCode, body: body, err: err}
 }
