Turn Nagle's algorithm off on connections dialled asynchronously

Cause: nbio's DialAsyncTimeout makes the socket itself and, unlike net.Dial, leaves TCP_NODELAY off; a second small write waits for the peer's delayed ACK (about 40 ms). Seen between engines and in the fault proxy and balancer. Ruled out: the daemon (a stream straight from an engine shows the same 42 ms); nbio's accepted connections (Go's listener sets the option); the batch loop.

--- a/cmd/chicorystand/relay/pair.go
+++ b/cmd/chicorystand/relay/pair.go
@@ -84,6 +84,8 @@
 		p.Close()
 		return
 	}
+	// nbio's asynchronous dial leaves Nagle's algorithm on, which holds pieces back.
+	_ = c.SetNoDelay(true)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.target.conn = c
--- a/cmd/chicorystand/stage/network.go
+++ b/cmd/chicorystand/stage/network.go
@@ -138,6 +138,8 @@
 			n.Closed(c)
 			return
 		}
+		// nbio's asynchronous dial leaves Nagle's algorithm on, which holds activations back.
+		_ = inner.SetNoDelay(true)
 		n.upgrade(c, inner)
 	})
 	if err != nil {
