--- /dev/null
+++ b/membership/export_test.go
@@ -0,0 +1,4 @@
+package membership
+
+// ToWire gives tests the packet as JSON carries it.
+var ToWire = toWire
--- /dev/null
+++ b/peer/frames_test.go
@@ -0,0 +1,58 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/timer"
+)
+
+func frameOf(text string) []byte {
+	frame := binary.BigEndian.AppendUint32(nil, uint32(len(text)))
+	return append(frame, text...)
+}
+
+// FuzzReadFrame feeds whatever a peer may send to the decoder of a connection.
+func FuzzReadFrame(f *testing.F) {
+	f.Add(frameOf(`{"jsonrpc":"2.0","id":1,"method":"peer.hello","params":{"id":"a"}}`))
+	f.Add(frameOf(`{"jsonrpc":"2.0","id":1,"result":{}}`))
+	f.Add(frameOf(`[{"jsonrpc":"2.0","id":1,"method":"peer.ping"}]`))
+	f.Add(frameOf(`null`))
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte{0, 0, 0, 9, '{'})
+	f.Fuzz(func(t *testing.T, sent []byte) {
+		ours, theirs := net.Pipe()
+		node := &Node{self: "b", timer: timer.New(), handlers: map[string]handler{}}
+		node.meter = newMeter(newTestSet())
+		Handle(node, "test", func(context.Context, chicoryhall.DaemonID, hello) (hello, error) { return hello{}, nil })
+		answered := make(chan struct{})
+		go func() {
+			node.answer(context.Background(), ours)
+			close(answered)
+		}()
+		go func() { _, _ = io.Copy(io.Discard, theirs) }()
+		_, _ = theirs.Write(sent)
+		_ = theirs.Close()
+		<-answered
+	})
+}
+
+func TestReadFrameRefusesLongMessages(t *testing.T) {
+	header := binary.BigEndian.AppendUint32(nil, maxMessageBytes+1)
+	_, err := readFrame(bytes.NewReader(header))
+	must.ErrorContains(t, err, "exceeds the limit")
+	ours, theirs := net.Pipe()
+	defer theirs.Close()
+	stream := newFrames(ours, timer.NewManual(time.Now()))
+	err = stream.WriteObject(&jsonrpc2.Request{Method: string(make([]byte, maxMessageBytes))})
+	must.ErrorContains(t, err, "exceeds the limit")
+}
--- a/peer/link.go
+++ b/peer/link.go
@@ -212,9 +212,21 @@
 	}
 	l.session = s
 	l.backoff = 0
+	l.node.follow(l, s)
 	return nil
 }
 
+// lost tells whether s is still the link's connection after it closed, and lets go of it.
+func (l *link) lost(s *session) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.session != s {
+		return false
+	}
+	l.session = nil
+	return true
+}
+
 // failed lets the next connection wait, longer after each failure.
 func (l *link) failed(err error) {
 	l.mu.Lock()
@@ -256,6 +268,11 @@
 	refuse(ctx, conn, request, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "call on a connection of your own"})
 }
 
+// WithTimeout returns a context whose deadline of limit follows the timer.
+func WithTimeout(ctx context.Context, timer chicoryhall.Timer, limit time.Duration) (context.Context, func()) {
+	return withTimeout(ctx, timer, limit, context.DeadlineExceeded)
+}
+
 // withTimeout returns a context that ends with cause after limit.
 func withTimeout(ctx context.Context, timer chicoryhall.Timer, limit time.Duration, cause error) (context.Context, func()) {
 	limited, cancel := context.WithCancelCause(ctx)
--- a/peer/node.go
+++ b/peer/node.go
@@ -36,10 +36,12 @@
 	meter    *meter
 	listener net.Listener
 
-	mu        sync.RWMutex
-	handlers  map[string]handler
-	addresses map[chicoryhall.DaemonID]string
-	links     map[string]*link
+	mu           sync.RWMutex
+	group        *errgroup.Group
+	disconnected func(chicoryhall.DaemonID)
+	handlers     map[string]handler
+	addresses    map[chicoryhall.DaemonID]string
+	links        map[string]*link
 }
 
 // New listens on the configured address; peers are answered once Serve runs.
@@ -170,9 +172,36 @@
 	return known
 }
 
+// OnDisconnect calls told when a peer closed the connection that this daemon had opened.
+func (n *Node) OnDisconnect(told func(id chicoryhall.DaemonID)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.disconnected = told
+}
+
+// follow waits in Serve's group for the end of a connection.
+func (n *Node) follow(l *link, s *session) {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	told := n.disconnected
+	if n.group == nil {
+		return
+	}
+	n.group.Go(func() error {
+		<-s.rpc.DisconnectNotify()
+		if l.lost(s) && told != nil {
+			told(s.remote)
+		}
+		return nil
+	})
+}
+
 // Serve answers peers until ctx ends; then it closes every connection.
 func (n *Node) Serve(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
+	n.mu.Lock()
+	n.group = group
+	n.mu.Unlock()
 	group.Go(func() error {
 		<-ctx.Done()
 		n.closeAll()
@@ -201,6 +230,7 @@
 func (n *Node) closeAll() {
 	_ = n.listener.Close()
 	n.mu.Lock()
+	n.group = nil
 	links := n.links
 	n.links = map[string]*link{}
 	n.mu.Unlock()
