--- a/cmd/chicoryhall/daemon/builder.go
+++ b/cmd/chicoryhall/daemon/builder.go
@@ -4,11 +4,14 @@
 	"context"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/thejerf/suture/v4"
 
 	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/engine"
 	"chicoryhall.example/chicoryhall/event"
+	"chicoryhall.example/chicoryhall/membership"
+	"chicoryhall.example/chicoryhall/peer"
 	"chicoryhall.example/chicoryhall/requests"
 	"chicoryhall.example/chicoryhall/settings"
 	"chicoryhall.example/chicoryhall/timer"
@@ -34,7 +37,9 @@
 	documents  chicoryhall.Documents
 	endpoints  chicoryhall.Endpoints
 	router     chicoryhall.Router
+	node       *peer.Node
 	members    chicoryhall.Members
+	membership *membership.Membership
 	admission  chicoryhall.Admission
 	keeper     chicoryhall.Keeper
 	claims     chicoryhall.Claims
@@ -42,7 +47,9 @@
 	quarantine requests.Quarantine
 	forwarder  chicoryhall.Forwarder
 	metrics    *requests.Metrics
-	requests   *requests.Service
+	// peerMetrics counts what daemons send each other.
+	peerMetrics *metrics.Set
+	requests    *requests.Service
 
 	// drains are called in order at a graceful shutdown, each bounded by drainTimeout.
 	drains []func(ctx context.Context)
@@ -60,6 +67,7 @@
 		{"timer", b.buildTimer},
 		{"engine client", b.buildEngines},
 		{"documents", b.buildDocuments},
+		{"peers", b.buildPeers},
 		{"members", b.buildMembers},
 		{"endpoints", b.buildEndpoints},
 		{"router", b.buildRouter},
@@ -103,4 +111,5 @@
 	for _, drain := range b.drains {
 		drain(ctx)
 	}
+	b.sayGoodbye(ctx)
 }
--- a/cmd/chicoryhall/daemon/callers.go
+++ b/cmd/chicoryhall/daemon/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -52,6 +53,7 @@
 	server := caller.NewServer(caller.Parts{
 		Address: b.settings.Listen.Callers, Timer: b.timer, Documents: b.documents,
 		Requests: b.requests, Forwarder: b.forwarder, Metrics: b.metrics, Ready: ready.check, Log: b.log,
+		MoreMetrics: []func(io.Writer){b.peerMetrics.WritePrometheus},
 	})
 	b.interfaces.Add(server)
 	b.drains = append(b.drains, func(context.Context) { ready.draining.Store(true) }, b.requests.Drain)
--- a/cmd/chicoryhall/daemon/members.go
+++ b/cmd/chicoryhall/daemon/members.go
@@ -1,20 +1,51 @@
 package daemon
 
 import (
+	"context"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+
 	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/membership"
+	"chicoryhall.example/chicoryhall/peer"
 	"chicoryhall.example/chicoryhall/settings"
 )
 
-// soleMember is a chicoryhall.Members of a daemon without peers.
-type soleMember struct {
-	self chicoryhall.Member
+// buildPeers adds the connections to other daemons.
+func (b *builder) buildPeers() error {
+	b.peerMetrics = metrics.NewSet()
+	node, err := peer.New(peer.Config{
+		Self: b.settings.ID, Listen: b.settings.Listen.Peers, Timer: b.timer, Logger: b.log, Metrics: b.peerMetrics,
+	})
+	if err != nil {
+		return err
+	}
+	b.node = node
+	b.knowledge.Add(node)
+	return nil
 }
 
+// buildMembers adds the view of all daemons.
 func (b *builder) buildMembers() error {
-	b.members = &soleMember{self: selfOf(b.settings)}
+	started := b.timer.Now()
+	self := selfOf(b.settings)
+	self.Incarnation = started.UnixMilli()
+	view := membership.Start(membership.Config{
+		Self: self, Seeds: b.settings.Seeds, RandomSeed: xxhash.Sum64String(string(self.ID)),
+	}, b.node, b.timer, b.log)
+	b.members = view
+	b.membership = view
+	b.knowledge.Add(view)
+	b.drains = append(b.drains, func(context.Context) { view.Leave() })
 	return nil
 }
 
+// sayGoodbye tells peers that this daemon is gone; it runs after all other drains.
+func (b *builder) sayGoodbye(ctx context.Context) {
+	b.membership.Goodbye(ctx)
+}
+
 // selfOf is this daemon's entry as its settings describe it.
 func selfOf(own settings.Daemon) chicoryhall.Member {
 	return chicoryhall.Member{
@@ -22,12 +53,3 @@
 		PeerAddress: own.Listen.Peers, CallerAddress: own.Listen.Callers, State: chicoryhall.MemberAlive,
 	}
 }
-
-// Self returns this daemon.
-func (m *soleMember) Self() chicoryhall.Member { return m.self }
-
-// All returns no other daemon.
-func (m *soleMember) All() []chicoryhall.Member { return nil }
-
-// Subscribe does nothing, as nothing changes.
-func (m *soleMember) Subscribe(func(chicoryhall.Member)) {}
--- a/peer/frames_test.go
+++ b/peer/frames_test.go
@@ -42,7 +42,11 @@
 		go func() { _, _ = io.Copy(io.Discard, theirs) }()
 		_, _ = theirs.Write(sent)
 		_ = theirs.Close()
-		<-answered
+		select {
+		case <-answered:
+		case <-time.After(10 * time.Second):
+			t.Fatal("the connection did not end after its peer closed it")
+		}
 	})
 }
 
