Test the request path over real processes

A killed, frozen, silent or leaving engine under 16 callers, a cut caller that resumes, one key sent twice, an answer fetched later, a service without engines, a deadline in mid-answer, a graceful shutdown and 19 messages to refuse; each answer is verified from its prompt.

--- /dev/null
+++ b/cmd/chicoryhall/daemon/serve_test.go
@@ -0,0 +1,213 @@
+package daemon_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/caller"
+)
+
+// TestAnswersWhileAnEngineFails sends requests over real processes and breaks an engine on the way.
+func TestAnswersWhileAnEngineFails(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts real processes")
+	}
+	const callers, length = 16, 100
+	cases := []struct{ name, fault string }{
+		{"no fault", ""},
+		{"killed", "crash"},
+		{"frozen", "freeze"},
+		{"silent connections", "silence"},
+		{"leaving", "leave"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			engines := startEngines(t)
+			d := startDaemon(t, nil, documentText("pipeline", engines))
+			replies := make([]reply, callers)
+			var group sync.WaitGroup
+			for i := range replies {
+				group.Go(func() {
+					replies[i] = newCaller(d).submit(context.Background(), query(promptOf(i), length), 0)
+				})
+			}
+			if c.fault != "" {
+				time.Sleep(300 * time.Millisecond)
+				control(t, engines[1].control, c.fault)
+			}
+			group.Wait()
+			for i, r := range replies {
+				mustBeWhole(t, r, promptOf(i), length)
+			}
+		})
+	}
+}
+
+// TestResumes cuts a caller's connection in the middle of its answer.
+func TestResumes(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts real processes")
+	}
+	const length, cutBehind = 60, 20
+	d := startDaemon(t, nil, documentText("pipeline", startEngines(t)))
+	client := newCaller(d)
+	cut, cancel := context.WithCancel(context.Background())
+	first := client.submit(cut, query(promptOf(0), length), cutBehind)
+	cancel()
+	must.NoError(t, first.err)
+	must.Eq(t, cutBehind, len(first.tokens))
+	second := client.resume(context.Background(), first.id, cutBehind-1)
+	second.tokens = append(first.tokens, second.tokens...)
+	second.positions = append(first.positions, second.positions...)
+	mustBeWhole(t, second, promptOf(0), length)
+}
+
+// TestSameKeyIsOneRequest sends one idempotency key twice at once, then another request with it.
+func TestSameKeyIsOneRequest(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts real processes")
+	}
+	d := startDaemon(t, nil, documentText("pipeline", startEngines(t)))
+	var group sync.WaitGroup
+	var replies [2]reply
+	for i := range replies {
+		group.Go(func() {
+			replies[i] = newCaller(d).submit(context.Background(), query(promptOf(0), 30), 0, caller.HeaderIdempotencyKey, "k1")
+		})
+	}
+	group.Wait()
+	for _, r := range replies {
+		mustBeWhole(t, r, promptOf(0), 30)
+	}
+	must.Eq(t, replies[0].id, replies[1].id)
+	must.Eq(t, replies[0].tokens, replies[1].tokens)
+	other := newCaller(d).submit(context.Background(), query(promptOf(1), 30), 0, caller.HeaderIdempotencyKey, "k1")
+	must.Eq(t, http.StatusUnprocessableEntity, other.status)
+	must.Eq(t, caller.HeaderIdempotencyKey, other.problem.Field)
+}
+
+// TestFetchLater accepts a request and fetches its answer.
+func TestFetchLater(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts real processes")
+	}
+	d := startDaemon(t, nil, documentText("pipeline", startEngines(t)))
+	client := newCaller(d)
+	accepted := client.submit(context.Background(), query(promptOf(0), 30), 0, "Prefer", caller.PreferAsync)
+	must.Eq(t, http.StatusAccepted, accepted.status)
+	path := accepted.headers.Get("Location")
+	must.Eq(t, "/v1/requests/"+string(accepted.id), path)
+	var fetched reply
+	waitFor(t, "the answer", func() bool {
+		fetched = client.do(context.Background(), http.MethodGet, path, nil, 0)
+		return fetched.status == http.StatusOK
+	})
+	must.Eq(t, chicoryhall.Answered, fetched.answer.Outcome)
+	fetched.tokens, fetched.whole = fetched.answer.Tokens, true
+	mustBeWhole(t, fetched, promptOf(0), 30)
+}
+
+// TestNotRunAtOnce asks for a model of which no engine is reachable.
+func TestNotRunAtOnce(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts real processes")
+	}
+	endpoints := []testEndpoint{{id: "e0", address: freeAddress(t), from: 0, to: testLayers}}
+	d := startDaemon(t, nil, documentText("pipeline", endpoints))
+	r := newCaller(d).submit(context.Background(), query(promptOf(0), 30), 0)
+	must.NoError(t, r.err)
+	must.Eq(t, http.StatusServiceUnavailable, r.status)
+	must.Eq(t, chicoryhall.NotRun, r.problem.Outcome)
+	must.NotEq(t, "", r.headers.Get("Retry-After"))
+}
+
+// TestDeadline gives up a request whose time is too short, and never before it was sent says "not run".
+func TestDeadline(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts real processes")
+	}
+	d := startDaemon(t, nil, documentText("pipeline", startEngines(t)))
+	r := newCaller(d).submit(context.Background(), query(promptOf(0), 2000), 0, caller.HeaderRequestTimeout, "400ms")
+	must.NoError(t, r.err)
+	must.NotNil(t, r.problem)
+	if len(r.tokens) > 0 {
+		must.Eq(t, chicoryhall.Unknown, r.problem.Outcome)
+	}
+}
+
+// TestGracefulShutdown stops the daemon in the middle of an answer.
+func TestGracefulShutdown(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts real processes")
+	}
+	const length = 100
+	d := startDaemon(t, nil, documentText("pipeline", startEngines(t)))
+	var group sync.WaitGroup
+	var running reply
+	group.Go(func() { running = newCaller(d).submit(context.Background(), query(promptOf(0), length), 0) })
+	time.Sleep(200 * time.Millisecond)
+	var stopped error
+	group.Go(func() { stopped = d.terminate(t) })
+	waitFor(t, "the daemon to be not ready", func() bool { return statusOf(d.callers, "/readyz") == http.StatusServiceUnavailable })
+	refused := newCaller(d).submit(context.Background(), query(promptOf(1), length), 0)
+	must.Eq(t, http.StatusServiceUnavailable, refused.status)
+	must.Eq(t, chicoryhall.NotRun, refused.problem.Outcome)
+	group.Wait()
+	must.NoError(t, stopped)
+	mustBeWhole(t, running, promptOf(0), length)
+}
+
+// TestRefusals sends what the daemon must refuse with the field that is wrong, and stays up.
+func TestRefusals(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts real processes")
+	}
+	d := startDaemon(t, nil, documentText("pipeline", startEngines(t)))
+	cases := []struct {
+		name    string
+		method  string
+		path    string
+		body    string
+		headers []string
+		status  int
+		field   string
+	}{
+		{"not JSON", "POST", requestsPath, `{"class`, nil, 400, "body"},
+		{"two values", "POST", requestsPath, `{"class":"query","prompt":"a","maxTokens":1}{}`, nil, 400, "body"},
+		{"unknown field", "POST", requestsPath, `{"class":"query","prompt":"a","maxTokens":1,"x":1}`, nil, 400, "body"},
+		{"no class", "POST", requestsPath, `{"prompt":"a","maxTokens":1}`, nil, 400, "class"},
+		{"unknown class", "POST", requestsPath, `{"class":"x","prompt":"a","maxTokens":1}`, nil, 400, "class"},
+		{"no prompt", "POST", requestsPath, `{"class":"query","maxTokens":1}`, nil, 400, "prompt"},
+		{"no tokens", "POST", requestsPath, `{"class":"query","prompt":"a"}`, nil, 400, "maxTokens"},
+		{"plain body", "POST", requestsPath, `{"class":"query","prompt":"a","maxTokens":1,"operation":"x"}`, nil, 400, "operation"},
+		{"bad timeout", "POST", requestsPath, `{"class":"query","prompt":"a","maxTokens":1}`, []string{"Request-Timeout", "5"}, 400, "Request-Timeout"},
+		{"past timeout", "POST", requestsPath, `{"class":"query","prompt":"a","maxTokens":1}`, []string{"Request-Timeout", "-5s"}, 400, "Request-Timeout"},
+		{"long key", "POST", requestsPath, `{"class":"query","prompt":"a","maxTokens":1}`, []string{"Idempotency-Key", strings.Repeat("k", 300)}, 400, "Idempotency-Key"},
+		{"wrong credential", "POST", requestsPath, `{}`, []string{"Authorization", "Bearer x"}, 401, "Authorization"},
+		{"no bearer", "POST", requestsPath, `{}`, []string{"Authorization", "Basic x"}, 401, "Authorization"},
+		{"unknown service", "POST", "/v1/services/x/requests", `{}`, nil, 404, "service"},
+		{"unknown request", "GET", "/v1/requests/x", ``, nil, 404, "id"},
+		{"bad last event", "GET", "/v1/requests/x", ``, []string{"Last-Event-ID", "x"}, 400, "Last-Event-ID"},
+		{"wrong method", "GET", requestsPath, ``, nil, 405, "method"},
+		{"unknown path", "GET", "/x", ``, nil, 404, "path"},
+		{"oversized", "POST", requestsPath, `{"class":"query","prompt":"` + strings.Repeat("a", 400<<10) + `","maxTokens":1}`, nil, 413, "body"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newCaller(d).do(context.Background(), c.method, c.path, []byte(c.body), 0, c.headers...)
+			must.NoError(t, r.err)
+			must.Eq(t, c.status, r.status)
+			must.NotNil(t, r.problem)
+			must.Eq(t, c.field, r.problem.Field)
+		})
+	}
+	after := newCaller(d).submit(context.Background(), query(promptOf(0), 5), 0)
+	mustBeWhole(t, after, promptOf(0), 5)
+}
