--- a/cmd/chicorystand/entry/balancer.go
+++ b/cmd/chicorystand/entry/balancer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"strings"
 	"time"
 
 	"chicoryhall.example/chicoryhall/cmd/chicorystand/balancer"
@@ -14,7 +15,7 @@
 // checkPeriod is the time between two readiness checks of a daemon.
 const checkPeriod = 250 * time.Millisecond
 
-const balancerDetail = `Each argument is the callers' address of one daemon, IP:PORT. A new connection goes to the next
+const balancerDetail = `Each argument or entry of -targets is the callers' address of one daemon, IP:PORT. A new connection goes to the next
 daemon whose GET /readyz answered 200 or 204; without one it is closed.
 
 The control endpoint (-control) answers:
@@ -34,8 +35,12 @@
 func newBalancer(flags *flag.FlagSet) command.Run {
 	listen := flags.String("listen", "", "`IP:PORT` for callers")
 	controlAddress := flags.String("control", "", "`IP:PORT` of the control endpoint; empty has none")
+	targets := flags.String("targets", "", "comma-separated `IP:PORT` of daemons")
 	period := flags.Duration("check-period", checkPeriod, "`TIME` between two readiness checks of a daemon")
 	return func(ctx context.Context, streams command.Streams, arguments []string) error {
+		if *targets != "" {
+			arguments = append(strings.Split(*targets, ","), arguments...)
+		}
 		if *listen == "" || len(arguments) == 0 {
 			return command.UsageError("-listen and at least one DAEMON are needed")
 		}
--- a/cmd/chicorystand/entry/platform.go
+++ b/cmd/chicorystand/entry/platform.go
@@ -10,8 +10,9 @@
 	"chicoryhall.example/chicoryhall/timer"
 )
 
-const platformDetail = `All services answer on one address: the table (/v1/transactions, /v1/rows), the object store
-(/v1/objects/KEY), the weight store (/v1/weights/MODEL/VERSION/LAYER) and the list of VMs (/v1/vms).
+const platformDetail = `The services are the table (/v1/transactions, /v1/rows), the object store (/v1/objects/KEY), the
+weight store (/v1/weights/MODEL/VERSION/LAYER) and the list of VMs (/v1/vms). Each answers on every
+address; -table and the like only add addresses, so that links to them can fail apart.
 The settings come from the YAML file that -settings names and from the flags, which go first.
 
 The control endpoint (-control) answers:
@@ -38,7 +39,7 @@
 func newPlatform(flags *flag.FlagSet) command.Run {
 	path := flags.String("settings", "", "YAML `FILE` with the settings")
 	s := platform.Defaults()
-	flags.StringVar(&s.Listen, "listen", "", "`IP:PORT` of all services")
+	addresses := platformAddresses(flags)
 	flags.StringVar(&s.Control, "control", "", "`IP:PORT` of the control endpoint; empty has none")
 	flags.Float64Var(&s.WritesPerSecond, "writes-per-second", s.WritesPerSecond, "most writes a second")
 	flags.Float64Var(&s.ReadsPerSecond, "reads-per-second", s.ReadsPerSecond, "most reads a second")
@@ -49,7 +50,12 @@
 		if err := settingsThenFlags(flags, *path, &s); err != nil {
 			return err
 		}
-		if s.Listen == "" || len(arguments) > 0 {
+		for _, address := range addresses {
+			if *address != "" {
+				s.Listen = append(s.Listen, *address)
+			}
+		}
+		if len(s.Listen) == 0 || len(arguments) > 0 {
 			return command.UsageError("-listen is needed and no arguments")
 		}
 		p := process{program: "chicorystand platform", control: s.Control}
@@ -59,3 +65,14 @@
 		return p.run(ctx, streams)
 	}
 }
+
+// platformAddresses registers a flag for each address.
+func platformAddresses(flags *flag.FlagSet) []*string {
+	return []*string{
+		flags.String("listen", "", "`IP:PORT` of all services"),
+		flags.String("table", "", "`IP:PORT` for the table"),
+		flags.String("objects", "", "`IP:PORT` for the object store"),
+		flags.String("weights", "", "`IP:PORT` for the weight store"),
+		flags.String("vm-list", "", "`IP:PORT` for the list of VMs"),
+	}
+}
--- a/cmd/chicorystand/plainservice/faults.go
+++ b/cmd/chicorystand/plainservice/faults.go
@@ -70,10 +70,10 @@
 	Request   chicoryhall.RequestID `json:"request"`
 	Operation string                `json:"operation"`
 	Body      string                `json:"body"`
-	// Started and Finished count the executions; Refused counts the calls not started.
-	Started  int `json:"started"`
-	Finished int `json:"finished"`
-	Refused  int `json:"refused"`
+	// Executions counts the starts, Finished those that ended; Refused counts the calls not started.
+	Executions int `json:"executions"`
+	Finished   int `json:"finished"`
+	Refused    int `json:"refused"`
 	// AtMillis is the time of the last start in Unix milliseconds.
 	AtMillis int64 `json:"atMillis"`
 }
@@ -100,7 +100,7 @@
 
 func (l *ledger) start(call *engine.Call, atMillis int64) {
 	entry := l.entry(call)
-	entry.Started++
+	entry.Executions++
 	entry.AtMillis = atMillis
 }
 
--- a/cmd/chicorystand/platform/faults.go
+++ b/cmd/chicorystand/platform/faults.go
@@ -75,7 +75,9 @@
 	case "thaw":
 		p.gate.Thaw()
 	case "silence":
-		p.server.Silence()
+		for _, server := range p.servers {
+			server.Silence()
+		}
 	case "snapshot":
 		p.gate.Inspect(func() { p.snapshot = p.rows.clone() })
 	case "restore":
--- a/cmd/chicorystand/platform/platform.go
+++ b/cmd/chicorystand/platform/platform.go
@@ -22,7 +22,7 @@
 	settings Settings
 	timer    chicoryhall.Timer
 	log      *event.Logger
-	server   *serve.Server
+	servers  []*serve.Server
 	gate     gate.Gate
 
 	// The rest is touched only through gate.
@@ -73,7 +73,9 @@
 		vms:      newVMs(settings.VMLag),
 	}
 	p.setRates()
-	p.server = serve.New(settings.Listen, func(x *serve.Exchange) { p.gate.Do(func() { p.route(x) }) })
+	for _, address := range settings.Listen {
+		p.servers = append(p.servers, serve.New(address, func(x *serve.Exchange) { p.gate.Do(func() { p.route(x) }) }))
+	}
 	return p
 }
 
@@ -99,16 +101,15 @@
 
 // Start begins to listen.
 func (p *Platform) Start() error {
-	if err := p.server.Start(); err != nil {
-		return err
+	for _, server := range p.servers {
+		if err := server.Start(); err != nil {
+			return err
+		}
+		p.log.Log(event.StandinServing, "platform", server.Address())
 	}
-	p.log.Log(event.StandinServing, "platform", p.server.Address())
 	return nil
 }
 
-// Address returns the IP:PORT in use.
-func (p *Platform) Address() string { return p.server.Address() }
-
 // Serve waits until ctx ends; all work is done by calls.
 func (p *Platform) Serve(ctx context.Context) error {
 	<-ctx.Done()
@@ -119,7 +120,11 @@
 func (p *Platform) Drain(context.Context) {}
 
 // Stop closes all connections.
-func (p *Platform) Stop() { p.server.Stop() }
+func (p *Platform) Stop() {
+	for _, server := range p.servers {
+		server.Stop()
+	}
+}
 
 // Ledger returns what was truly done.
 func (p *Platform) Ledger() any {
--- a/cmd/chicorystand/platform/settings.go
+++ b/cmd/chicorystand/platform/settings.go
@@ -4,7 +4,8 @@
 
 // Settings describe the platform.
 type Settings struct {
-	Listen string `yaml:"listen"`
+	// Listen are the addresses, each IP:PORT; every service answers on all of them.
+	Listen []string `yaml:"listen"`
 	// Control is the IP:PORT of the control endpoint; empty has none.
 	Control string `yaml:"control"`
 	// WritesPerSecond and ReadsPerSecond bound the table and the object store, each for itself.
