--- /dev/null
+++ b/proof/caller_test.go
@@ -0,0 +1,324 @@
+package proof
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/caller"
+	"chicoryhall.example/chicoryhall/digest"
+)
+
+const (
+	// silenceLimit is how long a caller waits without a byte before it turns to another daemon.
+	silenceLimit = 2 * time.Second
+	// maxTries bounds the connections that a caller opens for one request.
+	maxTries = 12
+	// retryPause is the pause before a caller connects again.
+	retryPause = 200 * time.Millisecond
+)
+
+// ask is one caller's request.
+type ask struct {
+	service chicoryhall.ServiceName
+	body    caller.Submission
+	key     string
+	// daemons are the addresses that the caller knows, in the order in which it tries them.
+	daemons []string
+	// timeout is the caller's deadline; 0 sends none.
+	timeout time.Duration
+	// once keeps the caller from trying again.
+	once bool
+}
+
+// reply is what became of a request, as its caller saw it.
+type reply struct {
+	mu       sync.Mutex
+	id       chicoryhall.RequestID
+	tokens   []digest.Token
+	at       []time.Time
+	repeated int
+	gaps     int
+	// ended tells that the caller got a final word, which is outcome.
+	ended   bool
+	outcome chicoryhall.Outcome
+	problem caller.Problem
+	text    string
+	tries   int
+	started time.Time
+	took    time.Duration
+}
+
+// draft returns the request for a draft of a number of tokens.
+func (c *cluster) draft(prompt string, tokens int) *ask {
+	a := &ask{service: drafting, body: caller.Submission{Class: "draft", Prompt: prompt, MaxTokens: tokens}}
+	return a.to(c.daemons...)
+}
+
+// hold returns the request for a hold, which may not be repeated.
+func (c *cluster) hold(body, key string) *ask {
+	a := &ask{service: booking, key: key, body: caller.Submission{Class: "hold", Operation: "hold", Body: body}}
+	return a.to(c.daemons...)
+}
+
+// to sets the daemons that the caller tries, in order.
+func (a *ask) to(daemons ...*daemon) *ask {
+	a.daemons = nil
+	for _, d := range daemons {
+		a.daemons = append(a.daemons, d.callers)
+	}
+	return a
+}
+
+// going is a request on its way.
+type going struct {
+	*reply
+	done chan struct{}
+}
+
+// begin sends a request and returns while it runs.
+func (a *ask) begin(t *testing.T) *going {
+	t.Helper()
+	g := &going{reply: &reply{started: time.Now()}, done: make(chan struct{})}
+	ctx, cancel := context.WithTimeout(context.Background(), 40*time.Second)
+	t.Cleanup(cancel)
+	go func() {
+		defer close(g.done)
+		a.run(ctx, g.reply)
+		g.mu.Lock()
+		g.took = time.Since(g.started)
+		g.mu.Unlock()
+	}()
+	return g
+}
+
+// send sends a request and waits for its end.
+func (a *ask) send(t *testing.T) *reply {
+	t.Helper()
+	return a.begin(t).wait(t)
+}
+
+// wait waits until the caller is done.
+func (g *going) wait(t *testing.T) *reply {
+	t.Helper()
+	select {
+	case <-g.done:
+	case <-time.After(45 * time.Second):
+		t.Fatal("the caller was not done within 45s")
+	}
+	return g.reply
+}
+
+// awaitTokens waits until the caller has a number of tokens.
+func (g *going) awaitTokens(t *testing.T, tokens int) {
+	t.Helper()
+	eventually(t, fmt.Sprintf("%d tokens at the caller", tokens), 20*time.Second, func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return len(g.tokens) >= tokens || g.ended
+	})
+}
+
+// run goes on with a request at one daemon after the other until it has ended.
+func (a *ask) run(ctx context.Context, r *reply) {
+	for r.tries < maxTries && ctx.Err() == nil {
+		daemon := a.daemons[r.tries%len(a.daemons)]
+		r.mu.Lock()
+		r.tries++
+		r.mu.Unlock()
+		a.try(ctx, r, daemon)
+		if r.ended || a.once {
+			return
+		}
+		time.Sleep(retryPause)
+	}
+}
+
+// try submits or resumes a request over one connection.
+func (a *ask) try(ctx context.Context, r *reply, daemon string) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(silenceLimit, cancel)
+	defer silence.Stop()
+	transport := &http.Transport{DisableKeepAlives: true}
+	defer transport.CloseIdleConnections()
+	response, err := transport.RoundTrip(a.request(ctx, r, daemon))
+	if err != nil {
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	r.mu.Lock()
+	if id := response.Header.Get(caller.HeaderRequestID); id != "" {
+		r.id = chicoryhall.RequestID(id)
+	}
+	r.mu.Unlock()
+	lines := bufio.NewScanner(response.Body)
+	lines.Buffer(nil, 1<<20)
+	alive := func() bool {
+		silence.Reset(silenceLimit)
+		return true
+	}
+	mediaType := response.Header.Get("Content-Type")
+	switch {
+	case strings.HasPrefix(mediaType, caller.MediaTypeEvents):
+		r.events(lines, alive)
+	case strings.HasPrefix(mediaType, caller.MediaTypeProblem):
+		r.readProblem(lines)
+	case response.StatusCode == http.StatusOK:
+		r.readAnswer(lines)
+	}
+}
+
+// request builds the submission, or the resumption when the id is known.
+func (a *ask) request(ctx context.Context, r *reply, daemon string) *http.Request {
+	if r.id != "" {
+		request, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+daemon+"/v1/requests/"+string(r.id), nil)
+		request.Header.Set("Authorization", "Bearer "+callerToken)
+		if a.service == drafting {
+			request.Header.Set("Accept", caller.MediaTypeEvents)
+		}
+		if len(r.tokens) > 0 {
+			request.Header.Set(caller.HeaderLastEventID, strconv.Itoa(len(r.tokens)-1))
+		}
+		return request
+	}
+	body, _ := json.Marshal(a.body)
+	url := "http://" + daemon + "/v1/services/" + string(a.service) + "/requests"
+	request, _ := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	request.Header.Set("Authorization", "Bearer "+callerToken)
+	request.Header.Set("Content-Type", caller.MediaTypeJSON)
+	if a.key != "" {
+		request.Header.Set(caller.HeaderIdempotencyKey, a.key)
+	}
+	if a.timeout > 0 {
+		request.Header.Set(caller.HeaderRequestTimeout, a.timeout.String())
+	}
+	return request
+}
+
+// events reads server-sent events until the stream ends.
+func (r *reply) events(lines *bufio.Scanner, alive func() bool) {
+	name, id, data := "", "", ""
+	for lines.Scan() && alive() {
+		field, value, _ := strings.Cut(lines.Text(), ":")
+		value = strings.TrimPrefix(value, " ")
+		switch field {
+		case "event":
+			name = value
+		case "id":
+			id = value
+		case "data":
+			data = value
+		case "":
+			if data != "" {
+				r.event(name, id, data)
+			}
+			name, id, data = "", "", ""
+		}
+	}
+}
+
+// event takes one server-sent event.
+func (r *reply) event(name, id, data string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch name {
+	case caller.EventEnd:
+		r.ended = true
+		r.outcome = chicoryhall.Answered
+		return
+	case caller.EventError:
+		r.ended = true
+		_ = json.Unmarshal([]byte(data), &r.problem)
+		r.outcome = r.problem.Outcome
+		return
+	}
+	position, err := strconv.Atoi(id)
+	var token caller.TokenEvent
+	if err != nil || json.Unmarshal([]byte(data), &token) != nil {
+		return
+	}
+	switch {
+	case position < len(r.tokens):
+		r.repeated++
+	case position > len(r.tokens):
+		r.gaps++
+	default:
+		r.tokens = append(r.tokens, token.Token)
+		r.at = append(r.at, time.Now())
+	}
+}
+
+func (r *reply) readProblem(lines *bufio.Scanner) {
+	text := readAll(lines)
+	var problem caller.Problem
+	if json.Unmarshal(text, &problem) != nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if problem.Status == http.StatusNotFound && r.tries > 1 {
+		return // another daemon may know the request
+	}
+	r.ended = true
+	r.problem = problem
+	r.outcome = problem.Outcome
+}
+
+func (r *reply) readAnswer(lines *bufio.Scanner) {
+	var answer caller.Answer
+	if json.Unmarshal(readAll(lines), &answer) != nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = true
+	r.outcome = answer.Outcome
+	r.text = answer.Body
+	if answer.Request != "" {
+		r.id = answer.Request
+	}
+}
+
+func readAll(lines *bufio.Scanner) []byte {
+	var text []byte
+	for lines.Scan() {
+		text = append(text, lines.Bytes()...)
+	}
+	return text
+}
+
+// longestGap returns the longest time between two tokens.
+func (r *reply) longestGap() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var longest time.Duration
+	for i := 1; i < len(r.at); i++ {
+		longest = max(longest, r.at[i].Sub(r.at[i-1]))
+	}
+	return longest
+}
+
+// mustBeWhole fails unless the caller got the whole answer to its own prompt, once.
+func (a *ask) mustBeWhole(t *testing.T, r *reply) {
+	t.Helper()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	must.True(t, r.ended, must.Sprintf("no final word after %d tries and %d tokens", r.tries, len(r.tokens)))
+	must.Eq(t, chicoryhall.Answered, r.outcome, must.Sprintf("problem: %+v", r.problem))
+	must.Zero(t, r.repeated)
+	must.Zero(t, r.gaps)
+	must.Len(t, a.body.MaxTokens, r.tokens)
+	must.Eq(t, -1, digest.Verify(model, layers, digest.Prompt(a.body.Prompt), r.tokens), must.Sprint("first wrong token"))
+}
