--- a/command/command.go
+++ b/command/command.go
@@ -108,12 +108,21 @@
 		return p.usageError(streams.Err, verb, err)
 	}
 	if err != nil {
-		fmt.Fprintf(streams.Err, "%s %s: %v\n", p.Name, verb.Name, err)
+		p.writeError(streams.Err, verb, err)
 		return exitFailure
 	}
 	return 0
 }
 
+func (p *Program) writeError(w io.Writer, verb *Verb, err error) {
+	var listed *listedError
+	if errors.As(err, &listed) {
+		fmt.Fprintln(w, listed.cause)
+		return
+	}
+	fmt.Fprintf(w, "%s %s: %v\n", p.Name, verb.Name, err)
+}
+
 func (p *Program) usageError(w io.Writer, verb *Verb, err error) int {
 	fmt.Fprintf(w, "%s %s: %v; run \"%s %s --help\"\n", p.Name, verb.Name, err, p.Name, verb.Name)
 	return exitUsage
--- a/table/doc.go
+++ b/table/doc.go
@@ -7,7 +7,8 @@
 //	GET  /v1/rows/{key}     Row, or 404; the key is URL-escaped
 //	GET  /v1/rows?prefix=P  Rows in key order
 //
-// A service that is slow, down or over its rate answers 503 or not at all. An
+// A service that is down or over its rate answers 503, and then has written
+// nothing, or not at all. An
 // answer may be lost after the write took effect: a Transaction carries a
 // nonce, and reading a row back shows the nonce of its last change.
 package table
--- a/table/settle.go
+++ b/table/settle.go
@@ -18,51 +18,48 @@
 
 // Settle makes the transaction and, when its answer is lost, finds out whether it took effect.
 //
-// witness is the index of a change whose row keeps the transaction's nonce: one
-// that only inserts, or whose later overwriting makes the transaction void. No
-// change may have the condition AnyVersion, so that sending it again is safe.
-// The error is Unsettled only if ctx ended first.
-func Settle(ctx context.Context, store Store, transaction Transaction, witness int) (Result, error) {
-	for {
-		result, err := store.Transact(ctx, transaction)
-		_, conflict := IsConflict(err)
-		if !conflict && !IsUnsettled(err) {
-			return result, err
+// The row of the first change is the witness: it must keep the transaction's
+// nonce, so the change must only insert, or whoever overwrites the row must make
+// the transaction void. No change may have the condition AnyVersion, so that the
+// transaction can be sent again. The error is Unsettled only if ctx ended first.
+func Settle(ctx context.Context, store Store, transaction Transaction) (Result, error) {
+	result, err := store.Transact(ctx, transaction)
+	for lost := false; ; {
+		row, conflict := IsConflict(err)
+		switch {
+		case err == nil:
+			return result, nil
+		case conflict && row.Nonce == transaction.Nonce:
+			return committed(transaction), nil
+		case conflict:
+			return Result{}, err
+		case !lost && !IsUnsettled(err):
+			return Result{}, err
 		}
-		return settleAgain(ctx, store, transaction, witness)
-	}
-}
-
-// settleAgain reads the witness back and sends the transaction again while it may still succeed.
-func settleAgain(ctx context.Context, store Store, transaction Transaction, witness int) (Result, error) {
-	for {
-		result, settled, err := readBack(ctx, store, transaction, witness)
-		if settled {
+		lost = true
+		if result, settled, err := readBack(ctx, store, transaction); settled {
 			return result, err
 		}
 		if ctx.Err() != nil {
-			return Result{}, NewError("settle transaction", transaction.Nonce, Unsettled, ctx.Err())
+			return Result{}, NewError("settle transaction", transaction.Changes[0].Key, Unsettled, ctx.Err())
 		}
 		pause(ctx)
 		result, err = store.Transact(ctx, transaction)
-		if err == nil {
-			return result, nil
-		}
 	}
 }
 
-// readBack tells from the witness whether the transaction took effect or never can.
-func readBack(ctx context.Context, store Store, transaction Transaction, witness int) (Result, bool, error) {
-	row, found, err := store.Row(ctx, transaction.Changes[witness].Key)
-	if err != nil {
-		return Result{}, false, err
-	}
-	if found && row.Nonce == transaction.Nonce {
+// readBack tells from the witness whether the transaction took effect or never can; a
+// witness that is absent or old shows nothing, as the read may be stale.
+func readBack(ctx context.Context, store Store, transaction Transaction) (Result, bool, error) {
+	witness := transaction.Changes[0]
+	row, found, err := store.Row(ctx, witness.Key)
+	switch {
+	case err != nil || !found:
+		return Result{}, false, nil
+	case row.Nonce == transaction.Nonce:
 		return committed(transaction), true, nil
-	}
-	expected := transaction.Changes[witness].IfVersion
-	if found && row.Version > expected {
-		return Result{}, true, NewConflict("settle transaction", transaction.Nonce, row)
+	case row.Version > witness.IfVersion:
+		return Result{}, true, NewConflict("settle transaction", witness.Key, row)
 	}
 	return Result{}, false, nil
 }
