--- /dev/null
+++ b/cmd/chicoryctl/entry/check.go
@@ -0,0 +1,63 @@
+package entry
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"chicoryhall.example/chicoryhall/command"
+	"chicoryhall.example/chicoryhall/document"
+)
+
+// checkVerb checks a document without a daemon.
+var checkVerb = command.Verb{
+	Name:      "check",
+	Arguments: "FILE",
+	Summary:   "Checks a service's document and lists every mistake and warning in it.",
+	Detail: "Each line is file:line:column, the field's path, and what to write instead.\n" +
+		"The exit status is 1 when there is a mistake; warnings alone leave it 0. No daemon is asked:\n" +
+		"\"chicoryctl diff\" also compares with the version in force.",
+	New: func(*flag.FlagSet) command.Run { return check },
+}
+
+func check(_ context.Context, streams command.Streams, arguments []string) error {
+	path, err := oneArgument(arguments, "FILE")
+	if err != nil {
+		return err
+	}
+	text, err := readDocument(path)
+	if err != nil {
+		return err
+	}
+	d, problems := document.Check(path, text)
+	if mistakes := problems.Errors(); len(mistakes) > 0 {
+		return command.Listed(problems)
+	}
+	for _, warning := range problems.Warnings() {
+		fmt.Fprintln(streams.Out, warning.Error())
+	}
+	fmt.Fprintf(streams.Out, "%s: the document of service %s is good\n", path, d.Service)
+	return nil
+}
+
+func oneArgument(arguments []string, name string) (string, error) {
+	if len(arguments) != 1 {
+		return "", command.UsageError("one %s is needed, %d are given", name, len(arguments))
+	}
+	return arguments[0], nil
+}
+
+// readDocument reads at most one byte more than a document may have.
+func readDocument(path string) ([]byte, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read document")
+	}
+	defer file.Close()
+	text, err := io.ReadAll(io.LimitReader(file, document.MaxBytes+1))
+	return text, errors.Wrap(err, "read document")
+}
--- a/document/endpoints.go
+++ b/document/endpoints.go
@@ -15,6 +15,9 @@
 	addresses := map[string]int{}
 	for i, endpoint := range d.Endpoints {
 		path := fmt.Sprintf("endpoints[%d]", i)
+		if !file.Known(path) {
+			continue
+		}
 		ids.add(path+".id", string(endpoint.ID))
 		file.Word(path+".failureDomain", string(endpoint.FailureDomain))
 		file.Address(path+".address", endpoint.Address)
@@ -22,6 +25,9 @@
 			file.Report(path+".address", "%s is also the address of endpoints[%d]; write another", endpoint.Address, other)
 		}
 		addresses[endpoint.Address] = i
+		if !file.Known("kind") {
+			continue
+		}
 		if d.Kind == chicoryhall.ServicePipeline {
 			checkEngine(file, d, path, endpoint)
 		} else if endpoint.From != 0 || endpoint.To != 0 {
@@ -59,7 +65,7 @@
 // checkCover reports the layers from which no chain of engines goes on, and
 // warns of a layer range that one engine alone holds.
 func checkCover(file *strict.File, d *chicoryhall.Document) {
-	if d.Kind != chicoryhall.ServicePipeline || len(d.Endpoints) == 0 || !file.Known("model.layers") {
+	if !file.Known("kind") || d.Kind != chicoryhall.ServicePipeline || len(d.Endpoints) == 0 || !file.Known("model.layers") {
 		return
 	}
 	reached := Reach(d.Endpoints, "")
--- a/strict/file.go
+++ b/strict/file.go
@@ -40,7 +40,7 @@
 		f.add(at, "", false, "the text is nested deeper than %d levels; write it flatter", maxNesting)
 		return f
 	}
-	parsed, err := parser.ParseBytes(text, 0)
+	parsed, err := parser.ParseBytes(text, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
 		f.addSyntax(err)
 		return f
