--- a/cmd/chicorystand/modelengine/batch.go
+++ b/cmd/chicorystand/modelengine/batch.go
@@ -171,6 +171,8 @@
 			out.local = append(out.local, sampled)
 			continue
 		}
+		state.sampled = &sampled
+		state.resent = false
 		message := out.to(e.head(state))
 		message.Tokens = append(message.Tokens, sampled)
 	}
--- a/cmd/chicorystand/modelengine/engine_test.go
+++ b/cmd/chicorystand/modelengine/engine_test.go
@@ -327,3 +327,22 @@
 	must.NoError(t, json.NewDecoder(response.Body).Decode(&result))
 	return result
 }
+
+func TestTokenOnSilentConnectionIsSentAgain(t *testing.T) {
+	first := start(t, "e0", 0, 3, nil)
+	second := start(t, "e1", 3, 6, nil)
+	third := start(t, "e2", 6, layers, nil)
+	s := request("s", 1, 60, prompt, hop(first, "e0", 0, 3), hop(second, "e1", 3, 6), hop(third, "e2", 6, layers))
+	next := open(t, s)
+	for seen := 0; seen < 5; {
+		e, more := next()
+		must.True(t, more)
+		if e.Kind == engine.EventToken {
+			seen++
+		}
+	}
+	third.SilenceTo(first.Address())
+	tokens, last := collect(t, next)
+	must.Eq(t, engine.EventDone, last.Kind)
+	must.Len(t, 55, tokens)
+}
--- a/cmd/chicorystand/modelengine/faults.go
+++ b/cmd/chicorystand/modelengine/faults.go
@@ -98,3 +98,8 @@
 	defer e.mu.Unlock()
 	e.leaving = leaving
 }
+
+// SilenceTo makes the open connection to another engine silent for good; a new one works.
+func (e *Engine) SilenceTo(address string) {
+	e.network.SilenceTo(address)
+}
--- a/cmd/chicorystand/modelengine/state.go
+++ b/cmd/chicorystand/modelengine/state.go
@@ -44,6 +44,9 @@
 	// nextReady tells that the next stage said what it has; sent counts the positions it has or got.
 	nextReady bool
 	sent      int
+	// sampled is the last token sent to the first engine; resent tells that it was sent once more.
+	sampled *stage.Sampled
+	resent  bool
 	// blocks are the prefixes that this state has in the cache's index.
 	blocks []uint64
 	record *run
--- a/cmd/chicorystand/stage/network.go
+++ b/cmd/chicorystand/stage/network.go
@@ -131,6 +131,15 @@
 	}
 }
 
+// SilenceTo makes the open connection to one address silent for good.
+func (n *Network) SilenceTo(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if c := n.dialled[address]; c != nil {
+		c.silence()
+	}
+}
+
 func (n *Network) dial(address string, replaces *Conn) *Conn {
 	c := &Conn{address: address, network: n, heard: n.timer.Now(), replaces: replaces}
 	err := n.engine.DialAsyncTimeout("tcp", address, dialTimeout, func(inner *nbio.Conn, err error) {
--- a/engine/doc.go
+++ b/engine/doc.go
@@ -31,8 +31,9 @@
 // EventWaiting every 100 ms with the engine that has not passed the position on,
 // or itself while its own queue or work is what takes the time. Engines ping
 // one another: a connection that is silent while a new one to the same engine
-// answers is replaced, and the streams on it end in EventStageFailed with
-// RefusalUnreachable.
+// answers is replaced. Streams whose activations went over it end in
+// EventStageFailed with RefusalUnreachable; a token on its way to the first
+// engine is sent again.
 //
 // KV of the first positions is not computed again where an engine has it:
 //
--- a/proof/scenario_test.go
+++ b/proof/scenario_test.go
@@ -88,6 +88,7 @@
 	}
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
+			defer note(t, s.name)
 			if s.run == nil {
 				t.Skip("not proved yet")
 			}
