--- a/caller/server.go
+++ b/caller/server.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -28,6 +29,8 @@
 	maxUnsent = 256 << 10
 	// maxConnections bounds the callers' connections of one daemon.
 	maxConnections = 20000
+	// processorsPerPoller is the number of processors for which one goroutine waits for events.
+	processorsPerPoller = 4
 )
 
 // Parts are the parts that the callers' interface needs.
@@ -66,6 +69,7 @@
 	s.loop = nbhttp.NewEngine(nbhttp.Config{
 		Name: "callers", Network: "tcp", Addrs: []string{s.parts.Address},
 		MaxLoad: maxConnections, ReadLimit: maxBody + maxHeaders, MaxHTTPBodySize: maxBody,
+		NPoller:            max(1, runtime.GOMAXPROCS(0)/processorsPerPoller),
 		MaxWriteBufferSize: maxUnsent, KeepaliveTime: readTimeout,
 		Handler: http.HandlerFunc(s.handle), SupportServerOnly: true,
 	})
--- a/engine/client.go
+++ b/engine/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -45,13 +46,23 @@
 // NewClient returns a Client whose event loop runs until Serve ends.
 func NewClient(timer chicoryhall.Timer) (*Client, error) {
 	logging.SetLevel(logging.LevelNone)
-	loop := nbhttp.NewEngine(nbhttp.Config{Name: "engine-client", ReadLimit: readLimit, SupportServerOnly: true})
+	loop := nbhttp.NewEngine(nbhttp.Config{
+		Name: "engine-client", ReadLimit: readLimit, NPoller: pollers(), SupportServerOnly: true,
+	})
 	if err := loop.Start(); err != nil {
 		return nil, errors.WithMessage(err, "start the engine client's event loop")
 	}
 	return &Client{timer: timer, loop: loop, idle: map[string][]*connection{}}, nil
 }
 
+// processorsPerPoller is the number of processors for which one goroutine waits for events;
+// fewer of them read more events per wake-up.
+const processorsPerPoller = 4
+
+func pollers() int {
+	return max(1, runtime.GOMAXPROCS(0)/processorsPerPoller)
+}
+
 // Serve keeps the client running until ctx ends.
 func (c *Client) Serve(ctx context.Context) error {
 	tick := c.timer.Every(idleTimeout/2, c.closeIdle)
