Count reasons in results; price prefill as the engines do

Ruled out: tokens counted twice (ledgers and prompts verify every answer). The demo's engines are slower with smaller batches: at 600 requests/s the machine's cores, not the engines, were the limit (load average 46).

--- a/cmd/chicorybench/entry/load.go
+++ b/cmd/chicorybench/entry/load.go
@@ -138,25 +138,24 @@
 	return chicoryhall.EndpointView{State: chicoryhall.EndpointReady}
 }
 
-// bytesPerToken is the length of the prompt text that becomes one token.
-const bytesPerToken = 8
-
 // meanSize is the mean of sizes drawn from half to all of the largest one.
 const meanSize = 0.75
 
+// prefillTokens is what a prompt costs an engine at the least, in generated tokens: one place in
+// one step. Counting no more keeps the bound an upper one.
+const prefillTokens = 1
+
 // mixOf returns the mean work that the plan asks of a service.
 func mixOf(p *plan.Plan, service chicoryhall.ServiceName) pipeline.Mix {
-	var mix pipeline.Mix
+	mix := pipeline.Mix{PromptTokens: prefillTokens}
 	var rate float64
 	for _, traffic := range p.Traffic {
 		if traffic.Service == service {
-			mix.PromptTokens += traffic.Rate * meanSize * float64(traffic.PromptBytes) / bytesPerToken
 			mix.AnswerTokens += traffic.Rate * meanSize * float64(traffic.MaxTokens)
 			rate += traffic.Rate
 		}
 	}
 	if rate > 0 {
-		mix.PromptTokens /= rate
 		mix.AnswerTokens /= rate
 	}
 	return mix
--- a/cmd/chicorybench/judge/judge.go
+++ b/cmd/chicorybench/judge/judge.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"regexp"
 	"slices"
 	"time"
 
@@ -16,6 +17,9 @@
 // maxFindings bounds the broken requests that a result describes.
 const maxFindings = 20
 
+// maxReasons bounds the reasons that a result lists.
+const maxReasons = 12
+
 // rowKey names one row of the table.
 type rowKey struct {
 	service      chicoryhall.ServiceName
@@ -37,11 +41,21 @@
 	rows      map[rowKey]*rowState
 	tokens    int
 	findings  []string
+	reasons   map[reasonKey]int
+}
+
+// reasonKey groups the reasons that the router gave for requests that were not answered.
+type reasonKey struct {
+	ending router.Ending
+	reason string
 }
 
+// numbers are left out of reasons, so that they can be counted.
+var numbers = regexp.MustCompile(`[0-9a-f]{12,}|[0-9.]+`)
+
 // New returns a Judge of the services and of what the stand-ins ran.
 func New(documents map[chicoryhall.ServiceName]*chicoryhall.Document, ledger *Ledger) *Judge {
-	return &Judge{documents: documents, ledger: ledger, rows: make(map[rowKey]*rowState)}
+	return &Judge{documents: documents, ledger: ledger, rows: make(map[rowKey]*rowState), reasons: make(map[reasonKey]int)}
 }
 
 // Result judges every request of the run.
@@ -58,6 +72,7 @@
 		LedgersMissing:  j.ledger.missing,
 		Dropped:         outcome.Dropped,
 		Findings:        j.findings,
+		Reasons:         j.sortedReasons(),
 	}
 	return r
 }
@@ -95,6 +110,9 @@
 		row.Lost++
 		j.find(sent, "lost: no final answer before the deadline")
 	}
+	if seen.Detail != "" {
+		j.reasons[reasonKey{seen.Ending, numbers.ReplaceAllString(seen.Detail, "#")}]++
+	}
 	j.checkRuns(row, sent)
 }
 
@@ -152,6 +170,18 @@
 		sent.Traffic.Service, sent.Traffic.Class, sent.Request.Key, sent.Exchange.IDs, fault, sent.Exchange.Detail))
 }
 
+// sortedReasons returns the most frequent reasons, the most frequent first.
+func (j *Judge) sortedReasons() []result.Reason {
+	all := make([]result.Reason, 0, len(j.reasons))
+	for key, count := range j.reasons {
+		all = append(all, result.Reason{Ending: key.ending.String(), Reason: key.reason, Count: count})
+	}
+	slices.SortFunc(all, func(a, b result.Reason) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Reason, b.Reason))
+	})
+	return all[:min(maxReasons, len(all))]
+}
+
 func (j *Judge) sortedRows() []result.Row {
 	rows := make([]result.Row, 0, len(j.rows))
 	for _, state := range j.rows {
--- a/cmd/chicorybench/layout/layout.go
+++ b/cmd/chicorybench/layout/layout.go
@@ -29,7 +29,7 @@
 	tokenBytesOfKV  = 512
 	layersPerModel  = 24
 	rangesPerModel  = 3
-	defaultBatch    = 16
+	defaultBatch    = 8
 	organisationsOf = 3
 )
 
@@ -38,9 +38,9 @@
 
 // accelerators are the kinds of the engines, one a failure domain.
 var accelerators = []chicoryhall.DocumentAccelerator{
-	{Kind: "large", StepTime: 1 * time.Millisecond, LayerTime: 8 * time.Microsecond, Batch: defaultBatch},
-	{Kind: "medium", StepTime: 1500 * time.Microsecond, LayerTime: 12 * time.Microsecond, Batch: defaultBatch},
-	{Kind: "small", StepTime: 2 * time.Millisecond, LayerTime: 20 * time.Microsecond, Batch: defaultBatch},
+	{Kind: "large", StepTime: 4 * time.Millisecond, LayerTime: 30 * time.Microsecond, Batch: defaultBatch},
+	{Kind: "medium", StepTime: 6 * time.Millisecond, LayerTime: 45 * time.Microsecond, Batch: defaultBatch},
+	{Kind: "small", StepTime: 9 * time.Millisecond, LayerTime: 70 * time.Microsecond, Batch: defaultBatch},
 }
 
 // Options are what a user may set.
--- a/cmd/chicorybench/result/result.go
+++ b/cmd/chicorybench/result/result.go
@@ -60,6 +60,13 @@
 	Stopped Quantiles `json:"stopped"`
 }
 
+// Reason counts one reason for which requests were not answered, numbers left out.
+type Reason struct {
+	Ending string `json:"ending"`
+	Reason string `json:"reason"`
+	Count  int    `json:"count"`
+}
+
 // Result is what one run showed.
 type Result struct {
 	Plan            string     `json:"plan"`
@@ -76,6 +83,8 @@
 	Dropped        int `json:"dropped"`
 	// Findings describe the first requests that broke a promise.
 	Findings []string `json:"findings,omitempty"`
+	// Reasons are the router's most frequent reasons for requests that were not answered.
+	Reasons []Reason `json:"reasons,omitempty"`
 }
 
 // Broken counts the requests that broke a promise.
--- a/cmd/chicorybench/result/table.go
+++ b/cmd/chicorybench/result/table.go
@@ -39,6 +39,9 @@
 		fmt.Fprintf(w, "recovery after %q at %.1f s: %d answers stopped, next token after %s ms (p50/p95/p99)\n",
 			recovery.Fault, recovery.At, recovery.Stopped.Count, recovery.Stopped.short())
 	}
+	for _, reason := range r.Reasons {
+		fmt.Fprintf(w, "%d requests %s: %s\n", reason.Count, reason.Ending, reason.Reason)
+	}
 	for _, finding := range r.Findings {
 		fmt.Fprintf(w, "broken: %s\n", finding)
 	}
--- a/pipeline/cost.go
+++ b/pipeline/cost.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"chicoryhall.example/chicoryhall"
+	protocol "chicoryhall.example/chicoryhall/engine"
 )
 
 const (
@@ -71,7 +72,7 @@
 
 // prefill is the time to build the KV of positions in the given layers.
 func (s speed) prefill(layers, positions int) float64 {
-	return s.step + s.layer*float64(layers)*float64(positions)
+	return s.step + s.layer*float64(layers)*float64(positions)/protocol.PrefillSpeedup
 }
 
 // link is the way between two failure domains; delay in nanoseconds.
