Accept documents in the table and spread them among daemons

Cause: a version must be accepted once, be in force everywhere and never revert, with racing operators, lost answers, stale reads, restarts and a restored table.

Ruled out: relying on the gossip alone, since a daemon that has just started polls the restored table first.

--- /dev/null
+++ b/configuration/polling.go
@@ -0,0 +1,77 @@
+package configuration
+
+import (
+	"context"
+	"crypto/rand"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/event"
+	"chicoryhall.example/chicoryhall/table"
+)
+
+// poll reads the table's heads, fetches what is newer and writes a restored table forward.
+func (s *Service) poll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	heads, err := s.table.Rows(ctx, headPrefix)
+	s.tableRead(err)
+	if err != nil {
+		return
+	}
+	rows := map[chicoryhall.ServiceName]table.Row{}
+	var marks []Mark
+	for _, row := range heads {
+		mark, err := decodeMark(row)
+		if err != nil {
+			s.config.Log.Log(event.TableRowDamaged, "error", err)
+			continue
+		}
+		marks = append(marks, mark)
+		rows[mark.Service] = row
+	}
+	s.mu.Lock()
+	missing := s.state.Missing(marks)
+	ahead := s.state.Ahead(marks)
+	s.mu.Unlock()
+	for _, mark := range missing {
+		s.fetchRow(ctx, mark)
+	}
+	for _, v := range ahead {
+		s.repair(ctx, v, rows[v.Service])
+	}
+	s.becomeReady(len(missing) == 0)
+}
+
+func (s *Service) fetchRow(ctx context.Context, mark Mark) {
+	row, found, err := s.table.Row(ctx, historyKey(mark.Service, mark.Number))
+	if err != nil || !found {
+		return
+	}
+	v, err := decodeVersion(row)
+	if err != nil {
+		s.config.Log.Log(event.TableRowDamaged, "error", err)
+		return
+	}
+	s.learn(v, "")
+}
+
+// repair writes a version forward that the table has lost; a stale read makes the write fail, which is harmless.
+func (s *Service) repair(ctx context.Context, v Version, head table.Row) {
+	_, err := s.table.Transact(ctx, Repair(v, head, rand.Text()))
+	if err == nil {
+		s.config.Log.Log(event.TableRepaired, "service", v.Service, "version", v.Number)
+	}
+}
+
+func (s *Service) tableRead(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tableErr = err
+}
+
+// becomeReady notes that the table's documents are in force here.
+func (s *Service) becomeReady(complete bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ready = s.ready || complete || len(s.parsed) > 0
+}
--- /dev/null
+++ b/configuration/spread_test.go
@@ -0,0 +1,152 @@
+package configuration
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"chicoryhall.example/chicoryhall"
+)
+
+// The design size and its promise.
+const (
+	designDaemons   = 360
+	designServices  = 46
+	designTextBytes = 16 << 10
+	designChanges   = 2400 // changes a day
+	designRounds    = 18   // rounds of comparePeriod until a version is in force everywhere
+	designBudget    = 12 << 10
+	secondsPerDay   = 86400
+)
+
+// fleet is every daemon's State with calls counted in bytes.
+type fleet struct {
+	ids    []chicoryhall.DaemonID
+	states []*State
+	spread *Spread
+	bytes  int
+}
+
+func newFleet(seed uint64) *fleet {
+	f := &fleet{spread: NewSpread(rand.NewPCG(seed, seed))}
+	for i := range designDaemons {
+		f.ids = append(f.ids, chicoryhall.DaemonID(fmt.Sprint(i)))
+		s := NewState()
+		for j := range designServices {
+			name := chicoryhall.ServiceName(fmt.Sprintf("service-%02d", j))
+			s.Accept(Version{Service: name, Number: 1, Digest: DigestOf("1"), Text: "1"})
+		}
+		f.states = append(f.states, s)
+	}
+	return f
+}
+
+func (f *fleet) count(messages ...any) {
+	for _, message := range messages {
+		text, err := json.Marshal(message)
+		if err != nil {
+			panic(err)
+		}
+		f.bytes += len(text)
+	}
+}
+
+// compareAll is one comparePeriod: every daemon compares with a random one.
+func (f *fleet) compareAll() {
+	for i := range f.states {
+		id, _ := f.spread.Ask(f.ids)
+		j := indexOf(id)
+		asked := Comparison{Sum: f.states[i].Sum()}
+		result := f.states[j].Compare(asked)
+		f.count(asked, result)
+		if result.Same {
+			continue
+		}
+		f.fetch(i, j, result.Marks)
+		if ahead := f.states[i].Ahead(result.Marks); len(ahead) > 0 {
+			f.count(Comparison{Sum: f.states[i].Sum(), Marks: f.states[i].Marks()}, ComparisonResult{Marks: result.Marks})
+			f.fetch(j, i, f.states[i].Marks())
+		}
+	}
+}
+
+func (f *fleet) fetch(i, j int, marks []Mark) bool {
+	fetched := false
+	for _, mark := range f.states[i].Missing(marks) {
+		v, _ := f.states[j].Version(mark.Service)
+		f.count(Fetch{Service: mark.Service}, FetchResult{Found: true, Version: v})
+		fetched = f.states[i].Accept(v) || fetched
+	}
+	return fetched
+}
+
+// rumour spreads a version from daemon i; each call is lost with the given probability.
+func (f *fleet) rumour(i int, mark Mark, loss float64, random *rand.Rand) {
+	queue := []int{i}
+	for len(queue) > 0 {
+		from := queue[0]
+		queue = queue[1:]
+		for _, id := range f.spread.Tell(f.ids, f.ids[from]) {
+			f.count(Rumour{Mark: mark}, struct{}{})
+			if to := indexOf(id); random.Float64() >= loss && f.fetch(to, from, []Mark{mark}) {
+				queue = append(queue, to)
+			}
+		}
+	}
+}
+
+func indexOf(id chicoryhall.DaemonID) int {
+	var i int
+	_, _ = fmt.Sscan(string(id), &i)
+	return i
+}
+
+func (f *fleet) without(number int64) int {
+	n := 0
+	for _, s := range f.states {
+		if v, _ := s.Version("service-00"); v.Number < number {
+			n++
+		}
+	}
+	return n
+}
+
+func TestSpreadAtTheDesignSize(t *testing.T) {
+	cases := []struct {
+		name string
+		loss float64
+	}{
+		{"no call lost", 0},
+		{"half of the rumours lost", 0.5},
+		{"all rumours lost", 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			worst, bytes := 0, 0
+			const seeds = 5
+			for seed := range uint64(seeds) {
+				f := newFleet(seed)
+				v := Version{Service: "service-00", Number: 2, Digest: DigestOf("2"), Text: strings.Repeat("x", designTextBytes)}
+				f.states[0].Accept(v)
+				f.rumour(0, v.Mark(), c.loss, rand.New(rand.NewPCG(seed, 1)))
+				rounds := 0
+				for ; f.without(2) > 0; rounds++ {
+					f.compareAll()
+				}
+				worst, bytes = max(worst, rounds), bytes+f.bytes
+			}
+			perChange := float64(bytes) / seeds / designDaemons
+			idle := newFleet(1)
+			idle.compareAll()
+			perSecond := perChange*designChanges/secondsPerDay + float64(idle.bytes)/designDaemons
+			t.Logf("rounds after the rumours: at most %d; bytes a change and daemon: %.0f; bytes a second and daemon: %.0f",
+				worst, perChange, perSecond)
+			must.LessEq(t, designRounds, worst)
+			must.Less(t, designBudget, perSecond)
+		})
+	}
+}
--- /dev/null
+++ b/configuration/version.go
@@ -0,0 +1,86 @@
+package configuration
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/table"
+)
+
+// The keys of the table's rows.
+const (
+	headPrefix    = "documents/head/"
+	historyPrefix = "documents/history/"
+)
+
+// Version is one accepted version of a service's document.
+type Version struct {
+	Service chicoryhall.ServiceName `json:"service"`
+	// Number grows by one with each accepted change of the service, from 1.
+	Number int64 `json:"number"`
+	// Digest is the hex SHA-256 of Text.
+	Digest string `json:"digest"`
+	Text   string `json:"text"`
+	// Author is the team whose token changed the document.
+	Author string `json:"author"`
+	// AcceptedMillis is the time of the change in Unix milliseconds by the daemon's clock.
+	AcceptedMillis int64 `json:"acceptedMillis"`
+}
+
+// Mark identifies one version without its text.
+type Mark struct {
+	Service chicoryhall.ServiceName `json:"service"`
+	Number  int64                   `json:"number"`
+	Digest  string                  `json:"digest"`
+}
+
+// Mark returns the version's mark.
+func (v Version) Mark() Mark {
+	return Mark{Service: v.Service, Number: v.Number, Digest: v.Digest}
+}
+
+// ETag returns the entity tag of the version, for If-Match.
+func (v Version) ETag() string {
+	return fmt.Sprintf("\"%d-%.12s\"", v.Number, v.Digest)
+}
+
+// DigestOf returns the digest of a document's text.
+func DigestOf(text string) string {
+	sum := sha256.Sum256([]byte(text))
+	return hex.EncodeToString(sum[:])
+}
+
+func headKey(service chicoryhall.ServiceName) string {
+	return headPrefix + string(service)
+}
+
+func historyKey(service chicoryhall.ServiceName, number int64) string {
+	return fmt.Sprintf("%s%s/%012d", historyPrefix, service, number)
+}
+
+func encode(value any) string {
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // The types of this package always encode.
+	}
+	return string(text)
+}
+
+func decodeMark(row table.Row) (Mark, error) {
+	var mark Mark
+	err := json.Unmarshal([]byte(row.Value), &mark)
+	return mark, errors.Wrapf(err, "decode row %s of the table", row.Key)
+}
+
+func decodeVersion(row table.Row) (Version, error) {
+	var v Version
+	if err := json.Unmarshal([]byte(row.Value), &v); err != nil {
+		return Version{}, errors.Wrapf(err, "decode row %s of the table", row.Key)
+	}
+	return v, nil
+}
--- /dev/null
+++ b/event/configuration.go
@@ -0,0 +1,24 @@
+package event
+
+import "github.com/charmbracelet/log"
+
+// The events of configuration and the platform's table, 4000 to 4999.
+var (
+	DocumentAccepted = define(4000, log.InfoLevel, "document accepted",
+		"The table holds a new version of a service's document; it is in force here and spreads.", "Nothing.")
+	DocumentInForce = define(4001, log.InfoLevel, "document in force",
+		"This daemon applies a newer version of a service's document.", "Nothing.")
+	DocumentRefused = define(4002, log.ErrorLevel, "document refused",
+		"An accepted version cannot be read by this daemon; the older one stays in force.",
+		"Compare the versions of the programs; a newer daemon may have accepted a field that this one does not know.")
+	DocumentDamaged = define(4003, log.ErrorLevel, "document damaged",
+		"A version's text does not have its digest and was dropped.", "Look at the named peer; report it if it comes back.")
+	DocumentDisputed = define(4004, log.ErrorLevel, "document disputed",
+		"Two daemons hold different texts under one version: the table lost versions while daemons were cut off from each other.",
+		"Get the document, check it and apply it once more; the next version ends the dispute everywhere.")
+	TableRepaired = define(4005, log.WarnLevel, "table repaired",
+		"The table was behind the version in force, as after a restore, and was written forward.",
+		"Ask the platform's team whether the table was restored; the history may have gaps.")
+	TableRowDamaged = define(4006, log.ErrorLevel, "table row damaged",
+		"A row of the table cannot be read.", "Look at the named row in the table.")
+)
