--- a/cmd/chicoryhall/daemon/builder.go
+++ b/cmd/chicoryhall/daemon/builder.go
@@ -8,12 +8,14 @@
 	"github.com/thejerf/suture/v4"
 
 	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/configuration"
 	"chicoryhall.example/chicoryhall/engine"
 	"chicoryhall.example/chicoryhall/event"
 	"chicoryhall.example/chicoryhall/membership"
 	"chicoryhall.example/chicoryhall/peer"
 	"chicoryhall.example/chicoryhall/requests"
 	"chicoryhall.example/chicoryhall/settings"
+	"chicoryhall.example/chicoryhall/table"
 	"chicoryhall.example/chicoryhall/timer"
 )
 
@@ -32,21 +34,24 @@
 	decisions  *suture.Supervisor
 	interfaces *suture.Supervisor
 
-	timer      *timer.Service
-	engines    *engine.Client
-	documents  chicoryhall.Documents
-	endpoints  chicoryhall.Endpoints
-	router     chicoryhall.Router
-	node       *peer.Node
-	members    chicoryhall.Members
-	membership *membership.Membership
-	admission  chicoryhall.Admission
-	keeper     chicoryhall.Keeper
-	claims     chicoryhall.Claims
-	retries    requests.Retries
-	quarantine requests.Quarantine
-	forwarder  chicoryhall.Forwarder
-	metrics    *requests.Metrics
+	timer     *timer.Service
+	engines   *engine.Client
+	table     *table.Client
+	documents chicoryhall.Documents
+	// configuration is the part behind documents.
+	configuration *configuration.Service
+	endpoints     chicoryhall.Endpoints
+	router        chicoryhall.Router
+	node          *peer.Node
+	members       chicoryhall.Members
+	membership    *membership.Membership
+	admission     chicoryhall.Admission
+	keeper        chicoryhall.Keeper
+	claims        chicoryhall.Claims
+	retries       requests.Retries
+	quarantine    requests.Quarantine
+	forwarder     chicoryhall.Forwarder
+	metrics       *requests.Metrics
 	// peerMetrics counts what daemons send each other.
 	peerMetrics *metrics.Set
 	requests    *requests.Service
@@ -66,9 +71,11 @@
 	return []step{
 		{"timer", b.buildTimer},
 		{"engine client", b.buildEngines},
+		{"table client", b.buildTable},
 		{"documents", b.buildDocuments},
 		{"peers", b.buildPeers},
 		{"members", b.buildMembers},
+		{"configuration", b.buildConfiguration},
 		{"endpoints", b.buildEndpoints},
 		{"router", b.buildRouter},
 		{"admission", b.buildAdmission},
--- a/cmd/chicoryhall/daemon/callers.go
+++ b/cmd/chicoryhall/daemon/callers.go
@@ -21,13 +21,18 @@
 // readiness tells whether the daemon may get requests.
 type readiness struct {
 	documents chicoryhall.Documents
-	draining  atomic.Bool
+	// known tells whether the documents were read from the table or a peer.
+	known    func() error
+	draining atomic.Bool
 }
 
 func (r *readiness) check() error {
 	if r.draining.Load() {
 		return errDraining
 	}
+	if err := r.known(); err != nil {
+		return err
+	}
 	if len(r.documents.All()) == 0 {
 		return errNoDocuments
 	}
@@ -49,7 +54,7 @@
 
 // buildCallers adds the callers' interface.
 func (b *builder) buildCallers() error {
-	ready := &readiness{documents: b.documents}
+	ready := &readiness{documents: b.documents, known: b.configuration.Ready}
 	server := caller.NewServer(caller.Parts{
 		Address: b.settings.Listen.Callers, Timer: b.timer, Documents: b.documents,
 		Requests: b.requests, Forwarder: b.forwarder, Metrics: b.metrics, Ready: ready.check, Log: b.log,
--- a/cmd/chicoryhall/daemon/documents.go
+++ b/cmd/chicoryhall/daemon/documents.go
@@ -1,75 +1,74 @@
 package daemon
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"os"
-	"slices"
-	"strings"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
-	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/configuration"
 	"chicoryhall.example/chicoryhall/document"
+	"chicoryhall.example/chicoryhall/table"
 )
 
 // fileVersion is the version of every document that was read from a file.
 const fileVersion = 1
 
-// fileDocuments is a chicoryhall.Documents whose documents never change.
-type fileDocuments struct {
-	all []chicoryhall.InForce
+// buildTable adds the client of the platform's table.
+func (b *builder) buildTable() error {
+	b.table = table.New(b.settings.Platform.Table)
+	return nil
 }
 
+// buildDocuments adds the documents, which come from the table and peers, or only from files.
 func (b *builder) buildDocuments() error {
-	documents, err := readDocuments(b.options.Documents)
+	config := configuration.Config{
+		Self: b.settings.ID, Timer: b.timer, Log: b.log, Seed: xxhash.Sum64String(string(b.settings.ID)),
+	}
+	if len(b.options.Documents) == 0 {
+		config.Table = b.table
+	}
+	b.configuration = configuration.New(config)
+	b.documents = b.configuration
+	versions, err := readDocuments(b.options.Documents)
 	if err != nil {
 		return err
 	}
-	b.documents = documents
+	if len(versions) > 0 {
+		b.configuration.Preload(versions)
+	}
+	return nil
+}
+
+// buildConfiguration lets the documents spread among the daemons.
+func (b *builder) buildConfiguration() error {
+	b.configuration.Attach(b.node, b.members)
+	b.knowledge.Add(b.configuration)
 	return nil
 }
 
-func readDocuments(paths []string) (*fileDocuments, error) {
-	documents := &fileDocuments{}
+func readDocuments(paths []string) ([]configuration.Version, error) {
+	var versions []configuration.Version
 	for _, path := range paths {
-		inForce, err := readDocument(path)
+		v, err := readDocument(path)
 		if err != nil {
 			return nil, err
 		}
-		documents.all = append(documents.all, inForce)
+		versions = append(versions, v)
 	}
-	slices.SortFunc(documents.all, func(a, b chicoryhall.InForce) int {
-		return strings.Compare(string(a.Document.Service), string(b.Document.Service))
-	})
-	return documents, nil
+	return versions, nil
 }
 
-func readDocument(path string) (chicoryhall.InForce, error) {
+func readDocument(path string) (configuration.Version, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return chicoryhall.InForce{}, errors.WithMessage(err, "read document")
+		return configuration.Version{}, errors.WithMessage(err, "read document")
 	}
 	parsed, err := document.Parse(path, text)
 	if err != nil {
-		return chicoryhall.InForce{}, err
+		return configuration.Version{}, err
 	}
-	sum := sha256.Sum256(text)
-	return chicoryhall.InForce{Document: parsed, Version: fileVersion, Digest: hex.EncodeToString(sum[:])}, nil
+	return configuration.Version{
+		Service: parsed.Service, Number: fileVersion, Digest: configuration.DigestOf(string(text)), Text: string(text),
+	}, nil
 }
-
-// InForce returns the document of one service.
-func (d *fileDocuments) InForce(service chicoryhall.ServiceName) (chicoryhall.InForce, bool) {
-	for _, inForce := range d.all {
-		if inForce.Document.Service == service {
-			return inForce, true
-		}
-	}
-	return chicoryhall.InForce{}, false
-}
-
-// All returns every document.
-func (d *fileDocuments) All() []chicoryhall.InForce { return d.all }
-
-// Subscribe does nothing, as files are read once.
-func (d *fileDocuments) Subscribe(func(chicoryhall.InForce)) {}
--- a/configuration/service_test.go
+++ b/configuration/service_test.go
@@ -29,8 +29,8 @@
 	others []chicoryhall.Member
 }
 
-func (m *staticMembers) Self() chicoryhall.Member            { return m.self }
-func (m *staticMembers) All() []chicoryhall.Member           { return m.others }
+func (m *staticMembers) Self() chicoryhall.Member           { return m.self }
+func (m *staticMembers) All() []chicoryhall.Member          { return m.others }
 func (m *staticMembers) Subscribe(func(chicoryhall.Member)) {}
 
 // group is a few daemons' configuration over real peer connections.
