--- a/cmd/chicorystand/modelengine/batch.go
+++ b/cmd/chicorystand/modelengine/batch.go
@@ -25,6 +25,10 @@
 	count int
 }
 
+// maxLateness is how late the end of a step may be noticed for the next step to begin when the
+// step was due, as an accelerator would go on without the process.
+const maxLateness = 20 * time.Millisecond
+
 // meanWeight is the weight of the older steps in the mean time of a step.
 const meanWeight = 7
 
@@ -34,15 +38,16 @@
 		return
 	}
 	works := e.pick()
+	now := e.timer.Now()
 	if len(works) == 0 {
+		e.batch.due = time.Time{}
 		return
 	}
-	now := e.timer.Now()
 	e.batch.running = true
 	e.batch.works = works
 	cost := e.cost(works)
 	begin := e.batch.due
-	if now.Sub(begin) > e.settings.StepTime {
+	if now.Sub(begin) > maxLateness {
 		begin = now
 	}
 	e.batch.due = begin.Add(cost)
--- a/cmd/chicorystand/modelengine/engine_test.go
+++ b/cmd/chicorystand/modelengine/engine_test.go
@@ -31,7 +31,7 @@
 var model = digest.ModelOf(modelName, modelVersion)
 
 // start runs an engine that holds layers [from,to) until the test ends.
-func start(t *testing.T, id string, from, to int, change func(*modelengine.Settings)) *modelengine.Engine {
+func start(t testing.TB, id string, from, to int, change func(*modelengine.Settings)) *modelengine.Engine {
 	t.Helper()
 	settings := modelengine.Defaults()
 	settings.ID = chicoryhall.EngineID(id)
