--- a/requests/metrics.go
+++ b/requests/metrics.go
@@ -65,6 +65,10 @@
 	return m.set.GetOrCreateCounter(fmt.Sprintf(`chicoryhall_recoveries_total{service=%q}`, service))
 }
 
+func (m *Metrics) inconclusiveProbes() *metrics.Counter {
+	return m.set.GetOrCreateCounter(`chicoryhall_inconclusive_probes_total`)
+}
+
 func (m *Metrics) recoverySeconds(service chicoryhall.ServiceName) *metrics.Histogram {
 	return m.set.GetOrCreateHistogram(fmt.Sprintf(`chicoryhall_recovery_seconds{service=%q}`, service))
 }
--- a/requests/perform.go
+++ b/requests/perform.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// probeTimeout is the time that a live endpoint needs at most to answer on a new connection.
-	probeTimeout = 250 * time.Millisecond
 	// raiseTimeout bounds the wait for the second holder to know of a raised attempt.
 	raiseTimeout = time.Second
 )
@@ -188,20 +186,6 @@
 	}
 }
 
-// probe asks over a new connection whether an engine answers.
-func (r *Request) probe(attempt int, id chicoryhall.EngineID, address string) {
-	r.parts().Engines.ForgetIdle(address)
-	r.service.work.Go(func() error {
-		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-		defer cancel()
-		err := r.parts().Engines.Probe(ctx, address)
-		var failure *engine.Error
-		alive := err == nil || (errors.As(err, &failure) && failure.Kind() == engine.FailureStatus)
-		r.answer(stream.Input{Kind: stream.InputProbed, Attempt: attempt, Engine: id, Alive: alive})
-		return nil
-	})
-}
-
 func (r *Request) awaitProgress(delay time.Duration) {
 	if r.progress != nil {
 		r.progress.Cancel()
--- a/requests/service.go
+++ b/requests/service.go
@@ -57,6 +57,7 @@
 type Service struct {
 	parts    Parts
 	window   *window
+	lag      lag
 	work     errgroup.Group
 	stopping atomic.Bool
 
@@ -88,6 +89,8 @@
 func (s *Service) Serve(ctx context.Context) error {
 	tick := s.parts.Timer.Every(windowAge/windowSteps, s.window.expire)
 	defer tick.Cancel()
+	late := s.lag.watch(s.parts.Timer)
+	defer late.Cancel()
 	<-ctx.Done()
 	return ctx.Err()
 }
