Work the design size out from measured slopes

Cause: nothing showed whether the design carries 360 daemons and 2,100 engines. "chicorybench slopes" drives the daemon's real decision code with the inputs of the full size and fits lines; "observe" reads messages, processor time and memory off real daemons at several sizes; "capacity" writes the page from the result file, so that its figures can not drift.

--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,7 @@
 # demo starts both deployments on this machine, sends load with faults and judges the answers.
 demo: build
 	bash scripts/demo
+
+# capacity measures the slopes and writes docs/CAPACITY.md.
+capacity: build
+	bash scripts/capacity
--- /dev/null
+++ b/cmd/chicorybench/capacity/documents.go
@@ -0,0 +1,55 @@
+package capacity
+
+import (
+	"github.com/goccy/go-yaml"
+
+	"chicoryhall.example/chicoryhall/document"
+)
+
+// The names of the measurements of the role that holds the documents.
+const (
+	documentBytes  = "document size"
+	documentMemory = "document memory"
+	documentTime   = "document check time"
+)
+
+func documentExperiments() []Experiment {
+	sizes := []int{30, 90, 420}
+	return []Experiment{
+		{name: documentBytes, unit: "bytes", driver: "engines of the service", sizes: sizes, measure: measureDocumentBytes},
+		{name: documentMemory, unit: "bytes", driver: "engines of the service", sizes: sizes, measure: measureDocumentMemory},
+		{name: documentTime, unit: "µs", driver: "engines of the service", sizes: sizes, measure: measureDocumentTime},
+	}
+}
+
+// organisationsPerService is the number of organisations that a service of the design size lists.
+const organisationsPerService = 2 * designOrganisations / designModels
+
+func documentText(engines int) ([]byte, error) {
+	return yaml.Marshal(documentOf(engines, organisationsPerService))
+}
+
+func measureDocumentBytes(engines int) (float64, error) {
+	text, err := documentText(engines)
+	return float64(len(text)), err
+}
+
+func measureDocumentMemory(engines int) (float64, error) {
+	text, err := documentText(engines)
+	if err != nil {
+		return 0, err
+	}
+	bytes := heapBytes(func() any {
+		parsed, _ := document.Check("document", text)
+		return parsed
+	})
+	return bytes, nil
+}
+
+func measureDocumentTime(engines int) (float64, error) {
+	text, err := documentText(engines)
+	if err != nil {
+		return 0, err
+	}
+	return microseconds(func() { _, _ = document.Check("document", text) }), nil
+}
--- /dev/null
+++ b/cmd/chicorybench/capacity/memberships.go
@@ -0,0 +1,118 @@
+package capacity
+
+import (
+	"time"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/membership"
+)
+
+// The names of the measurements of the membership.
+const (
+	membershipBytes  = "membership messages"
+	membershipTime   = "membership time"
+	membershipMemory = "membership memory"
+)
+
+// packetBytes is the JSON text of a packet without its entries.
+const packetBytes = 60
+
+// base64Growth is how much JSON lengthens packed bytes.
+const base64Growth = 4.0 / 3.0
+
+func membershipExperiments() []Experiment {
+	sizes := []int{8, 60, 180, 360}
+	return []Experiment{
+		{name: membershipBytes, unit: "bytes/s", driver: "daemons", sizes: sizes, measure: measureMembershipBytes},
+		{name: membershipTime, unit: "µs/s", driver: "daemons", sizes: sizes, measure: measureMembershipTime},
+		{name: membershipMemory, unit: "bytes", driver: "daemons", sizes: sizes, measure: measureMembershipMemory},
+	}
+}
+
+// membershipRun drives one daemon's real state through virtual time; its peers answer every probe,
+// and VMs restart as often as the design says.
+type membershipRun struct {
+	state   *membership.State
+	members *fakeMembers
+	now     time.Time
+	bytes   float64
+	probes  int
+}
+
+func newMembershipRun(daemons int) *membershipRun {
+	r := &membershipRun{members: membersOf(daemons), now: time.Unix(1_796_330_000, 0)}
+	r.state = membership.New(membership.Config{Self: r.members.self, RandomSeed: 1}, r.now)
+	r.state.Exchange(r.members.others, r.now)
+	return r
+}
+
+// run lets virtual time pass.
+func (r *membershipRun) run(length time.Duration) {
+	restart := time.Duration(secondsPerDay / (designRestartsPerDay + designFailuresPerDay) * float64(time.Second))
+	nextRestart := r.now.Add(restart)
+	for end := r.now.Add(length); r.now.Before(end); r.now = r.now.Add(membership.TickPeriod) {
+		r.handle(r.state.Tick(r.now))
+		if r.now.After(nextRestart) {
+			nextRestart = nextRestart.Add(restart)
+			r.restartOne()
+		}
+	}
+}
+
+func (r *membershipRun) restartOne() {
+	r.probes++
+	other := &r.members.others[r.probes%len(r.members.others)]
+	other.Incarnation++
+	update := membership.Packet{Incarnation: other.Incarnation, Digest: r.state.Digest(), Updates: []chicoryhall.Member{*other}}
+	answer, actions := r.state.Receive(other.ID, update, r.now)
+	r.count(update)
+	r.count(answer)
+	r.handle(actions)
+}
+
+// handle answers every probe, and counts one probe from a peer for each of this daemon's own.
+func (r *membershipRun) handle(actions []membership.Action) {
+	for _, action := range actions {
+		probe, sent := action.(membership.SendProbe)
+		if !sent {
+			continue
+		}
+		r.probes++
+		ack := membership.Packet{Incarnation: 1, Digest: r.state.Digest()}
+		r.count(probe.Packet)
+		r.count(ack)
+		r.handle(r.state.Acked(probe.Probe, ack, r.now))
+		from := r.members.others[r.probes%len(r.members.others)]
+		incoming := membership.Packet{Incarnation: from.Incarnation, Digest: r.state.Digest()}
+		answer, more := r.state.Receive(from.ID, incoming, r.now)
+		r.count(incoming)
+		r.count(answer)
+		r.handle(more)
+	}
+}
+
+func (r *membershipRun) count(packet membership.Packet) {
+	r.bytes += frameBytes + packetBytes
+	if len(packet.Updates) > 0 {
+		r.bytes += base64Growth * float64(len(membership.EncodeMembers(packet.Updates)))
+	}
+}
+
+func measureMembershipBytes(daemons int) (float64, error) {
+	const length = time.Hour
+	r := newMembershipRun(daemons)
+	r.run(length)
+	return r.bytes / length.Seconds(), nil
+}
+
+func measureMembershipTime(daemons int) (float64, error) {
+	const length = 10 * time.Minute
+	r := newMembershipRun(daemons)
+	start := time.Now()
+	r.run(length)
+	return float64(time.Since(start).Microseconds()) / length.Seconds(), nil
+}
+
+func measureMembershipMemory(daemons int) (float64, error) {
+	return heapBytes(func() any { return newMembershipRun(daemons).state }), nil
+}
--- /dev/null
+++ b/cmd/chicorybench/capacity/routes.go
@@ -0,0 +1,57 @@
+package capacity
+
+import (
+	"time"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/pipeline"
+)
+
+// The names of the measurements of the role that chooses routes.
+const (
+	routeTime   = "route choice time"
+	routeMemory = "route plan memory"
+	boundTime   = "route shares time"
+)
+
+func routeExperiments() []Experiment {
+	sizes := []int{30, 90, 210, 420}
+	return []Experiment{
+		{name: routeTime, unit: "µs", driver: "engines of the service", sizes: sizes, measure: measureRoute},
+		{name: routeMemory, unit: "bytes", driver: "engines of the service", sizes: sizes, measure: measureRouteMemory},
+		{name: boundTime, unit: "µs", driver: "engines of the service", sizes: sizes, measure: measureShares},
+	}
+}
+
+func routeQuery(engines int) chicoryhall.RouteQuery {
+	return chicoryhall.RouteQuery{
+		Document: documentOf(engines, 1), From: domainOf(0), Positions: 100, Remaining: 280, Now: time.Now(),
+	}
+}
+
+func measureRoute(engines int) (float64, error) {
+	router := pipeline.New(fakeEndpoints{}, pipeline.Options{Seed: 1})
+	query := routeQuery(engines)
+	_, err := router.Choose(query)
+	return microseconds(func() { _, _ = router.Choose(query) }), err
+}
+
+func measureRouteMemory(engines int) (float64, error) {
+	query := routeQuery(engines)
+	var err error
+	bytes := heapBytes(func() any {
+		router := pipeline.New(fakeEndpoints{}, pipeline.Options{Seed: 1})
+		_, err = router.Choose(query)
+		return router
+	})
+	return bytes, err
+}
+
+// measureShares times a first choice, which works the shares out anew.
+func measureShares(engines int) (float64, error) {
+	query := routeQuery(engines)
+	return microseconds(func() {
+		router := pipeline.New(fakeEndpoints{}, pipeline.Options{Seed: 1})
+		_, _ = router.Choose(query)
+	}), nil
+}
--- a/cmd/chicorybench/entry/layout.go
+++ b/cmd/chicorybench/entry/layout.go
@@ -27,6 +27,7 @@
 		flags.Uint64Var(&options.Seed, "seed", 1, "`SEED` of the load")
 		flags.DurationVar(&options.Duration, "duration", 20*time.Second, "`TIME` of the load")
 		flags.Float64Var(&options.Load, "load", 1, "`FACTOR` on all rates")
+		flags.IntVar(&options.Daemons, "daemons", 0, "`NUMBER` of daemons in each failure domain; 0 follows the scale")
 		flags.BoolVar(&options.Faults, "faults", true, "crash an engine and kill a daemon on the way")
 		return func(_ context.Context, _ command.Streams, arguments []string) error {
 			if len(arguments) != 1 {
--- a/cmd/chicorybench/layout/layout.go
+++ b/cmd/chicorybench/layout/layout.go
@@ -53,6 +53,8 @@
 	Duration   time.Duration
 	// Load multiplies the rates of all traffic.
 	Load float64
+	// Daemons is the number of daemons in each failure domain; 0 follows the scale.
+	Daemons int
 	// Faults adds an engine's crash and a daemon's kill to the plan.
 	Faults bool
 }
@@ -101,7 +103,10 @@
 }
 
 func (l *Layout) addDaemons() {
-	perDomain := l.scaled(wholeDaemons, minimumDaemons)
+	perDomain := l.options.Daemons
+	if perDomain == 0 {
+		perDomain = l.scaled(wholeDaemons, minimumDaemons)
+	}
 	for _, domain := range domains {
 		for i := range perDomain {
 			n := len(l.daemons)
--- a/cmd/chicorybench/slope/measurement.go
+++ b/cmd/chicorybench/slope/measurement.go
@@ -65,3 +65,17 @@
 	}
 	return errors.Wrap(os.WriteFile(path, append(text, '\n'), 0o644), "save measurements")
 }
+
+// Extend puts the points of other beside those of the same name and fits the lines anew.
+func (f *File) Extend(other *File) {
+	for _, added := range other.Measurements {
+		known, err := f.Find(added.Name)
+		if err != nil {
+			f.Measurements = append(f.Measurements, added)
+			known = &f.Measurements[len(f.Measurements)-1]
+		} else {
+			known.Points = append(known.Points, added.Points...)
+		}
+		known.Line = Fit(known.Points)
+	}
+}
