Let operators check, change and read documents with chicoryctl

The administration API takes a change only with If-Match (or If-None-Match: * for a new service) and answers the loser of a race with 412 and the difference. Certificates are read again when their files change; a broken file leaves the last good one in use. chicoryctl get writes the version into the first line of the file and apply sends it back, so a change is made against what was read.

--- /dev/null
+++ b/cmd/chicoryctl/entry/apply.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"context"
+	"flag"
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/command"
+	"chicoryhall.example/chicoryhall/document"
+	"chicoryhall.example/chicoryhall/operator"
+)
+
+// applyVerb changes a document.
+var applyVerb = command.Verb{
+	Name:      "apply",
+	Arguments: "FILE",
+	Summary:   "Makes a document the newest version of its service.",
+	Detail: "The change is accepted only if nobody changed the service since \"chicoryctl get\" wrote the file;\n" +
+		"otherwise the difference is shown and nothing changes. A file that get did not write may be applied\n" +
+		"to a new service, or with -over to the version that it names.\n" + daemonDetail,
+	New: func(flags *flag.FlagSet) command.Run {
+		daemon := addDaemonFlags(flags)
+		over := flags.Int64("over", 0, "the `NUMBER` of the version to replace, for a file that get did not write")
+		return func(ctx context.Context, streams command.Streams, arguments []string) error {
+			path, err := oneArgument(arguments, "FILE")
+			if err != nil {
+				return err
+			}
+			client, err := daemon.client()
+			if err != nil {
+				return err
+			}
+			return apply(ctx, streams, client, path, *over)
+		}
+	},
+}
+
+func apply(ctx context.Context, streams command.Streams, client *operator.Client, path string, over int64) error {
+	text, d, base, err := checked(path)
+	if err != nil {
+		return err
+	}
+	current, tag, err := client.Get(ctx, d.Service)
+	if err != nil {
+		return err
+	}
+	if current == text {
+		fmt.Fprintf(streams.Out, "service %s: unchanged, version %s has this text\n", d.Service, tag)
+		return nil
+	}
+	if base == "" && tag != "" {
+		if base, err = baseOver(d.Service, tag, over); err != nil {
+			return err
+		}
+	}
+	accepted, err := client.Apply(ctx, d.Service, text, base)
+	if err != nil {
+		return explainRefusal(err)
+	}
+	fmt.Fprintf(streams.Out, "service %s: version %d accepted\n", accepted.Service, accepted.Number)
+	for _, warning := range accepted.Warnings {
+		fmt.Fprintf(streams.Out, "warning: %s\n", warning)
+	}
+	return nil
+}
+
+// checked reads a file and its base, and checks the text without them.
+func checked(path string) (text string, d *chicoryhall.Document, base string, err error) {
+	raw, err := readDocument(path)
+	if err != nil {
+		return "", nil, "", err
+	}
+	if d, err = document.Parse(path, raw); err != nil {
+		return "", nil, "", command.Listed(err)
+	}
+	text, base = splitBase(string(raw))
+	return text, d, base, nil
+}
+
+// baseOver returns the ETag in force if the operator named its number.
+func baseOver(service chicoryhall.ServiceName, tag string, over int64) (string, error) {
+	if over == 0 {
+		return "", errors.Errorf("service %s has version %s and the file does not say which version it was made from: "+
+			"run \"chicoryctl get %s\", make the change there, or name the version with -over", service, tag, service)
+	}
+	var number int64
+	if _, err := fmt.Sscanf(tag, "\"%d-", &number); err != nil || number != over {
+		return "", errors.Errorf("service %s has version %s, not %d: run \"chicoryctl diff\" to see the difference", service, tag, over)
+	}
+	return tag, nil
+}
+
+// explainRefusal adds the mistakes or the difference that came with a refusal.
+func explainRefusal(err error) error {
+	var problem *operator.Problem
+	if !errors.As(err, &problem) {
+		return err
+	}
+	if len(problem.Problems) > 0 {
+		return command.Listed(problem.Problems)
+	}
+	if problem.Difference != "" {
+		return errors.Errorf("%v\n%s", err, problem.Difference)
+	}
+	return err
+}
--- /dev/null
+++ b/cmd/chicoryctl/entry/explain.go
@@ -0,0 +1,105 @@
+package entry
+
+import (
+	"cmp"
+	"context"
+	"flag"
+	"fmt"
+	"slices"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/command"
+)
+
+// explainVerb tells in words what a document means.
+var explainVerb = command.Verb{
+	Name:      "explain",
+	Arguments: "FILE",
+	Summary:   "Tells in words what a document does: its classes, limits and which engines hold what.",
+	Detail:    "No daemon is asked.",
+	New:       func(*flag.FlagSet) command.Run { return explain },
+}
+
+func explain(_ context.Context, streams command.Streams, arguments []string) error {
+	path, err := oneArgument(arguments, "FILE")
+	if err != nil {
+		return err
+	}
+	_, d, _, err := checked(path)
+	if err != nil {
+		return err
+	}
+	e := explanation{streams}
+	e.line("Service %s belongs to team %s.", d.Service, d.Team)
+	e.classes(d)
+	e.organisations(d)
+	if d.Kind == chicoryhall.ServicePipeline {
+		e.layers(d)
+	} else {
+		e.line("Each request is one call to one of its %d endpoints.", len(d.Endpoints))
+	}
+	e.line("At most %d%% of the successful requests are retried, each at no more than %d endpoints.",
+		d.Retries.BudgetPercent, d.Retries.Endpoints)
+	return nil
+}
+
+// explanation writes one sentence a line.
+type explanation struct {
+	streams command.Streams
+}
+
+func (e explanation) line(format string, arguments ...any) {
+	fmt.Fprintf(e.streams.Out, format+"\n", arguments...)
+}
+
+func (e explanation) classes(d *chicoryhall.Document) {
+	classes := slices.Clone(d.Classes)
+	slices.SortStableFunc(classes, func(a, b chicoryhall.DocumentClass) int { return cmp.Compare(a.Priority, b.Priority) })
+	for i, class := range classes {
+		again := "is never run again once it was sent"
+		if class.Idempotent {
+			again = "may be run again after a failure"
+		}
+		e.line("Class %s goes %s; a request has %s in all and %s until its first token or answer, and %s.",
+			class.Name, place(i), class.Timeout, class.FirstToken, again)
+	}
+}
+
+func place(i int) string {
+	if i == 0 {
+		return "first"
+	}
+	return fmt.Sprintf("as number %d", i+1)
+}
+
+func (e explanation) organisations(d *chicoryhall.Document) {
+	total := 0
+	for _, organisation := range d.Organisations {
+		total += organisation.Share
+	}
+	for _, organisation := range d.Organisations {
+		e.line("Organisation %s may send %g requests a second and gets %.0f%% of a class under overload.",
+			organisation.Name, organisation.RequestsPerSecond, 100*float64(organisation.Share)/float64(total))
+	}
+}
+
+// layerRange is the engines that hold the same layers.
+type layerRange struct {
+	from, to int
+}
+
+func (e explanation) layers(d *chicoryhall.Document) {
+	e.line("Model %s, version %s, has %d layers:", d.Model.Name, d.Model.Version, d.Model.Layers)
+	engines := map[layerRange]int{}
+	for _, endpoint := range d.Endpoints {
+		engines[layerRange{endpoint.From, endpoint.To}]++
+	}
+	var ranges []layerRange
+	for r := range engines {
+		ranges = append(ranges, r)
+	}
+	slices.SortFunc(ranges, func(a, b layerRange) int { return cmp.Or(cmp.Compare(a.from, b.from), cmp.Compare(a.to, b.to)) })
+	for _, r := range ranges {
+		e.line("  layers %d to %d are held by %d engines.", r.from, r.to-1, engines[r])
+	}
+}
--- a/cmd/chicoryhall/daemon/builder.go
+++ b/cmd/chicoryhall/daemon/builder.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/lesismal/llib/std/crypto/tls"
 	"github.com/thejerf/suture/v4"
 
 	"chicoryhall.example/chicoryhall"
@@ -34,8 +35,10 @@
 	decisions  *suture.Supervisor
 	interfaces *suture.Supervisor
 
-	timer     *timer.Service
-	engines   *engine.Client
+	timer   *timer.Service
+	engines *engine.Client
+	// tls is nil for plain TCP.
+	tls       *tls.Config
 	table     *table.Client
 	documents chicoryhall.Documents
 	// configuration is the part behind documents.
@@ -85,7 +88,9 @@
 		{"quarantine", b.buildQuarantine},
 		{"forwarder", b.buildForwarder},
 		{"requests", b.buildRequests},
+		{"TLS", b.buildTLS},
 		{"callers", b.buildCallers},
+		{"operators", b.buildOperators},
 	}
 }
 
--- /dev/null
+++ b/cmd/chicoryhall/daemon/operators.go
@@ -0,0 +1,31 @@
+package daemon
+
+import (
+	"chicoryhall.example/chicoryhall/certificate"
+	"chicoryhall.example/chicoryhall/operator"
+)
+
+// buildTLS reads the certificate that callers and operators get, if the settings name one.
+func (b *builder) buildTLS() error {
+	if b.settings.TLS.Certificate == "" {
+		return nil
+	}
+	reloader, err := certificate.New(b.settings.TLS.Certificate, b.settings.TLS.Key, b.timer, b.log)
+	if err != nil {
+		return err
+	}
+	b.tls = reloader.Config()
+	return nil
+}
+
+// buildOperators adds the operators' interface.
+func (b *builder) buildOperators() error {
+	tokens, err := operator.LoadTokens(b.settings.OperatorTokensFile)
+	if err != nil {
+		return err
+	}
+	b.interfaces.Add(operator.NewServer(operator.Parts{
+		Address: b.settings.Listen.Operators, TLS: b.tls, Documents: b.configuration, Tokens: tokens, Log: b.log,
+	}))
+	return nil
+}
--- a/configuration/publish.go
+++ b/configuration/publish.go
@@ -34,6 +34,7 @@
 		Digest: DigestOf(proposal.Text), Author: proposal.Author, AcceptedMillis: s.config.Timer.Now().UnixMilli(),
 	}
 	if err := s.write(ctx, NewPublication(v, rand.Text())); err != nil {
+		s.poll(ctx) // The operator is shown the difference to the newest version.
 		return Version{}, err
 	}
 	s.config.Log.Log(event.DocumentAccepted, "service", v.Service, "version", v.Number, "digest", v.Digest, "team", v.Author)
--- /dev/null
+++ b/operator/reads.go
@@ -0,0 +1,109 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"chicoryhall.example/chicoryhall/configuration"
+)
+
+func (s *Server) list(w http.ResponseWriter, _ *http.Request, team string) {
+	list := DocumentList{Documents: []configuration.Mark{}}
+	for _, v := range s.parts.Documents.Versions() {
+		inForce, known := s.parts.Documents.InForce(v.Service)
+		if known && inForce.Document.Team == team {
+			list.Documents = append(list.Documents, v.Mark())
+		}
+	}
+	writeJSON(w, http.StatusOK, list)
+}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request, team string) {
+	if !s.owns(w, r, team) || !s.found(w, r) {
+		return
+	}
+	v, _ := s.parts.Documents.Version(serviceOf(r))
+	writeVersion(w, v)
+}
+
+func writeVersion(w http.ResponseWriter, v configuration.Version) {
+	w.Header().Set("Content-Type", mediaTypeYAML)
+	w.Header().Set("Content-Length", strconv.Itoa(len(v.Text)))
+	w.Header().Set("ETag", v.ETag())
+	_, _ = w.Write([]byte(v.Text)) // A gone operator needs no answer.
+}
+
+func (s *Server) readHistory(w http.ResponseWriter, r *http.Request, team string) ([]configuration.Version, bool) {
+	if !s.owns(w, r, team) || !s.found(w, r) {
+		return nil, false
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+	defer cancel()
+	versions, err := s.parts.Documents.History(ctx, serviceOf(r))
+	if err != nil {
+		s.refuse(w, r, unavailable("the history is in the platform's table, which cannot be read now", err))
+		return nil, false
+	}
+	return versions, true
+}
+
+func (s *Server) history(w http.ResponseWriter, r *http.Request, team string) {
+	versions, ok := s.readHistory(w, r, team)
+	if !ok {
+		return
+	}
+	history := History{Versions: []HistoryEntry{}}
+	for _, v := range versions {
+		history.Versions = append(history.Versions, HistoryEntry{
+			Number: v.Number, Digest: v.Digest, Author: v.Author, AcceptedMillis: v.AcceptedMillis,
+		})
+	}
+	writeJSON(w, http.StatusOK, history)
+}
+
+func (s *Server) historyText(w http.ResponseWriter, r *http.Request, team string) {
+	versions, ok := s.readHistory(w, r, team)
+	if !ok {
+		return
+	}
+	for _, v := range versions {
+		if strconv.FormatInt(v.Number, 10) == r.PathValue("number") {
+			writeVersion(w, v)
+			return
+		}
+	}
+	s.refuse(w, r, &Problem{
+		Type: problemType + "not-found", Status: http.StatusNotFound, Field: "number",
+		Detail: fmt.Sprintf("service %s has no version %q; \"chicoryctl history\" lists them", serviceOf(r), r.PathValue("number")),
+	})
+}
+
+func (s *Server) status(w http.ResponseWriter, r *http.Request, team string) {
+	if !s.owns(w, r, team) || !s.found(w, r) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+	defer cancel()
+	v, _ := s.parts.Documents.Version(serviceOf(r))
+	status := Status{Newest: v.Number}
+	for _, daemon := range s.parts.Documents.Status(ctx) {
+		entry := DaemonVersion{Daemon: daemon.Daemon, FailureDomain: daemon.FailureDomain, Reachable: daemon.Reachable, Error: daemon.Error}
+		for _, mark := range daemon.Marks {
+			if mark.Service == v.Service {
+				entry.Number, entry.Digest = mark.Number, mark.Digest
+			}
+		}
+		status.Newest = max(status.Newest, entry.Number)
+		status.Daemons = append(status.Daemons, entry)
+	}
+	writeJSON(w, http.StatusOK, status)
+}
+
+func unavailable(what string, err error) *Problem {
+	return &Problem{
+		Type: problemType + "unavailable", Status: http.StatusServiceUnavailable,
+		Detail: fmt.Sprintf("%s; try again in a few seconds: %v", what, err),
+	}
+}
