Wire limits, retry budgets and the quarantine into the daemon

Cause: every request was allowed, every retry was free and every suspect ran anywhere. Submissions now pass the organisation's limit (429 with the time to come back), retries at live endpoints spend the service's budget, and a request whose endpoint broke runs again under the arbiter's reservation. Ruled out: charging the budget for lost endpoints (an engine with more streams than the reserve of ten would leave innocents unanswered).

--- a/caller/problem.go
+++ b/caller/problem.go
@@ -77,6 +77,9 @@
 	case requests.ReasonClaimTaken, stream.ReasonCancelled.String():
 		return http.StatusConflict
 	}
+	if result.Reason == stream.ReasonLimit.String() {
+		return http.StatusTooManyRequests
+	}
 	if result.Outcome == chicoryhall.Unknown {
 		return http.StatusGatewayTimeout
 	}
@@ -113,6 +116,7 @@
 	{stream.ReasonBudget.String(), "the service's retry budget is spent"},
 	{stream.ReasonQuarantined.String(), "requests with its content crashed endpoints"},
 	{stream.ReasonNotIdempotent.String(), "an endpoint failed and the class may not be run again"},
+	{stream.ReasonLimit.String(), "the organisation is over its requests per second"},
 	{stream.ReasonOverload.String(), "the service is overloaded"},
 	{stream.ReasonHolder.String(), "no second daemon could hold it"},
 	{stream.ReasonClaim.String(), "the claim that lets it run once could not be confirmed"},
--- a/cmd/chicoryhall/daemon/builder.go
+++ b/cmd/chicoryhall/daemon/builder.go
@@ -51,6 +51,7 @@
 	admission     chicoryhall.Admission
 	keeper        chicoryhall.Keeper
 	claims        chicoryhall.Claims
+	limits        requests.Limits
 	retries       requests.Retries
 	quarantine    requests.Quarantine
 	forwarder     chicoryhall.Forwarder
@@ -84,6 +85,7 @@
 		{"admission", b.buildAdmission},
 		{"keeper", b.buildKeeper},
 		{"claims", b.buildClaims},
+		{"limits", b.buildLimits},
 		{"retries", b.buildRetries},
 		{"quarantine", b.buildQuarantine},
 		{"forwarder", b.buildForwarder},
--- a/cmd/chicoryhall/daemon/callers.go
+++ b/cmd/chicoryhall/daemon/callers.go
@@ -15,7 +15,7 @@
 		Self: b.settings.ID, FailureDomain: b.settings.FailureDomain,
 		Timer: b.timer, Engines: b.engines, Documents: b.documents, Endpoints: b.endpoints,
 		Router: b.router, Admission: b.admission, Keeper: b.keeper, Claims: b.claims,
-		Retries: b.retries, Quarantine: b.quarantine, Log: b.log, Metrics: b.metrics,
+		Limits: b.limits, Retries: b.retries, Quarantine: b.quarantine, Log: b.log, Metrics: b.metrics,
 	})
 	b.interfaces.Add(b.requests)
 	return nil
--- a/cmd/chicoryhall/daemon/retries.go
+++ b/cmd/chicoryhall/daemon/retries.go
@@ -1,13 +1,9 @@
 package daemon
 
-import "chicoryhall.example/chicoryhall/requests"
+import "chicoryhall.example/chicoryhall/retry"
 
+// buildRetries adds the retry budgets of the services.
 func (b *builder) buildRetries() error {
-	b.retries = requests.Unlimited{}
-	return nil
-}
-
-func (b *builder) buildQuarantine() error {
-	b.quarantine = requests.Trusting{}
+	b.retries = retry.NewBudgets(b.documents)
 	return nil
 }
--- a/event/requests.go
+++ b/event/requests.go
@@ -9,6 +9,15 @@
 	RequestUnroutable = define(2010, log.WarnLevel, "request has no route",
 		"No chain of ready endpoints covers the model's layers; the caller was told at once.",
 		"Look at the endpoints of the layers that the error names.")
+	RequestQuarantined = define(2012, log.ErrorLevel, "request refused because it crashes endpoints",
+		"Two endpoints crashed while a request with this content ran on them; its repeats are refused for an hour.",
+		"Look at the crashed endpoints' own logs; the content of the request is the cause in nearly all cases.")
+	SuspectWaits = define(2013, log.WarnLevel, "suspect asks for engines of its own",
+		"An endpoint crashed under the request; it runs again apart from other suspects.",
+		"Nothing; event 2012 follows if it crashes a second endpoint.")
+	ArbiterUnreachable = define(2014, log.WarnLevel, "arbiter of suspects is out of reach",
+		"The daemon that decides over suspects did not answer; this daemon decides by itself.",
+		"Look at the members' states.")
 	ClaimFailed = define(2020, log.WarnLevel, "request could not be claimed",
 		"The platform's table did not confirm a claim; the caller was told that the request was not run.",
 		"Look at the platform's table service.")
--- a/quarantine/arbiter.go
+++ b/quarantine/arbiter.go
@@ -230,15 +230,3 @@
 	}
 	delete(a.cases, oldest)
 }
-
-// Convicted returns the fingerprints that are refused, for a daemon that has just joined.
-func (a *Arbiter) Convicted() Notice {
-	var notice Notice
-	for fingerprint, c := range a.cases {
-		if c.convicted {
-			notice.Convicted = append(notice.Convicted, fingerprint)
-		}
-	}
-	slices.Sort(notice.Convicted)
-	return notice
-}
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -110,7 +111,9 @@
 		}
 	}
 	for _, fingerprint := range notice.Convicted {
-		g.known[fingerprint] = known{standing: StandingConvicted, until: now.Add(ConvictionLifetime)}
+		if g.known[fingerprint].standing != StandingConvicted {
+			g.known[fingerprint] = known{standing: StandingConvicted, until: now.Add(ConvictionLifetime)}
+		}
 	}
 	for _, engine := range notice.Released {
 		delete(g.reserved, engine)
@@ -120,6 +123,32 @@
 	}
 }
 
+// Convicted returns the convictions with the time that is left of each.
+func (g *Guard) Convicted(now time.Time) Convictions {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var all Convictions
+	for fingerprint, k := range g.known {
+		if left := int64(k.until.Sub(now) / time.Second); k.standing == StandingConvicted && left > 0 {
+			all.Refused = append(all.Refused, Conviction{Fingerprint: fingerprint, Seconds: left})
+		}
+	}
+	slices.SortFunc(all.Refused, func(a, b Conviction) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	return all
+}
+
+// Learn takes over convictions of another daemon; it never prolongs one.
+func (g *Guard) Learn(convictions Convictions, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, c := range convictions.Refused {
+		left := min(time.Duration(c.Seconds)*time.Second, ConvictionLifetime)
+		if g.known[c.Fingerprint].standing != StandingConvicted && left > 0 {
+			g.known[c.Fingerprint] = known{standing: StandingConvicted, until: now.Add(left)}
+		}
+	}
+}
+
 func (g *Guard) expire(now time.Time) {
 	maps.DeleteFunc(g.known, func(_ Fingerprint, k known) bool { return !now.Before(k.until) })
 	maps.DeleteFunc(g.crashed, func(f Fingerprint, _ []chicoryhall.EngineID) bool { return g.known[f].standing != StandingSuspect })
--- a/quarantine/messages.go
+++ b/quarantine/messages.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "chicoryhall.example/chicoryhall"
+import (
+	"time"
+
+	"chicoryhall.example/chicoryhall"
+)
 
 //go:generate go tool enumer -type=AskKind -json -text -transform=kebab -trimprefix=Ask -output=askkind_enumer.go
 //go:generate go tool enumer -type=Decision -json -text -transform=kebab -trimprefix=Decision -output=decision_enumer.go
@@ -11,8 +15,13 @@
 	MethodAsk = "quarantine.ask"
 	// MethodNotice carries a Notice from the arbiter to every daemon.
 	MethodNotice = "quarantine.notice"
+	// MethodConvicted exchanges Convictions with the arbiter.
+	MethodConvicted = "quarantine.convicted"
 )
 
+// LearnPeriod is how often a daemon exchanges convictions with the arbiter.
+const LearnPeriod = 5 * time.Second
+
 // Fingerprint names the content of a request: its service and prompt.
 type Fingerprint uint64
 
@@ -77,3 +86,14 @@
 func (n *Notice) Empty() bool {
 	return len(n.Suspects)+len(n.Convicted)+len(n.Cleared)+len(n.Reserved)+len(n.Released) == 0
 }
+
+// Conviction is one fingerprint that is refused for Seconds more.
+type Conviction struct {
+	Fingerprint Fingerprint `json:"f"`
+	Seconds     int64       `json:"s"`
+}
+
+// Convictions are all that a daemon knows of.
+type Convictions struct {
+	Refused []Conviction `json:"refused,omitempty"`
+}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -332,6 +332,24 @@
 	must.Eq(t, quarantine.DecisionRefuse, answer.Decision)
 }
 
+// TestConvictionsEnd hands a conviction to and fro between two daemons. Mutation that it catches:
+// giving a learned conviction its full lifetime.
+func TestConvictionsEnd(t *testing.T) {
+	a, b := quarantine.NewGuard(), quarantine.NewGuard()
+	a.Apply(quarantine.Notice{Convicted: []quarantine.Fingerprint{poison}}, begin)
+	now := begin
+	for range 2 * quarantine.ConvictionLifetime / quarantine.LearnPeriod {
+		b.Learn(a.Convicted(now), now)
+		a.Learn(b.Convicted(now), now)
+		if now == begin {
+			must.Eq(t, quarantine.StandingConvicted, b.Standing(poison, now))
+		}
+		now = now.Add(quarantine.LearnPeriod)
+	}
+	must.Eq(t, quarantine.StandingFree, a.Standing(poison, now))
+	must.Eq(t, quarantine.StandingFree, b.Standing(poison, now))
+}
+
 // BenchmarkAsk is the cost of one suspect's reservation and release among the given number of
 // suspicions.
 func BenchmarkAsk(b *testing.B) {
--- a/requests/defaults.go
+++ b/requests/defaults.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/quarantine"
 )
 
 // Unlimited is a Retries without a budget.
@@ -17,14 +18,30 @@
 	return true, 0
 }
 
+// Unbounded is a Limits that lets every request pass.
+type Unbounded struct{}
+
+// Allow lets the request pass.
+func (Unbounded) Allow(chicoryhall.ServiceName, chicoryhall.Organisation, time.Time) (bool, time.Duration) {
+	return true, 0
+}
+
 // Trusting is a Quarantine that refuses no request.
 type Trusting struct{}
 
-// Begin allows the request.
-func (Trusting) Begin(chicoryhall.RequestID, uint64, []chicoryhall.EngineID) bool { return true }
+// Avoid names no engine.
+func (Trusting) Avoid() []chicoryhall.EngineID { return nil }
 
-// End does nothing.
-func (Trusting) End(chicoryhall.RequestID) {}
+// Begin allows the request.
+func (Trusting) Begin(_ chicoryhall.RequestID, _ quarantine.Fingerprint, _ []chicoryhall.Hop, decided func(quarantine.Answer)) {
+	decided(quarantine.Answer{Decision: quarantine.DecisionFree})
+}
 
 // Crashed does nothing.
-func (Trusting) Crashed(chicoryhall.RequestID, uint64, chicoryhall.EngineID) {}
+func (Trusting) Crashed(quarantine.Fingerprint, chicoryhall.Hop) {}
+
+// Passed does nothing.
+func (Trusting) Passed(chicoryhall.RequestID, quarantine.Fingerprint) {}
+
+// End does nothing.
+func (Trusting) End(chicoryhall.RequestID, quarantine.Fingerprint) {}
--- a/requests/perform.go
+++ b/requests/perform.go
@@ -25,6 +25,7 @@
 func (r *Request) stepEvents(attempt int, events []engine.Event) {
 	now := r.parts().Timer.Now()
 	r.perform(r.machine.StepEvents(now, attempt, events))
+	r.probationStep()
 }
 
 func (r *Request) perform(actions []stream.Action) {
@@ -74,37 +75,6 @@
 	}
 }
 
-// chooseRoute asks the retry budget and the router, and answers the machine.
-func (r *Request) chooseRoute(action *stream.Action) {
-	if action.Recovery {
-		r.timing.recovering()
-		r.parts().Metrics.recoveries(r.record.Service).Inc()
-		if allowed, retryAfter := r.parts().Retries.Take(r.record.Service); !allowed {
-			r.answer(stream.Input{Kind: stream.InputUnroutable, Reason: stream.ReasonBudget, RetryAfter: retryAfter})
-			return
-		}
-	}
-	route, err := r.parts().Router.Choose(r.routeQuery(action.Exclude, action.Keep, action.Attempt))
-	if err != nil {
-		r.parts().Log.Log(event.RequestUnroutable, "request", r.record.ID, "error", err)
-		r.answer(stream.Input{Kind: stream.InputUnroutable, Reason: stream.ReasonNoRoute})
-		return
-	}
-	if !r.parts().Quarantine.Begin(r.record.ID, r.fingerprint, enginesOf(route.Hops)) {
-		r.answer(stream.Input{Kind: stream.InputUnroutable, Reason: stream.ReasonQuarantined})
-		return
-	}
-	r.answer(stream.Input{Kind: stream.InputRouted, Route: route})
-}
-
-func enginesOf(hops []chicoryhall.Hop) []chicoryhall.EngineID {
-	ids := make([]chicoryhall.EngineID, len(hops))
-	for i, hop := range hops {
-		ids[i] = hop.Engine
-	}
-	return ids
-}
-
 // answer brings an input to the machine after the step in progress.
 func (r *Request) answer(in stream.Input) {
 	r.post(message{input: &in})
@@ -202,7 +172,9 @@
 		return
 	}
 	r.parts().Log.Log(event.EndpointFailed, "request", r.record.ID, "endpoint", action.Engine, "observed", action.Observation)
-	r.parts().Quarantine.Crashed(r.record.ID, r.fingerprint, action.Engine)
+	if action.Observation == chicoryhall.ObservedBrokenConnection {
+		r.crashed(action.Engine)
+	}
 }
 
 // attemptHandler hands the engine client's calls on to the request.
--- a/requests/probe.go
+++ b/requests/probe.go
@@ -22,28 +22,31 @@
 func (r *Request) probe(attempt int, id chicoryhall.EngineID, address string) {
 	r.parts().Engines.ForgetIdle(address)
 	r.service.work.Go(func() error {
-		alive := r.service.isAlive(address)
+		alive, gone := r.service.isAlive(address)
+		if gone {
+			r.post(message{call: func() { r.crashed(id) }})
+		}
 		r.answer(stream.Input{Kind: stream.InputProbed, Attempt: attempt, Engine: id, Alive: alive})
 		return nil
 	})
 }
 
-// isAlive probes an endpoint; a probe that timed out while this daemon was late proves nothing
-// and is repeated.
-func (s *Service) isAlive(address string) bool {
+// isAlive probes an endpoint; gone tells that no process serves there. A probe that timed out while
+// this daemon was late proves nothing and is repeated.
+func (s *Service) isAlive(address string) (alive, gone bool) {
 	for range maxProbes {
 		began := s.parts.Timer.Now()
 		kind, failed := s.probeOnce(address)
 		if !failed {
-			return true
+			return true, false
 		}
 		timedOut := kind == engine.FailureSilent || kind == engine.FailureUnreachable
 		if !timedOut || !s.lag.lateSince(began, s.parts.Timer.Now()) {
-			return false
+			return false, kind.IsGone()
 		}
 		s.parts.Metrics.inconclusiveProbes().Inc()
 	}
-	return false
+	return false, false
 }
 
 // probeOnce returns how a probe failed; an answer of any status is none.
--- a/requests/request.go
+++ b/requests/request.go
@@ -10,6 +10,7 @@
 	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/digest"
 	"chicoryhall.example/chicoryhall/engine"
+	"chicoryhall.example/chicoryhall/quarantine"
 	"chicoryhall.example/chicoryhall/stream"
 )
 
@@ -22,9 +23,11 @@
 	record      chicoryhall.RequestRecord
 	prompt      []digest.Token
 	fingerprint uint64
-	resumed     bool
-	began       time.Time
-	ended       atomic.Bool
+	// content names the service and the prompt, by which crashes are blamed.
+	content quarantine.Fingerprint
+	resumed bool
+	began   time.Time
+	ended   atomic.Bool
 
 	mailbox mailbox
 
@@ -39,7 +42,9 @@
 	// current is the open attempt, or nil; counted are the endpoints that count it.
 	current *engine.Stream
 	counted []chicoryhall.Hop
-	timing  timing
+	// probationEnd is the number of tokens at which a suspect is cleared, or 0.
+	probationEnd int
+	timing       timing
 }
 
 // followed is a follower with the position that it is told next.
@@ -52,7 +57,7 @@
 	record := submission.Record
 	r := &Request{
 		service: s, document: submission.Document, class: submission.Class, record: record,
-		fingerprint: fingerprintOf(record), began: s.parts.Timer.Now(),
+		fingerprint: fingerprintOf(record), content: contentOf(record), began: s.parts.Timer.Now(),
 	}
 	if submission.Document.Kind == chicoryhall.ServicePipeline {
 		r.prompt = digest.Prompt(record.Prompt)
@@ -71,6 +76,12 @@
 		record.Service, record.Class, record.Prompt, record.MaxTokens, record.Operation, record.Body))
 }
 
+// contentOf names what an endpoint works on, whatever the class and the answer's length.
+func contentOf(record chicoryhall.RequestRecord) quarantine.Fingerprint {
+	return quarantine.Fingerprint(xxhash.Sum64String(fmt.Sprintf("%q %q %q %q",
+		record.Service, record.Prompt, record.Operation, record.Body)))
+}
+
 // ID returns the request's id.
 func (r *Request) ID() chicoryhall.RequestID { return r.record.ID }
 
@@ -167,7 +178,7 @@
 	if result.Outcome == chicoryhall.Answered {
 		r.parts().Retries.Succeeded(r.record.Service)
 	}
-	r.parts().Quarantine.End(r.record.ID)
+	r.endProbationAs(result.Outcome)
 	r.measureEnd()
 	followers := r.followers
 	r.followers = nil
--- /dev/null
+++ b/requests/route.go
@@ -0,0 +1,132 @@
+package requests
+
+import (
+	"slices"
+	"time"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/event"
+	"chicoryhall.example/chicoryhall/quarantine"
+	"chicoryhall.example/chicoryhall/stream"
+)
+
+const (
+	// reservationPoll is the time after which a suspect asks again for engines of its own.
+	reservationPoll = 25 * time.Millisecond
+	// probationTokens is the number of tokens behind a crash that clear a suspect.
+	probationTokens = 4
+)
+
+// chooseRoute asks the retry budget, the router and the quarantine, and answers the machine.
+func (r *Request) chooseRoute(action *stream.Action) {
+	r.endProbation()
+	if action.Recovery && !r.mayRetry(action.Reason) {
+		return
+	}
+	r.place(*action, nil)
+}
+
+// mayRetry asks the retry budget. Replacing a lost endpoint spends nothing: it gets no more work.
+func (r *Request) mayRetry(cause stream.Reason) bool {
+	r.timing.recovering()
+	r.parts().Metrics.recoveries(r.record.Service).Inc()
+	if cause != stream.ReasonEndpointRefused {
+		return true
+	}
+	allowed, retryAfter := r.parts().Retries.Take(r.record.Service)
+	if !allowed {
+		r.answer(stream.Input{Kind: stream.InputUnroutable, Reason: stream.ReasonBudget, RetryAfter: retryAfter})
+	}
+	return allowed
+}
+
+// place chooses a route, off the busy engines and those of suspects if possible, and asks the
+// quarantine for its new stages.
+func (r *Request) place(action stream.Action, busy []chicoryhall.EngineID) {
+	if r.ended.Load() {
+		return
+	}
+	route, err := r.routeAvoiding(action, append(r.parts().Quarantine.Avoid(), busy...))
+	if err != nil {
+		r.parts().Log.Log(event.RequestUnroutable, "request", r.record.ID, "error", err)
+		r.answer(stream.Input{Kind: stream.InputUnroutable, Reason: stream.ReasonNoRoute})
+		return
+	}
+	r.parts().Quarantine.Begin(r.record.ID, r.content, newStages(route.Hops), func(answer quarantine.Answer) {
+		r.post(message{call: func() { r.decided(action, route, answer) }})
+	})
+}
+
+// routeAvoiding chooses a route without the engines to avoid, or else with them; stages that are
+// kept are not avoided.
+func (r *Request) routeAvoiding(action stream.Action, avoid []chicoryhall.EngineID) (chicoryhall.Route, error) {
+	query := r.routeQuery(action.Exclude, action.Keep, action.Attempt)
+	avoid = slices.DeleteFunc(avoid, func(id chicoryhall.EngineID) bool { return keeps(action.Keep, id) })
+	if len(avoid) == 0 {
+		return r.parts().Router.Choose(query)
+	}
+	query.Exclude = slices.Concat(action.Exclude, avoid)
+	if route, err := r.parts().Router.Choose(query); err == nil {
+		return route, nil
+	}
+	query.Exclude = action.Exclude
+	return r.parts().Router.Choose(query)
+}
+
+// newStages are the stages of a route that have not run the request before.
+func newStages(hops []chicoryhall.Hop) []chicoryhall.Hop {
+	return slices.DeleteFunc(slices.Clone(hops), func(h chicoryhall.Hop) bool { return h.Keep })
+}
+
+// decided goes on with the quarantine's answer.
+func (r *Request) decided(action stream.Action, route chicoryhall.Route, answer quarantine.Answer) {
+	switch answer.Decision {
+	case quarantine.DecisionRefuse:
+		r.parts().Log.Log(event.RequestQuarantined, "request", r.record.ID, "fingerprint", r.content)
+		r.answer(stream.Input{Kind: stream.InputUnroutable, Reason: stream.ReasonQuarantined})
+	case quarantine.DecisionWait:
+		r.parts().Timer.After(reservationPoll, func(time.Time) {
+			r.post(message{call: func() { r.place(action, answer.Busy) }})
+		})
+	case quarantine.DecisionReserved:
+		r.probationEnd = len(r.machine.Tokens()) + probationTokens
+		r.answer(stream.Input{Kind: stream.InputRouted, Route: route})
+	case quarantine.DecisionFree:
+		r.answer(stream.Input{Kind: stream.InputRouted, Route: route})
+	}
+}
+
+// probationStep clears a suspect that has generated enough tokens.
+func (r *Request) probationStep() {
+	if r.probationEnd > 0 && len(r.machine.Tokens()) >= r.probationEnd {
+		r.probationEnd = 0
+		r.parts().Quarantine.Passed(r.record.ID, r.content)
+	}
+}
+
+// endProbation gives up a reservation without a verdict.
+func (r *Request) endProbation() {
+	if r.probationEnd > 0 {
+		r.probationEnd = 0
+		r.parts().Quarantine.End(r.record.ID, r.content)
+	}
+}
+
+// endProbationAs clears a suspect that was answered in full, and gives up its reservation otherwise.
+func (r *Request) endProbationAs(outcome chicoryhall.Outcome) {
+	if r.probationEnd > 0 && outcome == chicoryhall.Answered {
+		r.probationEnd = 0
+		r.parts().Quarantine.Passed(r.record.ID, r.content)
+		return
+	}
+	r.endProbation()
+}
+
+// crashed tells the quarantine of a stage that broke while the request was on it.
+func (r *Request) crashed(id chicoryhall.EngineID) {
+	for _, hop := range r.counted {
+		if hop.Engine == id {
+			r.parts().Quarantine.Crashed(r.content, hop)
+		}
+	}
+}
--- a/requests/service.go
+++ b/requests/service.go
@@ -12,6 +12,7 @@
 	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/engine"
 	"chicoryhall.example/chicoryhall/event"
+	"chicoryhall.example/chicoryhall/quarantine"
 )
 
 // Parts are the parts that requests need.
@@ -26,6 +27,7 @@
 	Admission     chicoryhall.Admission
 	Keeper        chicoryhall.Keeper
 	Claims        chicoryhall.Claims
+	Limits        Limits
 	Retries       Retries
 	Quarantine    Quarantine
 	Log           *event.Logger
@@ -40,14 +42,25 @@
 	Take(service chicoryhall.ServiceName) (allowed bool, retryAfter time.Duration)
 }
 
+// Limits bounds the rate of each organisation over all daemons.
+type Limits interface {
+	// Allow reports whether a request may pass now, or after what time it may.
+	Allow(service chicoryhall.ServiceName, organisation chicoryhall.Organisation, now time.Time) (bool, time.Duration)
+}
+
 // Quarantine keeps requests that crash endpoints away from them.
 type Quarantine interface {
-	// Begin counts a request at an endpoint; false means that the request is refused.
-	Begin(id chicoryhall.RequestID, fingerprint uint64, at []chicoryhall.EngineID) bool
-	// End counts a request that has left its endpoints alive.
-	End(id chicoryhall.RequestID)
-	// Crashed tells that an endpoint was lost while the request was on it.
-	Crashed(id chicoryhall.RequestID, fingerprint uint64, endpoint chicoryhall.EngineID)
+	// Avoid returns the engines on which suspects run alone.
+	Avoid() []chicoryhall.EngineID
+	// Begin asks whether a request may run on stages that it has not run on before; decided is
+	// called once, at once or on another goroutine.
+	Begin(id chicoryhall.RequestID, fingerprint quarantine.Fingerprint, stages []chicoryhall.Hop, decided func(quarantine.Answer))
+	// Crashed tells that the connection to a stage broke while the request was on it.
+	Crashed(fingerprint quarantine.Fingerprint, stage chicoryhall.Hop)
+	// Passed tells that a suspect has run beyond the point of the crash.
+	Passed(id chicoryhall.RequestID, fingerprint quarantine.Fingerprint)
+	// End tells that a request has ended.
+	End(id chicoryhall.RequestID, fingerprint quarantine.Fingerprint)
 }
 
 // ErrStopping is the refusal of new requests by a daemon that stops.
--- a/requests/submit.go
+++ b/requests/submit.go
@@ -114,6 +114,10 @@
 		r.post(message{call: func() { r.admitted(noPermit{}) }})
 		return
 	}
+	if allowed, retryAfter := r.parts().Limits.Allow(r.record.Service, r.record.Organisation, now); !allowed {
+		r.post(message{call: func() { r.overLimit(retryAfter) }})
+		return
+	}
 	r.parts().Admission.Enter(r.admissionQuery(), func(permit chicoryhall.Permit) {
 		r.post(message{call: func() { r.admitted(permit) }})
 	}, func(retryAfter time.Duration, reason string) {
@@ -135,6 +139,11 @@
 	return query
 }
 
+// overLimit refuses a request of an organisation that is over its rate.
+func (r *Request) overLimit(retryAfter time.Duration) {
+	r.finish(chicoryhall.Result{Outcome: chicoryhall.NotRun, Reason: stream.ReasonLimit.String(), RetryAfter: retryAfter})
+}
+
 func (r *Request) refused(retryAfter time.Duration, reason string) {
 	r.finish(chicoryhall.Result{Outcome: chicoryhall.NotRun, Reason: stream.ReasonOverload.String(), RetryAfter: retryAfter, Body: reason})
 }
--- /dev/null
+++ b/retry/budgets.go
@@ -0,0 +1,51 @@
+package retry
+
+import (
+	"sync"
+	"time"
+
+	"chicoryhall.example/chicoryhall"
+)
+
+// retryAfterSpent is the time to come back when a service's budget is spent.
+const retryAfterSpent = time.Second
+
+// Budgets holds one Budget for each service whose document is in force; it is safe for concurrent
+// use.
+type Budgets struct {
+	documents chicoryhall.Documents
+
+	mu        sync.Mutex
+	byService map[chicoryhall.ServiceName]*Budget
+}
+
+// NewBudgets returns the budgets of a daemon that has just started.
+func NewBudgets(documents chicoryhall.Documents) *Budgets {
+	return &Budgets{documents: documents, byService: make(map[chicoryhall.ServiceName]*Budget)}
+}
+
+// Succeeded counts a request that was answered.
+func (b *Budgets) Succeeded(service chicoryhall.ServiceName) {
+	if inForce, ok := b.documents.InForce(service); ok {
+		b.of(service).Succeeded(inForce.Document.Retries.BudgetPercent)
+	}
+}
+
+// Take spends one retry, or returns the time after which there may be one.
+func (b *Budgets) Take(service chicoryhall.ServiceName) (allowed bool, retryAfter time.Duration) {
+	if b.of(service).Spend() {
+		return true, 0
+	}
+	return false, retryAfterSpent
+}
+
+func (b *Budgets) of(service chicoryhall.ServiceName) *Budget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	budget := b.byService[service]
+	if budget == nil {
+		budget = NewBudget()
+		b.byService[service] = budget
+	}
+	return budget
+}
--- a/stream/action.go
+++ b/stream/action.go
@@ -15,7 +15,8 @@
 
 // The kinds of actions.
 const (
-	// ActionChooseRoute asks for a route; Recovery tells that it replaces a failed attempt.
+	// ActionChooseRoute asks for a route; Recovery tells that it replaces an attempt that failed
+	// for Reason.
 	ActionChooseRoute ActionKind = iota
 	// ActionRaiseAttempt asks to record Attempt at the second holder.
 	ActionRaiseAttempt
@@ -62,6 +63,8 @@
 	ReasonNotIdempotent
 	// ReasonOverload means that admission refused the request.
 	ReasonOverload
+	// ReasonLimit means that the organisation is over its rate.
+	ReasonLimit
 	// ReasonShutdown means that this daemon is stopping.
 	ReasonShutdown
 	// ReasonHolder means that no second daemon holds the request.
--- a/stream/machine.go
+++ b/stream/machine.go
@@ -178,14 +178,15 @@
 		m.whole()
 		return
 	}
-	m.chooseRoute(false, nil)
+	m.chooseRoute(ReasonNone, nil)
 }
 
-// chooseRoute asks for the route of the next attempt.
-func (m *Machine) chooseRoute(recovery bool, keep []chicoryhall.Hop) {
+// chooseRoute asks for the route of the next attempt, which replaces a failed one unless cause is
+// ReasonNone.
+func (m *Machine) chooseRoute(cause Reason, keep []chicoryhall.Hop) {
 	m.phase = phaseRouting
 	m.do(Action{
-		Kind: ActionChooseRoute, Attempt: m.attempt, Recovery: recovery,
+		Kind: ActionChooseRoute, Attempt: m.attempt, Recovery: cause != ReasonNone, Reason: cause,
 		Position: len(m.tokens), Exclude: m.exclude, Keep: keep,
 	})
 }
--- a/stream/reason_enumer.go
+++ b/stream/reason_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "noneno-routedeadlinecancelledreplacedendpointsbudgetquarantinednot-idempotentoverloadshutdownholderclaimendpoint-failedendpoint-silentendpoint-refused"
+const _ReasonName = "noneno-routedeadlinecancelledreplacedendpointsbudgetquarantinednot-idempotentoverloadlimitshutdownholderclaimendpoint-failedendpoint-silentendpoint-refused"
 
-var _ReasonIndex = [...]uint8{0, 4, 12, 20, 29, 37, 46, 52, 63, 77, 85, 93, 99, 104, 119, 134, 150}
+var _ReasonIndex = [...]uint8{0, 4, 12, 20, 29, 37, 46, 52, 63, 77, 85, 90, 98, 104, 109, 124, 139, 155}
 
-const _ReasonLowerName = "noneno-routedeadlinecancelledreplacedendpointsbudgetquarantinednot-idempotentoverloadshutdownholderclaimendpoint-failedendpoint-silentendpoint-refused"
+const _ReasonLowerName = "noneno-routedeadlinecancelledreplacedendpointsbudgetquarantinednot-idempotentoverloadlimitshutdownholderclaimendpoint-failedendpoint-silentendpoint-refused"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -34,15 +34,16 @@
 	_ = x[ReasonQuarantined-(7)]
 	_ = x[ReasonNotIdempotent-(8)]
 	_ = x[ReasonOverload-(9)]
-	_ = x[ReasonShutdown-(10)]
-	_ = x[ReasonHolder-(11)]
-	_ = x[ReasonClaim-(12)]
-	_ = x[ReasonEndpointFailed-(13)]
-	_ = x[ReasonEndpointSilent-(14)]
-	_ = x[ReasonEndpointRefused-(15)]
+	_ = x[ReasonLimit-(10)]
+	_ = x[ReasonShutdown-(11)]
+	_ = x[ReasonHolder-(12)]
+	_ = x[ReasonClaim-(13)]
+	_ = x[ReasonEndpointFailed-(14)]
+	_ = x[ReasonEndpointSilent-(15)]
+	_ = x[ReasonEndpointRefused-(16)]
 }
 
-var _ReasonValues = []Reason{ReasonNone, ReasonNoRoute, ReasonDeadline, ReasonCancelled, ReasonReplaced, ReasonEndpoints, ReasonBudget, ReasonQuarantined, ReasonNotIdempotent, ReasonOverload, ReasonShutdown, ReasonHolder, ReasonClaim, ReasonEndpointFailed, ReasonEndpointSilent, ReasonEndpointRefused}
+var _ReasonValues = []Reason{ReasonNone, ReasonNoRoute, ReasonDeadline, ReasonCancelled, ReasonReplaced, ReasonEndpoints, ReasonBudget, ReasonQuarantined, ReasonNotIdempotent, ReasonOverload, ReasonLimit, ReasonShutdown, ReasonHolder, ReasonClaim, ReasonEndpointFailed, ReasonEndpointSilent, ReasonEndpointRefused}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:4]:     ReasonNone,
@@ -55,12 +56,13 @@
 	_ReasonName[52:63]:   ReasonQuarantined,
 	_ReasonName[63:77]:   ReasonNotIdempotent,
 	_ReasonName[77:85]:   ReasonOverload,
-	_ReasonName[85:93]:   ReasonShutdown,
-	_ReasonName[93:99]:   ReasonHolder,
-	_ReasonName[99:104]:  ReasonClaim,
-	_ReasonName[104:119]: ReasonEndpointFailed,
-	_ReasonName[119:134]: ReasonEndpointSilent,
-	_ReasonName[134:150]: ReasonEndpointRefused,
+	_ReasonName[85:90]:   ReasonLimit,
+	_ReasonName[90:98]:   ReasonShutdown,
+	_ReasonName[98:104]:  ReasonHolder,
+	_ReasonName[104:109]: ReasonClaim,
+	_ReasonName[109:124]: ReasonEndpointFailed,
+	_ReasonName[124:139]: ReasonEndpointSilent,
+	_ReasonName[139:155]: ReasonEndpointRefused,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -74,12 +76,13 @@
 	_ReasonLowerName[52:63]:   ReasonQuarantined,
 	_ReasonLowerName[63:77]:   ReasonNotIdempotent,
 	_ReasonLowerName[77:85]:   ReasonOverload,
-	_ReasonLowerName[85:93]:   ReasonShutdown,
-	_ReasonLowerName[93:99]:   ReasonHolder,
-	_ReasonLowerName[99:104]:  ReasonClaim,
-	_ReasonLowerName[104:119]: ReasonEndpointFailed,
-	_ReasonLowerName[119:134]: ReasonEndpointSilent,
-	_ReasonLowerName[134:150]: ReasonEndpointRefused,
+	_ReasonLowerName[85:90]:   ReasonLimit,
+	_ReasonLowerName[90:98]:   ReasonShutdown,
+	_ReasonLowerName[98:104]:  ReasonHolder,
+	_ReasonLowerName[104:109]: ReasonClaim,
+	_ReasonLowerName[109:124]: ReasonEndpointFailed,
+	_ReasonLowerName[124:139]: ReasonEndpointSilent,
+	_ReasonLowerName[139:155]: ReasonEndpointRefused,
 }
 
 var _ReasonNames = []string{
@@ -93,12 +96,13 @@
 	_ReasonName[52:63],
 	_ReasonName[63:77],
 	_ReasonName[77:85],
-	_ReasonName[85:93],
-	_ReasonName[93:99],
-	_ReasonName[99:104],
-	_ReasonName[104:119],
-	_ReasonName[119:134],
-	_ReasonName[134:150],
+	_ReasonName[85:90],
+	_ReasonName[90:98],
+	_ReasonName[98:104],
+	_ReasonName[104:109],
+	_ReasonName[109:124],
+	_ReasonName[124:139],
+	_ReasonName[139:155],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/stream/recovery.go
+++ b/stream/recovery.go
@@ -182,7 +182,7 @@
 	m.opened, m.reached = false, false
 	m.probing, m.stalled = "", ""
 	m.dropped = m.dropped[:0]
-	m.chooseRoute(true, keep)
+	m.chooseRoute(reason, keep)
 }
 
 // surviving are the stages of the current attempt that hold KV and are not blamed.
