Keep a suspect's reservation until its crash has been reported

Cause: TestProofs/crash/prompt lost three to four engines with the quarantine wired. Three faults, each seen in its logs: - behind the proxy a dead engine breaks new connections instead of refusing them: both now count as gone (engine.IsGone); - a probe right after the crash found the process still answering, so that the request ran elsewhere without suspicion: a broken connection now makes a suspect at once, and the endpoint is probed up to three times; - choosing the next route gave the reservation back before the crash of the reserved engine was reported, so that nobody was convicted.

--- a/cmd/chicoryhall/daemon/quarantine.go
+++ b/cmd/chicoryhall/daemon/quarantine.go
@@ -20,6 +20,9 @@
 	arbiterTimeout = 250 * time.Millisecond
 	// crashProbeTimeout bounds the probe that tells a crashed endpoint from a broken connection.
 	crashProbeTimeout = 50 * time.Millisecond
+	// crashProbes and crashProbePause: an endpoint that crashes may answer until its process ends.
+	crashProbes     = 3
+	crashProbePause = 20 * time.Millisecond
 	// noticeTimeout bounds the sending of one notice.
 	noticeTimeout = time.Second
 )
@@ -27,14 +30,15 @@
 // quarantineDesk is a requests.Quarantine: it asks the arbiter for suspects and spreads its
 // notices when this daemon is the arbiter.
 type quarantineDesk struct {
-	self    chicoryhall.DaemonID
-	guard   *quarantine.Guard
-	timer   chicoryhall.Timer
-	members chicoryhall.Members
-	node    *peer.Node
-	engines *engine.Client
-	log     *event.Logger
-	work    errgroup.Group
+	self      chicoryhall.DaemonID
+	guard     *quarantine.Guard
+	timer     chicoryhall.Timer
+	members   chicoryhall.Members
+	node      *peer.Node
+	engines   *engine.Client
+	endpoints chicoryhall.Endpoints
+	log       *event.Logger
+	work      errgroup.Group
 
 	mu      sync.Mutex
 	arbiter *quarantine.Arbiter
@@ -46,7 +50,7 @@
 func (b *builder) buildQuarantine() error {
 	desk := &quarantineDesk{
 		self: b.settings.ID, guard: quarantine.NewGuard(), timer: b.timer, members: b.members,
-		node: b.node, engines: b.engines, log: b.log, arbiter: quarantine.NewArbiter(),
+		node: b.node, engines: b.engines, endpoints: b.endpoints, log: b.log, arbiter: quarantine.NewArbiter(),
 		addresses: make(map[chicoryhall.EngineID]string),
 	}
 	peer.Handle(b.node, quarantine.MethodAsk, desk.handleAsk)
@@ -120,7 +124,7 @@
 	}
 	d.log.Log(event.SuspectWaits, "request", id, "crashed", crashed, "engines", ask.Engines)
 	for _, stage := range stages {
-		if !d.answers(stage.Address) {
+		if !d.answers(stage) {
 			d.End(id, fingerprint)
 			return quarantine.Answer{Decision: quarantine.DecisionWait, Busy: []chicoryhall.EngineID{stage.Engine}}
 		}
@@ -128,7 +132,7 @@
 	return answer
 }
 
-// reallyCrashed returns the endpoints whose address refuses new connections.
+// reallyCrashed returns the endpoints that refuse or break new connections.
 func (d *quarantineDesk) reallyCrashed(broken []chicoryhall.EngineID) []chicoryhall.EngineID {
 	var crashed []chicoryhall.EngineID
 	for _, id := range broken {
@@ -136,28 +140,45 @@
 		address := d.addresses[id]
 		delete(d.addresses, id)
 		d.mu.Unlock()
-		if address == "" || d.refuses(address) {
+		if address == "" || d.isGone(address) {
 			crashed = append(crashed, id)
 		}
 	}
 	return crashed
 }
 
+// isGone probes an endpoint a few times until it is gone.
+func (d *quarantineDesk) isGone(address string) bool {
+	for try := range crashProbes {
+		if try > 0 {
+			time.Sleep(crashProbePause)
+		}
+		if engine.IsGone(d.probe(address)) {
+			return true
+		}
+	}
+	return false
+}
+
 func (d *quarantineDesk) probe(address string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 	defer cancel()
 	return d.engines.Probe(ctx, address)
 }
 
-func (d *quarantineDesk) refuses(address string) bool {
+// answers reports whether a stage's engine lives, and tells the view of endpoints if it does not.
+func (d *quarantineDesk) answers(stage chicoryhall.Hop) bool {
+	err := d.probe(stage.Address)
 	var failure *engine.Error
-	return errors.As(d.probe(address), &failure) && failure.Kind() == engine.FailureRefused
-}
-
-func (d *quarantineDesk) answers(address string) bool {
-	err := d.probe(address)
-	var failure *engine.Error
-	return err == nil || (errors.As(err, &failure) && failure.Kind() == engine.FailureStatus)
+	if err == nil || (errors.As(err, &failure) && failure.Kind() == engine.FailureStatus) {
+		return true
+	}
+	observed := chicoryhall.ObservedSilence
+	if engine.IsGone(err) {
+		observed = chicoryhall.ObservedRefusedConnection
+	}
+	d.endpoints.Observe(stage.Engine, observed)
+	return false
 }
 
 // Passed clears a suspect.
--- a/engine/errors.go
+++ b/engine/errors.go
@@ -1,6 +1,10 @@
 package engine
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+)
 
 //go:generate go tool enumer -type=FailureKind -text -transform=kebab -trimprefix=Failure -output=failurekind_enumer.go
 
@@ -60,3 +64,15 @@
 	}
 	return fmt.Sprintf("%s at %s: %s: %v", e.step, e.peer, e.kind, e.cause)
 }
+
+// IsGone reports whether the failure of a new connection tells that no process serves at the
+// address: it was refused, or closed without an answer as a relay does for a peer that is gone.
+func (k FailureKind) IsGone() bool {
+	return k == FailureRefused || k == FailureBroken
+}
+
+// IsGone reports whether err is such a failure of a new connection.
+func IsGone(err error) bool {
+	var failure *Error
+	return errors.As(err, &failure) && failure.kind.IsGone()
+}
--- a/requests/perform.go
+++ b/requests/perform.go
@@ -196,5 +196,8 @@
 // OnFailure hands the end of the connection on.
 func (h *attemptHandler) OnFailure(failure *engine.Error) {
 	h.request.parts().Log.Log(event.AttemptFailed, "request", h.request.record.ID, "attempt", h.attempt, "error", failure)
+	if failure.Sent() && failure.Kind() == engine.FailureBroken {
+		h.request.post(message{call: func() { h.request.firstStageBroke(h.attempt) }})
+	}
 	h.request.answer(stream.Input{Kind: stream.InputFailed, Attempt: h.attempt, Failure: failure.Kind(), Sent: failure.Sent()})
 }
--- a/requests/request.go
+++ b/requests/request.go
@@ -42,7 +42,9 @@
 	// current is the open attempt, or nil; counted are the endpoints that count it.
 	current *engine.Stream
 	counted []chicoryhall.Hop
-	// probationEnd is the number of tokens at which a suspect is cleared, or 0.
+	// reserved tells that the quarantine has reserved engines for the request; probationEnd is the
+	// number of tokens at which it is cleared then.
+	reserved     bool
 	probationEnd int
 	timing       timing
 }
@@ -178,7 +180,7 @@
 	if result.Outcome == chicoryhall.Answered {
 		r.parts().Retries.Succeeded(r.record.Service)
 	}
-	r.endProbationAs(result.Outcome)
+	r.endProbation(result.Outcome)
 	r.measureEnd()
 	followers := r.followers
 	r.followers = nil
--- a/requests/route.go
+++ b/requests/route.go
@@ -19,7 +19,7 @@
 
 // chooseRoute asks the retry budget, the router and the quarantine, and answers the machine.
 func (r *Request) chooseRoute(action *stream.Action) {
-	r.endProbation()
+	// The reservation of the attempt before stands until the quarantine has heard of its end.
 	if action.Recovery && !r.mayRetry(action.Reason) {
 		return
 	}
@@ -89,6 +89,7 @@
 			r.post(message{call: func() { r.place(action, answer.Busy) }})
 		})
 	case quarantine.DecisionReserved:
+		r.reserved = true
 		r.probationEnd = len(r.machine.Tokens()) + probationTokens
 		r.answer(stream.Input{Kind: stream.InputRouted, Route: route})
 	case quarantine.DecisionFree:
@@ -98,28 +99,30 @@
 
 // probationStep clears a suspect that has generated enough tokens.
 func (r *Request) probationStep() {
-	if r.probationEnd > 0 && len(r.machine.Tokens()) >= r.probationEnd {
-		r.probationEnd = 0
+	if r.reserved && len(r.machine.Tokens()) >= r.probationEnd {
+		r.reserved = false
 		r.parts().Quarantine.Passed(r.record.ID, r.content)
 	}
 }
 
-// endProbation gives up a reservation without a verdict.
-func (r *Request) endProbation() {
-	if r.probationEnd > 0 {
-		r.probationEnd = 0
-		r.parts().Quarantine.End(r.record.ID, r.content)
+// endProbation clears a suspect that was answered in full, and gives its reservation back otherwise.
+func (r *Request) endProbation(outcome chicoryhall.Outcome) {
+	if !r.reserved {
+		return
 	}
-}
-
-// endProbationAs clears a suspect that was answered in full, and gives up its reservation otherwise.
-func (r *Request) endProbationAs(outcome chicoryhall.Outcome) {
-	if r.probationEnd > 0 && outcome == chicoryhall.Answered {
-		r.probationEnd = 0
+	r.reserved = false
+	if outcome == chicoryhall.Answered {
 		r.parts().Quarantine.Passed(r.record.ID, r.content)
 		return
 	}
-	r.endProbation()
+	r.parts().Quarantine.End(r.record.ID, r.content)
+}
+
+// firstStageBroke tells the quarantine that the connection of an attempt broke.
+func (r *Request) firstStageBroke(attempt int) {
+	if attempt == r.machine.Attempt() && len(r.counted) > 0 {
+		r.crashed(r.counted[0].Engine)
+	}
 }
 
 // crashed tells the quarantine of a stage that broke while the request was on it.
