Name the scenarios of faults in the layout

Cause: one plan had one pair of faults; recovery must be measured for each kind of failure, at one and at three engines at once.

--- a/cmd/chicorybench/entry/layout.go
+++ b/cmd/chicorybench/entry/layout.go
@@ -28,11 +28,14 @@
 		flags.DurationVar(&options.Duration, "duration", 20*time.Second, "`TIME` of the load")
 		flags.Float64Var(&options.Load, "load", 1, "`FACTOR` on all rates")
 		flags.IntVar(&options.Daemons, "daemons", 0, "`NUMBER` of daemons in each failure domain; 0 follows the scale")
-		flags.BoolVar(&options.Faults, "faults", true, "crash an engine and kill a daemon on the way")
+		flags.StringVar(&options.Scenario, "scenario", "demo", "`NAME` of the faults: "+layout.ScenarioNames())
 		return func(_ context.Context, _ command.Streams, arguments []string) error {
 			if len(arguments) != 1 {
 				return command.UsageError("name one folder, got %d", len(arguments))
 			}
+			if !layout.KnownScenario(options.Scenario) {
+				return command.UsageError("there is no scenario %q; use one of %s", options.Scenario, layout.ScenarioNames())
+			}
 			folder, err := filepath.Abs(arguments[0])
 			if err != nil {
 				return errors.Wrap(err, "folder")
--- a/cmd/chicorybench/layout/layout.go
+++ b/cmd/chicorybench/layout/layout.go
@@ -55,8 +55,8 @@
 	Load float64
 	// Daemons is the number of daemons in each failure domain; 0 follows the scale.
 	Daemons int
-	// Faults adds an engine's crash and a daemon's kill to the plan.
-	Faults bool
+	// Scenario names the faults of the plan.
+	Scenario string
 }
 
 // Layout is one deployment with its processes and services.
--- /dev/null
+++ b/cmd/chicorybench/layout/scenarios.go
@@ -0,0 +1,142 @@
+package layout
+
+import (
+	"cmp"
+	"fmt"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"chicoryhall.example/chicoryhall/cmd/chicorybench/plan"
+)
+
+// Scenario is a named set of faults.
+type Scenario struct {
+	Name    string
+	Summary string
+	faults  func(l *Layout, folder string) []plan.Fault
+}
+
+// healAfter is the time after which a freeze or a slowness ends.
+const healAfter = 4 * time.Second
+
+// slowBody makes an engine's steps this many times longer.
+const slowBody = `{"slow":4}`
+
+// Scenarios lists every scenario; adding one is a line here.
+var Scenarios = []Scenario{
+	{"none", "no fault", func(*Layout, string) []plan.Fault { return nil }},
+	{"demo", "an engine crashes and a daemon is killed", demoFaults},
+	{"crash", "engines crash, one at a time", engineFaults(1, "crashes", "/crash", "", "")},
+	{"crash-together", "three engines crash at once", engineFaults(3, "crashes", "/crash", "", "")},
+	{"freeze", "engines freeze and thaw, one at a time", engineFaults(1, "freezes", "/freeze", "", "/thaw")},
+	{"freeze-together", "three engines freeze at once and thaw", engineFaults(3, "freezes", "/freeze", "", "/thaw")},
+	{"silence", "open connections of an engine go silent", engineFaults(1, "goes silent", "/silence", "", "")},
+	{"silence-together", "open connections of three engines go silent", engineFaults(3, "goes silent", "/silence", "", "")},
+	{"slow", "engines slow down, one at a time", engineFaults(1, "slows down", "/faults", slowBody, "/faults")},
+	{"slow-together", "three engines slow down at once", engineFaults(3, "slows down", "/faults", slowBody, "/faults")},
+	{"daemons", "two daemons are killed, one after the other", daemonFaults},
+}
+
+func findScenario(name string) *Scenario {
+	for i := range Scenarios {
+		if Scenarios[i].Name == name {
+			return &Scenarios[i]
+		}
+	}
+	return nil
+}
+
+// strikes is the number of times that a scenario of engines strikes in one run.
+const strikes = 3
+
+// engineFaults strikes at different engines of the first two pipelines, together engines at once,
+// so that each range of layers keeps engines.
+func engineFaults(together int, what, path, body, heal string) func(*Layout, string) []plan.Fault {
+	return func(l *Layout, _ string) []plan.Fault {
+		var faults []plan.Fault
+		for strike := range strikes {
+			at := l.share(strike+1, strikes+2)
+			for i := range together {
+				faults = append(faults, l.engineFault(strike*together+i, at, what, path, body, i == 0))
+			}
+			if heal == "" {
+				continue
+			}
+			for i := range together {
+				faults = append(faults, l.engineFault(strike*together+i, at+healAfter, "heals", heal, "{}", false))
+			}
+		}
+		return inOrder(faults)
+	}
+}
+
+// engineFault strikes at the n-th victim; victims differ in range and failure domain.
+func (l *Layout) engineFault(n int, at time.Duration, what, path, body string, recovery bool) plan.Fault {
+	service := &l.services[n%2*2]
+	endpoints := service.document.Endpoints
+	perDomain := len(endpoints) / len(domains)
+	perRange := perDomain / rangesPerModel
+	victim := endpoints[n/2%len(domains)*perDomain+n/2%rangesPerModel*perRange]
+	return plan.Fault{
+		At:       at.Round(time.Millisecond),
+		Name:     fmt.Sprintf("engine %s %s", victim.ID, what),
+		Control:  l.controlOf(victim.Address),
+		Path:     path,
+		Body:     body,
+		Recovery: recovery,
+	}
+}
+
+// share returns a part of the run's length.
+func (l *Layout) share(part, parts int) time.Duration {
+	return l.options.Duration * time.Duration(part) / time.Duration(parts)
+}
+
+func (l *Layout) killDaemon(folder string, n int, at time.Duration) plan.Fault {
+	killed := l.daemons[n]
+	return plan.Fault{
+		At:       at.Round(time.Millisecond),
+		Name:     fmt.Sprintf("daemon %s is killed", killed.id),
+		PIDFile:  filepath.Join(folder, "pids", string(killed.id)),
+		Signal:   "KILL",
+		Recovery: true,
+	}
+}
+
+// demoFaults crashes one engine and kills one daemon at the thirds of the run.
+func demoFaults(l *Layout, folder string) []plan.Fault {
+	return []plan.Fault{
+		l.engineFault(0, l.share(1, 3), "crashes", "/crash", "", true),
+		l.killDaemon(folder, len(l.daemons)-1, l.share(2, 3)),
+	}
+}
+
+// daemonFaults kills one daemon in each of two failure domains.
+func daemonFaults(l *Layout, folder string) []plan.Fault {
+	return []plan.Fault{
+		l.killDaemon(folder, 0, l.share(1, 3)),
+		l.killDaemon(folder, len(l.daemons)-1, l.share(2, 3)),
+	}
+}
+
+// KnownScenario reports whether a scenario of that name exists.
+func KnownScenario(name string) bool {
+	return findScenario(name) != nil
+}
+
+// ScenarioNames returns the names of all scenarios, separated by commas.
+func ScenarioNames() string {
+	names := make([]string, 0, len(Scenarios))
+	for _, scenario := range Scenarios {
+		names = append(names, scenario.Name)
+	}
+	return strings.Join(names, ", ")
+}
+
+// inOrder sorts faults by their time.
+func inOrder(faults []plan.Fault) []plan.Fault {
+	slices.SortStableFunc(faults, func(a, b plan.Fault) int { return cmp.Compare(a.At, b.At) })
+	return faults
+}
