Keep accepted requests alive beyond their daemon

Cause: a request ended with the daemon that had accepted it. holder: a second daemon of the failure domain holds the record before acceptance is told and each token before its caller; group commit with one batch in flight per second holder; another second holder after 50 ms without an answer; takeover with claims at every daemon of the domain, a raised term and attempt; a frozen home is refused; finished answers in a window bounded in bytes per organisation; relay of streams between daemons; hand-over at a graceful shutdown. A replaced request's followers go on at the new home.

Failures that the exploration found, each mended: two second holders that claimed at once could both be refused and the request lost (a later generation now precedes an earlier one); an old second holder was let go before the new one had the record; an answer from before a pause made a woken home certain again; a home whose second holder had lost its replica could go on alone.

--- a/cmd/chicoryhall/daemon/builder.go
+++ b/cmd/chicoryhall/daemon/builder.go
@@ -12,6 +12,7 @@
 	"chicoryhall.example/chicoryhall/configuration"
 	"chicoryhall.example/chicoryhall/engine"
 	"chicoryhall.example/chicoryhall/event"
+	"chicoryhall.example/chicoryhall/holder"
 	"chicoryhall.example/chicoryhall/membership"
 	"chicoryhall.example/chicoryhall/peer"
 	"chicoryhall.example/chicoryhall/requests"
@@ -50,6 +51,7 @@
 	membership    *membership.Membership
 	admission     chicoryhall.Admission
 	keeper        chicoryhall.Keeper
+	holder        *holder.Keeper
 	claims        chicoryhall.Claims
 	limits        requests.Limits
 	retries       requests.Retries
@@ -88,7 +90,6 @@
 		{"limits", b.buildLimits},
 		{"retries", b.buildRetries},
 		{"quarantine", b.buildQuarantine},
-		{"forwarder", b.buildForwarder},
 		{"requests", b.buildRequests},
 		{"TLS", b.buildTLS},
 		{"callers", b.buildCallers},
@@ -125,5 +126,6 @@
 	for _, drain := range b.drains {
 		drain(ctx)
 	}
-	b.sayGoodbye(ctx)
+	b.handOver()
+	b.sayGoodbye()
 }
--- a/cmd/chicoryhall/daemon/callers.go
+++ b/cmd/chicoryhall/daemon/callers.go
@@ -15,8 +15,9 @@
 		Self: b.settings.ID, FailureDomain: b.settings.FailureDomain,
 		Timer: b.timer, Engines: b.engines, Documents: b.documents, Endpoints: b.endpoints,
 		Router: b.router, Admission: b.admission, Keeper: b.keeper, Claims: b.claims,
-		Limits: b.limits, Retries: b.retries, Quarantine: b.quarantine, Log: b.log, Metrics: b.metrics,
+		Forwarder: b.forwarder, Limits: b.limits, Retries: b.retries, Quarantine: b.quarantine, Log: b.log, Metrics: b.metrics,
 	})
+	b.holder.SetRequests(b.requests)
 	b.interfaces.Add(b.requests)
 	return nil
 }
--- a/cmd/chicoryhall/daemon/keeper.go
+++ b/cmd/chicoryhall/daemon/keeper.go
@@ -2,29 +2,28 @@
 
 import (
 	"context"
+	"time"
 
-	"chicoryhall.example/chicoryhall"
-	"chicoryhall.example/chicoryhall/digest"
+	"chicoryhall.example/chicoryhall/holder"
 )
 
-// soleKeeper is a chicoryhall.Keeper of a daemon without peers: it holds nothing elsewhere.
-type soleKeeper struct{}
+// handOverTimeout bounds the time in which other daemons take over the requests that a stopping one still holds.
+const handOverTimeout = 2 * time.Second
 
+// buildKeeper adds the part that keeps accepted requests alive beyond this daemon.
 func (b *builder) buildKeeper() error {
-	b.keeper = soleKeeper{}
+	b.holder = holder.Start(holder.Config{
+		Node: b.node, Members: b.membership, Fences: b.membership, Timer: b.timer, Logger: b.log,
+	})
+	b.keeper = b.holder
+	b.forwarder = b.holder
+	b.decisions.Add(b.holder)
 	return nil
 }
 
-// Accept succeeds at once.
-func (soleKeeper) Accept(context.Context, chicoryhall.RequestRecord) error { return nil }
-
-// Attempt succeeds at once.
-func (soleKeeper) Attempt(context.Context, chicoryhall.RequestID, int) error { return nil }
-
-// Tokens releases the tokens at once.
-func (soleKeeper) Tokens(_ chicoryhall.RequestID, _ int, _ []digest.Token, release func(error)) {
-	release(nil)
+// handOver lets other daemons go on with what is still in progress; it runs after all other drains.
+func (b *builder) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	b.holder.HandOver(ctx)
 }
-
-// Finish does nothing.
-func (soleKeeper) Finish(chicoryhall.RequestID, chicoryhall.Outcome) {}
--- a/cmd/chicoryhall/daemon/members.go
+++ b/cmd/chicoryhall/daemon/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
@@ -12,6 +13,9 @@
 	"chicoryhall.example/chicoryhall/settings"
 )
 
+// goodbyeTimeout bounds the time to tell peers that this daemon is gone.
+const goodbyeTimeout = time.Second
+
 // buildPeers adds the connections to other daemons.
 func (b *builder) buildPeers() error {
 	b.peerMetrics = metrics.NewSet()
@@ -42,7 +46,9 @@
 }
 
 // sayGoodbye tells peers that this daemon is gone; it runs after all other drains.
-func (b *builder) sayGoodbye(ctx context.Context) {
+func (b *builder) sayGoodbye() {
+	ctx, cancel := context.WithTimeout(context.Background(), goodbyeTimeout)
+	defer cancel()
 	b.membership.Goodbye(ctx)
 }
 
--- a/event/peer.go
+++ b/event/peer.go
@@ -19,4 +19,19 @@
 	MembershipFence = define(3102, log.WarnLevel, "membership fence changed",
 		"This daemon did not run for a while or was believed dead; while fenced it delivers nothing as a holder.",
 		"Nothing for single cases; repeated pauses show a VM that is starved of processor time.")
+	HolderTookOver = define(3200, log.InfoLevel, "request taken over",
+		"The daemon that ran the request was lost or handed it over; this one goes on from the tokens it has.",
+		"Nothing; event 3101 tells which daemon was lost.")
+	HolderAlone = define(3201, log.WarnLevel, "request has one holder",
+		"No other daemon of the failure domain can hold the request; it is lost if this daemon dies.",
+		"Start more daemons in this failure domain, on other VMs.")
+	HolderNotResumed = define(3202, log.ErrorLevel, "request not resumed",
+		"A request was taken over and could not go on; its caller is told that the outcome is unknown.",
+		"Check that the service's document is in force at this daemon.")
+	HolderNotHandedOver = define(3203, log.WarnLevel, "requests not handed over",
+		"This daemon stops while requests still have it as their home; their second holders notice its death.",
+		"Raise drainTimeout if it repeats.")
+	HolderNotFound = define(3204, log.WarnLevel, "holder not found",
+		"No daemon was found that holds a request which a caller follows here; the outcome is unknown to the caller.",
+		"Look for event 3101 of two daemons of one failure domain at the same time.")
 )
--- /dev/null
+++ b/holder/explore_test.go
@@ -0,0 +1,152 @@
+package holder_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// explorer visits every schedule of a world up to a number of steps.
+type explorer struct {
+	start func() *world
+	depth int
+	seen  map[uint64]int
+	// failure is the first schedule that broke a promise.
+	failure string
+}
+
+// explore follows every choice after the given ones; states met before with as many steps left are passed over.
+func (e *explorer) explore(path []int) {
+	if e.failure != "" {
+		return
+	}
+	w, texts := e.replay(path)
+	stepsLeft := e.depth - len(path)
+	key := xxhash.Sum64String(w.describe())
+	if known, ok := e.seen[key]; ok && known >= stepsLeft {
+		return
+	}
+	e.seen[key] = stepsLeft
+	choices := len(w.choices())
+	if problem := judge(w); problem != "" {
+		e.failure = problem + " after:\n" + strings.Join(texts, "\n")
+		return
+	}
+	if stepsLeft == 0 {
+		return
+	}
+	for i := range choices {
+		e.explore(append(path[:len(path):len(path)], i))
+	}
+}
+
+func (e *explorer) replay(path []int) (*world, []string) {
+	w := e.start()
+	var texts []string
+	for _, i := range path {
+		next := w.choices()[i]
+		texts = append(texts, next.text)
+		next.run()
+	}
+	return w, texts
+}
+
+// judge checks the promises: no position with two tokens, a live holder, and a run once all is
+// quiet. It lets time pass in a quiet world.
+func judge(w *world) string {
+	if problem := w.check(); problem != "" {
+		return problem
+	}
+	if !w.accepted || w.safetyOnly || !w.isQuiet() || w.anyPaused() {
+		return ""
+	}
+	w.letTimePass()
+	if w.running() == 0 {
+		return "nobody runs the accepted request"
+	}
+	return w.check()
+}
+
+// letTimePass ticks every daemon for longer than any timeout, without further faults.
+func (w *world) letTimePass() {
+	const rounds = 40 // Of 200 ms and more each.
+	for range rounds {
+		for _, id := range w.order {
+			if r := w.runners[id]; !r.killed {
+				w.tick(r)
+			}
+		}
+		for len(w.messages) > 0 {
+			w.take(0).deliver()
+		}
+	}
+}
+
+func (w *world) anyPaused() bool {
+	for _, r := range w.runners {
+		if r.paused {
+			return true
+		}
+	}
+	return false
+}
+
+func TestEverySmallTakeover(t *testing.T) {
+	cases := []struct {
+		name    string
+		daemons int
+		left    budget
+		depth   int
+	}{
+		{"one dies of two", 2, budget{kills: 1, tokens: 3, losses: 2}, 24},
+		{"one dies of three", 3, budget{kills: 1, tokens: 2, losses: 1}, 15},
+		{"home frozen and woken", 3, budget{pauses: 1, tokens: 2, losses: 1}, 15},
+		{"home believed dead while it runs", 3, budget{alarms: 1, tokens: 2, losses: 1}, 15},
+		{"home frozen, then one of two dies", 2, budget{pauses: 1, kills: 1, tokens: 3}, 17},
+		{"home frozen in two", 2, budget{pauses: 1, tokens: 3, losses: 1}, 24},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			depth := c.depth
+			if testing.Short() {
+				depth -= 8
+			}
+			e := &explorer{start: func() *world { return newWorld(c.daemons, c.left) }, depth: depth, seen: map[uint64]int{}}
+			e.explore(nil)
+			if e.failure != "" {
+				t.Fatal(e.failure)
+			}
+			t.Logf("%d states of up to %d steps", len(e.seen), depth)
+		})
+	}
+}
+
+func TestLongTakeovers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		daemons := rapid.IntRange(2, 5).Draw(t, "daemons")
+		left := budget{losses: 6, tokens: 12, ticks: 8}
+		switch rapid.IntRange(0, 2).Draw(t, "fault") {
+		case 0:
+			left.kills = 1
+		case 1:
+			left.pauses = 1
+		case 2:
+			left.alarms = 1
+		}
+		w := newWorld(daemons, left)
+		var texts []string
+		for range 60 {
+			next := w.choices()
+			if len(next) == 0 {
+				break
+			}
+			i := rapid.IntRange(0, len(next)-1).Draw(t, "choice")
+			texts = append(texts, next[i].text)
+			next[i].run()
+			must.Eq(t, "", w.check(), must.Sprint(strings.Join(texts, "\n")))
+		}
+	})
+}
--- /dev/null
+++ b/holder/relaymessages.go
@@ -0,0 +1,74 @@
+package holder
+
+import (
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/digest"
+)
+
+const (
+	methodFollow = "holder.follow"
+	methodEvents = "holder.events"
+	methodCancel = "holder.cancel"
+)
+
+// relayName names one relayed stream at the daemon that asked for it.
+type relayName struct {
+	Number uint64 `json:"n"`
+	// Try grows each time that the stream is looked for again.
+	Try int `json:"t"`
+}
+
+// followRequest asks for the events of a request from a position on.
+type followRequest struct {
+	Relay        relayName                `json:"r"`
+	ID           chicoryhall.RequestID    `json:"id"`
+	Organisation chicoryhall.Organisation `json:"o"`
+	Position     int                      `json:"p"`
+}
+
+//go:generate go tool enumer -type=Finding -json -text -transform=kebab -trimprefix=Finding -output=finding_enumer.go
+
+// Finding tells what a daemon knows of a request.
+type Finding int
+
+// The findings.
+const (
+	// FindingNone means that the request is not known there.
+	FindingNone Finding = iota
+	// FindingHere means that the daemon runs the request or has its answer.
+	FindingHere
+	// FindingPending means that the daemon holds a replica and may become the home.
+	FindingPending
+	// FindingMoved means that another daemon became the home.
+	FindingMoved
+)
+
+// followAnswer tells where the request is.
+type followAnswer struct {
+	Finding Finding              `json:"f"`
+	Home    chicoryhall.DaemonID `json:"h,omitempty"`
+}
+
+// relayEvent is one call of a chicoryhall.Follower.
+type relayEvent struct {
+	Accepted bool                `json:"a,omitempty"`
+	Position int                 `json:"p,omitempty"`
+	Tokens   []digest.Token      `json:"t,omitempty"`
+	Result   *chicoryhall.Result `json:"r,omitempty"`
+}
+
+// relayEvents carries events in order; Wanted false in the answer ends the relay.
+type relayEvents struct {
+	Relay  relayName    `json:"r"`
+	Events []relayEvent `json:"e"`
+}
+
+type relayAnswer struct {
+	Wanted bool `json:"w"`
+}
+
+// cancelRequest ends a request.
+type cancelRequest struct {
+	ID           chicoryhall.RequestID    `json:"id"`
+	Organisation chicoryhall.Organisation `json:"o"`
+}
--- a/membership/codec.go
+++ b/membership/codec.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	memberFields = 7
+	memberFields = 8
 	// maxMembers bounds the entries of one message.
 	maxMembers = 10_000
 )
@@ -51,6 +51,7 @@
 		out = msgp.AppendString(out, m.PeerAddress)
 		out = msgp.AppendString(out, m.CallerAddress)
 		out = msgp.AppendInt64(out, m.Incarnation)
+		out = msgp.AppendInt64(out, m.Run)
 		out = msgp.AppendInt(out, int(m.State))
 	}
 	return out
@@ -95,6 +96,9 @@
 	if member.Incarnation, rest, err = msgp.ReadInt64Bytes(rest); err != nil {
 		return member, nil, err
 	}
+	if member.Run, rest, err = msgp.ReadInt64Bytes(rest); err != nil {
+		return member, nil, err
+	}
 	state, rest, err := msgp.ReadIntBytes(rest)
 	if err != nil {
 		return member, nil, err
--- a/requests/request.go
+++ b/requests/request.go
@@ -1,6 +1,7 @@
 package requests
 
 import (
+	"context"
 	"fmt"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,9 @@
 	"chicoryhall.example/chicoryhall/stream"
 )
 
+// forwardTimeout bounds the search for the daemon that has become the home.
+const forwardTimeout = 2 * time.Second
+
 // Request is one request in progress or finished lately. Its fields are used by the
 // mailbox's turn alone, but for the ones that never change and ended.
 type Request struct {
@@ -184,13 +188,33 @@
 	r.measureEnd()
 	followers := r.followers
 	r.followers = nil
-	for _, f := range followers {
-		f.to.OnFinish(result)
-	}
 	if result.Reason == stream.ReasonReplaced.String() {
 		// The other daemon's answer is the one to fetch.
 		r.service.forget(r)
+		r.forward(followers, result)
 		return
 	}
+	for _, f := range followers {
+		f.to.OnFinish(result)
+	}
 	r.service.window.add(r, r.parts().Timer.Now())
 }
+
+// forward lets followers go on at the daemon that has become the home.
+func (r *Request) forward(followers []*followed, result chicoryhall.Result) {
+	for _, f := range followers {
+		r.service.work.Go(func() error {
+			ctx, cancel := context.WithTimeout(context.Background(), forwardTimeout)
+			defer cancel()
+			forwarder := r.parts().Forwarder
+			if forwarder == nil {
+				f.to.OnFinish(result)
+				return nil
+			}
+			if _, found := forwarder.Follow(ctx, r.record.ID, r.record.Organisation, f.position, f.to); !found {
+				f.to.OnFinish(result)
+			}
+			return nil
+		})
+	}
+}
--- a/requests/service.go
+++ b/requests/service.go
@@ -32,6 +32,8 @@
 	Quarantine    Quarantine
 	Log           *event.Logger
 	Metrics       *Metrics
+	// Forwarder reaches requests that another daemon has taken over, or is nil.
+	Forwarder chicoryhall.Forwarder
 }
 
 // Retries is the retry budget of each service.
