Mend a data race in the drain; wait for outcomes to be stored

Found by the daemon's tests with a race-built daemon (TestGracefulShutdown failed): the timer's goroutine read the subscription while Drain wrote it. Three runs of all daemon tests with the race detector are clean now.

--- a/requests/plain.go
+++ b/requests/plain.go
@@ -112,7 +112,7 @@
 	return result
 }
 
-// recordOutcome stores what became of a claimed call before the caller is told.
+// recordOutcome stores what became of a claimed call while the caller is told.
 func (r *Request) recordOutcome(result chicoryhall.Result) {
 	if result.Outcome == chicoryhall.Unknown {
 		// A claim without an outcome means unknown.
@@ -122,7 +122,9 @@
 	if err != nil {
 		return
 	}
+	r.service.storing.Add(1)
 	r.service.work.Go(func() error {
+		defer r.service.storing.Add(-1)
 		r.storeOutcome(string(text))
 		return nil
 	})
--- a/requests/service.go
+++ b/requests/service.go
@@ -75,6 +75,8 @@
 	lag      lag
 	work     errgroup.Group
 	stopping atomic.Bool
+	// storing counts the outcomes that are being stored.
+	storing atomic.Int64
 
 	mu    sync.Mutex
 	byID  map[chicoryhall.RequestID]*Request
@@ -126,21 +128,21 @@
 	return live
 }
 
-// Drain refuses new requests and waits until those in progress have ended or ctx ends.
+// Drain refuses new requests and waits until those in progress have ended and their outcomes are
+// stored, or ctx ends.
 func (s *Service) Drain(ctx context.Context) {
 	s.stopping.Store(true)
 	done := make(chan struct{})
-	var check chicoryhall.Subscription
-	check = s.parts.Timer.Every(drainPoll, func(time.Time) {
-		if s.Live() == 0 {
-			check.Cancel()
-			close(done)
+	var once sync.Once
+	check := s.parts.Timer.Every(drainPoll, func(time.Time) {
+		if s.Live() == 0 && s.storing.Load() == 0 {
+			once.Do(func() { close(done) })
 		}
 	})
+	defer check.Cancel()
 	select {
 	case <-done:
 	case <-ctx.Done():
-		check.Cancel()
 	}
 }
 
