Claim keys in the table so that a request runs at most once

Cause: a request that is not idempotent must not be sent twice, whatever answer is lost, and 'not run' must be true. A claim's row names its owner, a random word of one call of Claim; only the owner sends. A claim whose call failed is released by overwriting the row, never by deleting it: ruled out, since after a delete a release from a stale row could free another owner's claim.

A request that certainly did not run now releases its key: before, its stored 'not run' answered every repeat with the same key.

--- /dev/null
+++ b/claim/row.go
@@ -0,0 +1,56 @@
+package claim
+
+import (
+	"encoding/json"
+	"net/url"
+
+	"github.com/pkg/errors"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/table"
+)
+
+// keyPrefix begins the keys of claims in the table.
+const keyPrefix = "claims/key/"
+
+// value is what a claim's row holds.
+type value struct {
+	Owner       string `json:"owner"`
+	Fingerprint string `json:"fingerprint"`
+	// Done tells that Answer is the outcome.
+	Done   bool   `json:"done,omitempty"`
+	Answer string `json:"answer,omitempty"`
+	// Released tells that the owner never sent the request, so another may claim the key.
+	Released bool `json:"released,omitempty"`
+}
+
+// keyOf returns the row's key of one organisation's idempotency key at a service.
+func keyOf(organisation chicoryhall.Organisation, service chicoryhall.ServiceName, key string) string {
+	return keyPrefix + url.PathEscape(string(organisation)) + "/" + url.PathEscape(string(service)) + "/" + url.PathEscape(key)
+}
+
+func encode(v value) string {
+	text, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // A value always encodes.
+	}
+	return string(text)
+}
+
+func decode(row table.Row) (value, error) {
+	var v value
+	err := json.Unmarshal([]byte(row.Value), &v)
+	return v, errors.Wrapf(err, "decode row %s of the table", row.Key)
+}
+
+// claimOf tells what a row that exists means to the owner of a claim.
+func claimOf(v value, owner string) chicoryhall.Claim {
+	claim := chicoryhall.Claim{State: chicoryhall.ClaimTaken, Fingerprint: v.Fingerprint}
+	switch {
+	case v.Done:
+		claim.State, claim.Answer = chicoryhall.ClaimDone, v.Answer
+	case v.Owner == owner:
+		claim.State = chicoryhall.ClaimOurs
+	}
+	return claim
+}
--- /dev/null
+++ b/claim/service_test.go
@@ -0,0 +1,100 @@
+package claim_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/claim"
+	"chicoryhall.example/chicoryhall/table/tabletest"
+	"chicoryhall.example/chicoryhall/timer"
+)
+
+func start(t *testing.T, store chicoryhall.Table) *claim.Service {
+	s := claim.New(store, timer.New(), nil, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	var serving sync.WaitGroup
+	serving.Go(func() { _ = s.Serve(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		serving.Wait()
+	})
+	return s
+}
+
+func TestOneOfManyTriesIsOurs(t *testing.T) {
+	const daemons, keys, tries = 4, 50, 400
+	store := &tabletest.Store{}
+	store.LoseAnswers(5)
+	var services []*claim.Service
+	for range daemons {
+		services = append(services, start(t, store))
+	}
+	var ours [keys]atomic.Int64
+	var group sync.WaitGroup
+	for i := range tries {
+		group.Go(func() {
+			got, err := services[i%daemons].Claim(t.Context(), "o", "s", fmt.Sprint(i%keys), "f")
+			must.NoError(t, err)
+			if got.State == chicoryhall.ClaimOurs {
+				ours[i%keys].Add(1)
+			}
+		})
+	}
+	group.Wait()
+	for i := range ours {
+		must.Eq(t, 1, ours[i].Load())
+	}
+	t.Logf("%d tries of %d keys at %d daemons took %d transactions", tries, keys, daemons, store.Transactions())
+}
+
+func TestOutcomeIsGivenToRepeats(t *testing.T) {
+	store := &tabletest.Store{}
+	first, second := start(t, store), start(t, store)
+	got, err := first.Claim(t.Context(), "o", "s", "k", "f")
+	must.NoError(t, err)
+	must.Eq(t, chicoryhall.ClaimOurs, got.State)
+	got, err = second.Claim(t.Context(), "o", "s", "k", "f")
+	must.NoError(t, err)
+	must.Eq(t, chicoryhall.Claim{State: chicoryhall.ClaimTaken, Fingerprint: "f"}, got)
+	must.ErrorContains(t, second.Record(t.Context(), "o", "s", "k", "answer"), "not of this daemon")
+	store.LoseAnswers(1)
+	must.NoError(t, first.Record(t.Context(), "o", "s", "k", "answer"))
+	got, err = second.Claim(t.Context(), "o", "s", "k", "f")
+	must.NoError(t, err)
+	must.Eq(t, chicoryhall.Claim{State: chicoryhall.ClaimDone, Fingerprint: "f", Answer: "answer"}, got)
+}
+
+func TestReleasedKeyCanBeClaimedAgain(t *testing.T) {
+	store := &tabletest.Store{}
+	first, second := start(t, store), start(t, store)
+	_, err := first.Claim(t.Context(), "o", "s", "k", "f")
+	must.NoError(t, err)
+	must.NoError(t, first.Release(t.Context(), "o", "s", "k"))
+	got, err := second.Claim(t.Context(), "o", "s", "k", "f")
+	must.NoError(t, err)
+	must.Eq(t, chicoryhall.ClaimOurs, got.State)
+	must.NoError(t, second.Record(t.Context(), "o", "s", "k", "answer"))
+}
+
+func TestClaimThatFailedInAnOutageIsReleasedAfterIt(t *testing.T) {
+	store := &tabletest.Store{}
+	s := start(t, store)
+	store.SetDown(true)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err := s.Claim(ctx, "o", "s", "k", "f")
+	must.Error(t, err)
+	store.SetDown(false)
+	must.Wait(t, wait.InitialSuccess(wait.Timeout(10*time.Second), wait.Gap(100*time.Millisecond), wait.BoolFunc(func() bool {
+		got, err := s.Claim(t.Context(), "o", "s", "k", "f")
+		return err == nil && got.State == chicoryhall.ClaimOurs
+	})))
+}
--- a/requests.go
+++ b/requests.go
@@ -120,6 +120,9 @@
 	Claim(ctx context.Context, organisation Organisation, service ServiceName, key, fingerprint string) (Claim, error)
 	// Record stores the outcome of a claim that is ours.
 	Record(ctx context.Context, organisation Organisation, service ServiceName, key, answer string) error
+	// Release gives up a claim that is ours and whose request certainly did not run, so that a
+	// repeat with the same key may.
+	Release(ctx context.Context, organisation Organisation, service ServiceName, key string) error
 }
 
 // AdmissionQuery asks whether a request may start.
--- a/requests/plain.go
+++ b/requests/plain.go
@@ -125,15 +125,23 @@
 	r.service.storing.Add(1)
 	r.service.work.Go(func() error {
 		defer r.service.storing.Add(-1)
-		r.storeOutcome(string(text))
+		r.storeOutcome(result.Outcome, string(text))
 		return nil
 	})
 }
 
-func (r *Request) storeOutcome(text string) {
+// settleClaim stores an answer, or lets a repeat run what was not run.
+func (r *Request) settleClaim(ctx context.Context, outcome chicoryhall.Outcome, text string) error {
+	if outcome == chicoryhall.NotRun {
+		return r.parts().Claims.Release(ctx, r.record.Organisation, r.record.Service, r.record.Key)
+	}
+	return r.parts().Claims.Record(ctx, r.record.Organisation, r.record.Service, r.record.Key, text)
+}
+
+func (r *Request) storeOutcome(outcome chicoryhall.Outcome, text string) {
 	for try := 1; try <= recordTries; try++ {
 		ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
-		err := r.parts().Claims.Record(ctx, r.record.Organisation, r.record.Service, r.record.Key, text)
+		err := r.settleClaim(ctx, outcome, text)
 		cancel()
 		if err == nil {
 			return
