--- a/cmd/chicoryhall/daemon/admission.go
+++ b/cmd/chicoryhall/daemon/admission.go
@@ -1,9 +1,34 @@
 package daemon
 
-import "chicoryhall.example/chicoryhall/admission"
+import (
+	"fmt"
+	"io"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"chicoryhall.example/chicoryhall/admission"
+)
 
 // buildAdmission adds the decision which requests start.
 func (b *builder) buildAdmission() error {
-	b.admission = admission.New(b.timer, b.documents, b.endpoints, b.members)
+	part := admission.New(b.timer, b.documents, b.endpoints, b.members)
+	b.admission = part
+	b.decisionMetrics = append(b.decisionMetrics, func(w io.Writer) { writeAdmission(w, part.Stats()) })
 	return nil
 }
+
+// writeAdmission writes each service's limit and what runs and waits under it.
+func writeAdmission(w io.Writer, all []admission.Stats) {
+	for _, stats := range all {
+		for _, gauge := range []struct {
+			name  string
+			value int
+		}{
+			{"chicoryhall_admission_limit", stats.Limit},
+			{"chicoryhall_admission_running", stats.Running},
+			{"chicoryhall_admission_waiting", stats.Waiting},
+		} {
+			metrics.WriteGaugeUint64(w, fmt.Sprintf("%s{service=%q}", gauge.name, stats.Service), uint64(gauge.value))
+		}
+	}
+}
--- a/cmd/chicoryhall/daemon/builder.go
+++ b/cmd/chicoryhall/daemon/builder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -60,7 +61,9 @@
 	metrics       *requests.Metrics
 	// peerMetrics counts what daemons send each other.
 	peerMetrics *metrics.Set
-	requests    *requests.Service
+	// decisionMetrics write the figures of the parts that decide what runs.
+	decisionMetrics []func(io.Writer)
+	requests        *requests.Service
 
 	// drains are called in order at a graceful shutdown, each bounded by drainTimeout.
 	drains []func(ctx context.Context)
--- a/cmd/chicoryhall/daemon/callers.go
+++ b/cmd/chicoryhall/daemon/callers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 
 	"chicoryhall.example/chicoryhall/caller"
 	"chicoryhall.example/chicoryhall/requests"
@@ -30,7 +29,7 @@
 	server := caller.NewServer(caller.Parts{
 		Address: b.settings.Listen.Callers, Timer: b.timer, Documents: b.documents,
 		Requests: b.requests, Forwarder: b.forwarder, Metrics: b.metrics, Ready: ready.check, Log: b.log,
-		MoreMetrics: []func(io.Writer){b.peerMetrics.WritePrometheus},
+		MoreMetrics: append(b.decisionMetrics, b.peerMetrics.WritePrometheus),
 	})
 	b.interfaces.Add(server)
 	b.drains = append(b.drains, func(context.Context) { ready.draining.Store(true) }, b.requests.Drain)
--- a/cmd/chicoryhall/daemon/quarantine.go
+++ b/cmd/chicoryhall/daemon/quarantine.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
@@ -58,9 +60,17 @@
 	peer.Handle(b.node, quarantine.MethodConvicted, desk.handleConvicted)
 	b.quarantine = desk
 	b.decisions.Add(desk)
+	b.decisionMetrics = append(b.decisionMetrics, desk.writeMetrics)
 	return nil
 }
 
+func (d *quarantineDesk) writeMetrics(w io.Writer) {
+	suspects, convicted, reserved := d.guard.Counts(d.timer.Now())
+	metrics.WriteGaugeUint64(w, "chicoryhall_quarantine_suspects", uint64(suspects))
+	metrics.WriteGaugeUint64(w, "chicoryhall_quarantine_convicted", uint64(convicted))
+	metrics.WriteGaugeUint64(w, "chicoryhall_quarantine_reserved_engines", uint64(reserved))
+}
+
 // Serve learns of convictions from the arbiter until ctx ends.
 func (d *quarantineDesk) Serve(ctx context.Context) error {
 	tick := d.timer.Every(quarantine.LearnPeriod, func(time.Time) { d.learn(ctx) })
--- a/cmd/chicoryhall/daemon/router.go
+++ b/cmd/chicoryhall/daemon/router.go
@@ -3,6 +3,8 @@
 import (
 	"hash/fnv"
 
+	"github.com/pkg/errors"
+
 	"chicoryhall.example/chicoryhall/pipeline"
 )
 
@@ -12,6 +14,14 @@
 	if _, err := seed.Write([]byte(b.settings.ID)); err != nil {
 		return err
 	}
-	b.router = pipeline.New(b.endpoints, pipeline.Options{Seed: seed.Sum64()})
+	options := pipeline.Options{Seed: seed.Sum64()}
+	if b.settings.Router != "" {
+		policy, err := pipeline.PolicyString(b.settings.Router)
+		if err != nil {
+			return errors.WithMessage(err, "read the setting router")
+		}
+		options.Policy = policy
+	}
+	b.router = pipeline.New(b.endpoints, options)
 	return nil
 }
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -137,6 +137,21 @@
 	return all
 }
 
+// Counts returns the numbers of suspects, of convictions and of engines reserved for suspects.
+func (g *Guard) Counts(now time.Time) (suspects, convicted, reserved int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.expire(now)
+	for _, k := range g.known {
+		if k.standing == StandingConvicted {
+			convicted++
+		} else {
+			suspects++
+		}
+	}
+	return suspects, convicted, len(g.reserved)
+}
+
 // Learn takes over convictions of another daemon; it never prolongs one.
 func (g *Guard) Learn(convictions Convictions, now time.Time) {
 	g.mu.Lock()
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -41,3 +41,10 @@
 	b.credit--
 	return true
 }
+
+// left returns the retries that may be spent now.
+func (b *Budget) left() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.credit
+}
--- a/retry/budgets.go
+++ b/retry/budgets.go
@@ -1,6 +1,8 @@
 package retry
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +41,24 @@
 	return false, retryAfterSpent
 }
 
+// Credit is the number of retries that a service may spend now.
+type Credit struct {
+	Service chicoryhall.ServiceName
+	Retries float64
+}
+
+// Credits returns the credit of every service that has earned or spent retries, by name.
+func (b *Budgets) Credits() []Credit {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	all := make([]Credit, 0, len(b.byService))
+	for service, budget := range b.byService {
+		all = append(all, Credit{Service: service, Retries: budget.left()})
+	}
+	slices.SortFunc(all, func(x, y Credit) int { return cmp.Compare(x.Service, y.Service) })
+	return all
+}
+
 func (b *Budgets) of(service chicoryhall.ServiceName) *Budget {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -23,6 +23,8 @@
 	DrainTimeout time.Duration `yaml:"drainTimeout"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `yaml:"logLevel,omitempty"`
+	// Router is flow, or roundRobin or leastLoad for comparison; empty means flow.
+	Router string `yaml:"router,omitempty"`
 }
 
 // Listen holds the daemon's own addresses, each IP:PORT.
--- a/settings/load.go
+++ b/settings/load.go
@@ -3,11 +3,13 @@
 import (
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
 
+	"chicoryhall.example/chicoryhall/pipeline"
 	"chicoryhall.example/chicoryhall/strict"
 )
 
@@ -51,6 +53,9 @@
 	if _, err := log.ParseLevel(d.LogLevel); d.LogLevel != "" && err != nil {
 		file.Report("logLevel", "%q is not known; write one of: debug, info, warn, error", d.LogLevel)
 	}
+	if _, err := pipeline.PolicyString(d.Router); d.Router != "" && err != nil {
+		file.Report("router", "%q is not known; write one of: %s", d.Router, strings.Join(pipeline.PolicyStrings(), ", "))
+	}
 }
 
 func checkListen(file *strict.File, listen Listen) {
