Share out the watching of endpoints and spread what watchers see

Cause: 360 daemons that each poll 2,100 endpoints break the bound on control. Each endpoint is polled by two daemons of its failure domain (rendezvous hashing); what changes is spread by exchanges with random peers, changes of state first; peers are asked for what is not known or stale. An endpoint that does not answer is asked on a new connection before it is suspected; one daemon's own trouble with an endpoint is not spread.

Ruled out: telling every daemon of every endpoint each second: 420 endpoints of a failure domain at some 26 bytes are 11 KB/s in one direction alone.

--- a/cmd/chicoryhall/daemon/endpoints.go
+++ b/cmd/chicoryhall/daemon/endpoints.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"chicoryhall.example/chicoryhall"
@@ -13,18 +15,21 @@
 
 const (
 	// loadTimeout bounds one poll of an endpoint's load.
-	loadTimeout = time.Second
+	loadTimeout = 500 * time.Millisecond
+	// loadProbeTimeout bounds the question on a new connection after a poll without an answer.
+	loadProbeTimeout = 250 * time.Millisecond
 	// maxPolls bounds the polls in progress; more of them wait.
 	maxPolls = 256
 )
 
-// buildEndpoints adds the view of endpoints, fed by load reports and this daemon's traffic.
+// buildEndpoints adds the view of endpoints, fed by load reports, peers and this daemon's traffic.
 func (b *builder) buildEndpoints() error {
 	loads := &loadPoller{engines: b.engines}
 	loads.polls.SetLimit(maxPolls)
-	view := watch.New(watch.Config{Timer: b.timer, Documents: b.documents, Loads: loads})
+	view := watch.New(watch.Config{Timer: b.timer, Documents: b.documents, Members: b.members, Loads: loads})
 	b.endpoints = view
 	b.knowledge.Add(view)
+	b.knowledge.Add(watch.NewExchange(view, b.node, xxhash.Sum64String(string(b.settings.ID))))
 	return nil
 }
 
@@ -35,11 +40,40 @@
 }
 
 // Load polls one endpoint; a poll above maxPolls is left out.
-func (l *loadPoller) Load(address string, done func(chicoryhall.Load, error)) {
+func (l *loadPoller) Load(address string, done func(chicoryhall.Load, chicoryhall.Observation)) {
 	l.polls.TryGo(func() error {
 		ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
 		defer cancel()
-		done(l.engines.Load(ctx, address))
+		load, err := l.engines.Load(ctx, address)
+		if err == nil {
+			done(load, chicoryhall.ObservedProgress)
+			return nil
+		}
+		done(chicoryhall.Load{}, l.judge(address, err))
 		return nil
 	})
 }
+
+// judge asks on a new connection before a silent endpoint is suspected.
+func (l *loadPoller) judge(address string, err error) chicoryhall.Observation {
+	if isRefused(err) {
+		return chicoryhall.ObservedRefusedConnection
+	}
+	l.engines.ForgetIdle(address)
+	ctx, cancel := context.WithTimeout(context.Background(), loadProbeTimeout)
+	defer cancel()
+	err = l.engines.Probe(ctx, address)
+	switch {
+	case err == nil:
+		return chicoryhall.ObservedSlow
+	case isRefused(err):
+		return chicoryhall.ObservedRefusedConnection
+	default:
+		return chicoryhall.ObservedSilence
+	}
+}
+
+func isRefused(err error) bool {
+	var failure *engine.Error
+	return errors.As(err, &failure) && failure.Kind() == engine.FailureRefused
+}
--- /dev/null
+++ b/watch/sighting.go
@@ -0,0 +1,177 @@
+package watch
+
+import (
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"github.com/tinylib/msgp/msgp"
+
+	"chicoryhall.example/chicoryhall"
+)
+
+const (
+	// maxSightings bounds the entries of one message.
+	maxSightings = 10_000
+	// fullPercent is the KV use of an engine without free memory.
+	fullPercent = 100
+)
+
+// EndpointHash names an endpoint in a message; daemons drop what they cannot tell apart.
+type EndpointHash uint32
+
+func hashOf(id chicoryhall.EngineID) EndpointHash {
+	return EndpointHash(xxhash.Sum64String(string(id)) & math.MaxUint32)
+}
+
+// Sighting is what daemons tell each other of one endpoint.
+type Sighting struct {
+	Endpoint    EndpointHash
+	State       chicoryhall.EndpointState
+	Incarnation int64
+	AsOfMillis  int64
+	Running     int
+	Waiting     int
+	KVPercent   int
+	StepMicros  int64
+	// AsDocument tells that the endpoint holds what the document wants of it; else Holdings tell.
+	AsDocument bool
+	Holdings   []chicoryhall.Holding
+}
+
+// EncodeSightings packs sightings; times are relative to baseMillis.
+func EncodeSightings(sightings []Sighting, baseMillis int64) []byte {
+	out := msgp.AppendInt64(nil, baseMillis)
+	out = msgp.AppendArrayHeader(out, uint32(len(sightings)))
+	for i := range sightings {
+		out = appendSighting(out, &sightings[i], baseMillis)
+	}
+	return out
+}
+
+// EncodeWanted packs the endpoints that a daemon asks for.
+func EncodeWanted(wanted []EndpointHash) []byte {
+	out := msgp.AppendArrayHeader(nil, uint32(len(wanted)))
+	for _, hash := range wanted {
+		out = msgp.AppendUint32(out, uint32(hash))
+	}
+	return out
+}
+
+// DecodeWanted unpacks what EncodeWanted packed.
+func DecodeWanted(packed []byte) ([]EndpointHash, error) {
+	count, rest, err := msgp.ReadArrayHeaderBytes(packed)
+	if err != nil {
+		return nil, errors.Wrap(err, "decode wanted endpoints")
+	}
+	if int(count) > len(rest) {
+		return nil, errors.Errorf("decode wanted endpoints: %d in %d bytes", count, len(rest))
+	}
+	wanted := make([]EndpointHash, count)
+	for i := range wanted {
+		var hash uint32
+		if hash, rest, err = msgp.ReadUint32Bytes(rest); err != nil {
+			return nil, errors.Wrap(err, "decode wanted endpoints")
+		}
+		wanted[i] = EndpointHash(hash)
+	}
+	return wanted, nil
+}
+
+func appendSighting(out []byte, s *Sighting, baseMillis int64) []byte {
+	out = msgp.AppendUint32(out, uint32(s.Endpoint))
+	out = msgp.AppendInt(out, int(s.State))
+	out = msgp.AppendInt64(out, s.Incarnation)
+	out = msgp.AppendInt64(out, s.AsOfMillis-baseMillis)
+	out = msgp.AppendInt(out, s.Running)
+	out = msgp.AppendInt(out, s.Waiting)
+	out = msgp.AppendInt(out, s.KVPercent)
+	out = msgp.AppendInt64(out, s.StepMicros)
+	if s.AsDocument {
+		return msgp.AppendNil(out)
+	}
+	out = msgp.AppendArrayHeader(out, uint32(len(s.Holdings)))
+	for _, holding := range s.Holdings {
+		out = msgp.AppendString(out, holding.Model)
+		out = msgp.AppendString(out, holding.Version)
+		out = msgp.AppendInt(out, holding.From)
+		out = msgp.AppendInt(out, holding.To)
+	}
+	return out
+}
+
+// DecodeSightings unpacks what EncodeSightings packed.
+func DecodeSightings(packed []byte) ([]Sighting, error) {
+	base, rest, err := msgp.ReadInt64Bytes(packed)
+	if err != nil {
+		return nil, errors.Wrap(err, "decode sightings")
+	}
+	count, rest, err := msgp.ReadArrayHeaderBytes(rest)
+	if err != nil {
+		return nil, errors.Wrap(err, "decode sightings")
+	}
+	if count > maxSightings {
+		return nil, errors.Errorf("decode sightings: %d exceed the limit of %d", count, maxSightings)
+	}
+	var sightings []Sighting
+	for i := range count {
+		var s Sighting
+		if s, rest, err = readSighting(rest, base); err != nil {
+			return nil, errors.Wrapf(err, "decode sighting %d of %d", i+1, count)
+		}
+		sightings = append(sightings, s)
+	}
+	return sightings, nil
+}
+
+func readSighting(packed []byte, baseMillis int64) (Sighting, []byte, error) {
+	hash, rest, err := msgp.ReadUint32Bytes(packed)
+	if err != nil {
+		return Sighting{}, nil, err
+	}
+	var numbers [7]int64
+	for i := range numbers {
+		if numbers[i], rest, err = msgp.ReadInt64Bytes(rest); err != nil {
+			return Sighting{}, nil, err
+		}
+	}
+	s := Sighting{
+		Endpoint: EndpointHash(hash), State: chicoryhall.EndpointState(numbers[0]), Incarnation: numbers[1],
+		AsOfMillis: baseMillis + numbers[2], Running: int(numbers[3]), Waiting: int(numbers[4]),
+		KVPercent: int(numbers[5]), StepMicros: numbers[6],
+	}
+	if !s.State.IsAEndpointState() {
+		return Sighting{}, nil, errors.Errorf("unknown state %d", int(s.State))
+	}
+	if msgp.IsNil(rest) {
+		s.AsDocument = true
+		return s, rest[1:], nil
+	}
+	s.Holdings, rest, err = readHoldings(rest)
+	return s, rest, err
+}
+
+func readHoldings(packed []byte) ([]chicoryhall.Holding, []byte, error) {
+	count, rest, err := msgp.ReadArrayHeaderBytes(packed)
+	if err != nil {
+		return nil, nil, err
+	}
+	var holdings []chicoryhall.Holding
+	for range count {
+		var h chicoryhall.Holding
+		if h.Model, rest, err = msgp.ReadStringBytes(rest); err != nil {
+			return nil, nil, err
+		}
+		if h.Version, rest, err = msgp.ReadStringBytes(rest); err != nil {
+			return nil, nil, err
+		}
+		if h.From, rest, err = msgp.ReadIntBytes(rest); err != nil {
+			return nil, nil, err
+		}
+		if h.To, rest, err = msgp.ReadIntBytes(rest); err != nil {
+			return nil, nil, err
+		}
+		holdings = append(holdings, h)
+	}
+	return holdings, rest, nil
+}
--- /dev/null
+++ b/watch/watch_test.go
@@ -0,0 +1,299 @@
+package watch_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/timer"
+	"chicoryhall.example/chicoryhall/watch"
+)
+
+const halfSecond = 500 * time.Millisecond
+
+// place is a deployment's documents and one daemon's members.
+type place struct {
+	document *chicoryhall.Document
+	members  []chicoryhall.Member
+	self     chicoryhall.Member
+}
+
+func (p place) InForce(chicoryhall.ServiceName) (chicoryhall.InForce, bool) {
+	return chicoryhall.InForce{}, false
+}
+
+func (p place) All() []chicoryhall.InForce {
+	return []chicoryhall.InForce{{Document: p.document, Version: 1}}
+}
+func (p place) Subscribe(func(chicoryhall.InForce)) {}
+
+type others struct{ place }
+
+func (o others) Self() chicoryhall.Member           { return o.self }
+func (o others) All() []chicoryhall.Member          { return o.members }
+func (o others) Subscribe(func(chicoryhall.Member)) {}
+
+// engines are the endpoints as they are; a Watch polls them in virtual time.
+type engines struct {
+	clock *timer.Manual
+	loads map[string]*chicoryhall.Load
+	dead  map[string]bool
+	polls int
+}
+
+func (e *engines) Load(address string, done func(chicoryhall.Load, chicoryhall.Observation)) {
+	e.polls++
+	if e.dead[address] {
+		done(chicoryhall.Load{}, chicoryhall.ObservedRefusedConnection)
+		return
+	}
+	load := *e.loads[address]
+	load.AsOfMillis = e.clock.Now().UnixMilli()
+	done(load, chicoryhall.ObservedProgress)
+}
+
+// deployment is many Watches over the same engines.
+type deployment struct {
+	clock   *timer.Manual
+	engines *engines
+	watches []*watch.Watch
+	random  *rand.Rand
+	ids     []chicoryhall.EngineID
+	bytes   int
+	turn    int
+}
+
+func newDeployment(t *testing.T, daemons, endpoints int) *deployment {
+	t.Helper()
+	clock := timer.NewManual(time.UnixMilli(1_000_000_000))
+	d := &deployment{clock: clock, random: rand.New(rand.NewPCG(1, 2))}
+	d.engines = &engines{clock: clock, loads: map[string]*chicoryhall.Load{}, dead: map[string]bool{}}
+	document := &chicoryhall.Document{Kind: chicoryhall.ServicePipeline, Model: chicoryhall.DocumentModel{Name: "m", Version: "1", Layers: 8}}
+	for i := range endpoints {
+		id := chicoryhall.EngineID(fmt.Sprintf("engine-%04d", i))
+		address := fmt.Sprintf("10.0.%d.%d:80", i/250, i%250)
+		d.ids = append(d.ids, id)
+		document.Endpoints = append(document.Endpoints, chicoryhall.DocumentEndpoint{ID: id, Address: address, FailureDomain: "xinyi", From: 0, To: 8})
+		d.engines.loads[address] = &chicoryhall.Load{
+			Engine: id, Incarnation: 1_700_000_000_000, KVCapacity: 1 << 30, StepMicros: 9000,
+			Holdings: []chicoryhall.Holding{{Model: "m", Version: "1", To: 8}},
+		}
+	}
+	members := make([]chicoryhall.Member, daemons)
+	for i := range members {
+		members[i] = chicoryhall.Member{ID: chicoryhall.DaemonID(fmt.Sprintf("daemon-%03d", i)), FailureDomain: "xinyi"}
+	}
+	for i := range members {
+		p := place{document: document, self: members[i]}
+		p.members = append(append(p.members, members[:i]...), members[i+1:]...)
+		w := watch.New(watch.Config{Timer: clock, Documents: p, Members: others{p}, Loads: d.engines})
+		w.Assign()
+		clock.Every(100*time.Millisecond, w.PollDue)
+		d.watches = append(d.watches, w)
+	}
+	return d
+}
+
+// exchange lets each daemon exchange sightings with random peers by the real encoding, as Exchange does.
+func (d *deployment) exchange(t *testing.T) {
+	d.turn++
+	for i, w := range d.watches {
+		peers := 1
+		switch {
+		case w.HasUrgent():
+			peers = 2
+		case len(d.watches) > 16 && d.turn%2 == 0:
+			peers = 0
+		}
+		for range peers {
+			d.exchangeOne(t, w, d.watches[(i+1+d.random.IntN(len(d.watches)-1))%len(d.watches)])
+		}
+	}
+}
+
+func (d *deployment) exchangeOne(t *testing.T, asking, answering *watch.Watch) {
+	wanted := asking.Wanted()
+	d.hear(t, answering, asking.Answer(nil), len(watch.EncodeWanted(wanted)))
+	d.hear(t, asking, answering.Answer(wanted), 0)
+}
+
+func (d *deployment) hear(t *testing.T, to *watch.Watch, sightings []watch.Sighting, more int) {
+	packed := watch.EncodeSightings(sightings, d.clock.Now().UnixMilli())
+	d.bytes += (len(packed)+more)*4/3 + 100 // Base64 in the JSON-RPC envelope.
+	decoded, err := watch.DecodeSightings(packed)
+	must.NoError(t, err)
+	to.Hear(decoded)
+}
+
+// shake changes the load of one endpoint in five.
+func (d *deployment) shake() {
+	for _, load := range d.engines.loads {
+		if d.random.IntN(5) == 0 {
+			load.Running = d.random.IntN(64)
+		}
+	}
+}
+
+// run lets time pass with exchanges every half second.
+func (d *deployment) run(t *testing.T, total time.Duration) {
+	for passed := time.Duration(0); passed < total; passed += halfSecond {
+		d.shake()
+		d.clock.Advance(halfSecond)
+		d.exchange(t)
+	}
+}
+
+func (d *deployment) count(id chicoryhall.EngineID, state chicoryhall.EndpointState) int {
+	count := 0
+	for _, w := range d.watches {
+		if w.View(id).State == state {
+			count++
+		}
+	}
+	return count
+}
+
+// TestLeavingReachesEveryDaemon bounds the time from a report of leaving to the last daemon.
+func TestLeavingReachesEveryDaemon(t *testing.T) {
+	cases := []struct {
+		name               string
+		daemons, endpoints int
+	}{
+		{"today", 8, 40},
+		{"one failure domain of the design size", 72, 420},
+	}
+	if testing.Short() {
+		cases = cases[:1]
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := newDeployment(t, c.daemons, c.endpoints)
+			d.run(t, 20*time.Second)
+			must.Eq(t, c.daemons, d.count(d.ids[7], chicoryhall.EndpointReady))
+			d.bytes, d.engines.polls = 0, 0
+			d.run(t, 10*time.Second)
+			t.Logf("per daemon and second: %d bytes of sightings in and out, %.1f polls",
+				2*d.bytes/c.daemons/10, float64(d.engines.polls)/float64(c.daemons)/10)
+			load := d.engines.loads["10.0.0.7:80"]
+			load.State = chicoryhall.EndpointLeaving
+			passed := time.Duration(0)
+			for ; d.count(d.ids[7], chicoryhall.EndpointLeaving) < c.daemons && passed < time.Minute; passed += halfSecond {
+				d.run(t, halfSecond)
+			}
+			t.Logf("known to every daemon after %s", passed)
+			must.LessEq(t, 3*time.Second, passed)
+			load.State = chicoryhall.EndpointReady
+			d.run(t, 10*time.Second)
+			must.Eq(t, c.daemons, d.count(d.ids[7], chicoryhall.EndpointLeaving), must.Sprint("leaving wins over later reports"))
+			load.Incarnation++
+			d.run(t, 15*time.Second)
+			must.Eq(t, c.daemons, d.count(d.ids[7], chicoryhall.EndpointReady), must.Sprint("a new incarnation is new"))
+		})
+	}
+}
+
+// TestRefusedEndpointIsDeadUntilItAnswers follows one endpoint that dies and comes back.
+func TestRefusedEndpointIsDeadUntilItAnswers(t *testing.T) {
+	d := newDeployment(t, 8, 40)
+	d.run(t, 10*time.Second)
+	d.engines.dead["10.0.0.3:80"] = true
+	d.run(t, 5*time.Second)
+	must.Eq(t, 8, d.count(d.ids[3], chicoryhall.EndpointDead))
+	delete(d.engines.dead, "10.0.0.3:80")
+	d.run(t, 5*time.Second)
+	must.Eq(t, 8, d.count(d.ids[3], chicoryhall.EndpointReady))
+}
+
+// TestOwnPathIsNotSpread keeps one daemon's trouble with an endpoint to that daemon.
+func TestOwnPathIsNotSpread(t *testing.T) {
+	d := newDeployment(t, 8, 40)
+	d.run(t, 10*time.Second)
+	for i, w := range d.watches {
+		if !w.IsWatched(d.ids[5]) {
+			w.Observe(d.ids[5], chicoryhall.ObservedSilence)
+			must.Eq(t, chicoryhall.EndpointSuspect, w.View(d.ids[5]).State)
+			d.exchange(t)
+			d.exchange(t)
+			must.LessEq(t, 1, d.count(d.ids[5], chicoryhall.EndpointSuspect), must.Sprintf("daemon %d", i))
+			return
+		}
+	}
+	t.Fatal("every daemon watches the endpoint")
+}
+
+// TestWatchersAreSharedOut bounds what one of 360 daemons polls of 2,100 endpoints.
+func TestWatchersAreSharedOut(t *testing.T) {
+	var members []chicoryhall.Member
+	for i := range 360 {
+		members = append(members, chicoryhall.Member{
+			ID: chicoryhall.DaemonID(fmt.Sprintf("daemon-%03d", i)), FailureDomain: chicoryhall.FailureDomain(fmt.Sprint(i % 5)),
+		})
+	}
+	watched := map[chicoryhall.DaemonID]int{}
+	for i := range 2100 {
+		watchers := watch.Watchers(chicoryhall.EngineID(fmt.Sprintf("engine-%04d", i)), chicoryhall.FailureDomain(fmt.Sprint(i%5)), members)
+		must.Len(t, 2, watchers)
+		for _, id := range watchers {
+			watched[id]++
+		}
+	}
+	most := 0
+	for _, count := range watched {
+		most = max(most, count)
+	}
+	t.Logf("a daemon watches 11.7 endpoints on average and %d at most", most)
+	must.Less(t, 30, most)
+}
+
+// TestViewFollowsTheNewestEvidence draws reports, sightings and observations in any order.
+func TestViewFollowsTheNewestEvidence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := watch.NewEntry("engine-1")
+		now := time.UnixMilli(1_000_000)
+		incarnation, left := int64(0), false
+		for range rapid.IntRange(1, 40).Draw(t, "inputs") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "milliseconds")) * time.Millisecond)
+			state := rapid.SampledFrom(chicoryhall.EndpointStateValues()).Draw(t, "state")
+			load := chicoryhall.Load{
+				Engine: "engine-1", Incarnation: int64(rapid.IntRange(1, 3).Draw(t, "incarnation")), State: state,
+				AsOfMillis: now.UnixMilli() - int64(rapid.IntRange(0, 5000).Draw(t, "lag")),
+			}
+			// An endpoint never reports itself suspect or dead; peers may.
+			failed := state == chicoryhall.EndpointSuspect || state == chicoryhall.EndpointDead
+			e.Take(load, failed || rapid.Bool().Draw(t, "from peer"), now)
+			if load.Incarnation > incarnation {
+				incarnation, left = load.Incarnation, false
+			}
+			if load.Incarnation == incarnation && state == chicoryhall.EndpointLeaving {
+				left = left || e.State() == chicoryhall.EndpointLeaving
+			}
+			must.GreaterEq(t, incarnation, e.Incarnation())
+			if left {
+				must.SliceContains(t, []chicoryhall.EndpointState{chicoryhall.EndpointLeaving, chicoryhall.EndpointDead}, e.State())
+			}
+		}
+	})
+}
+
+func FuzzDecodeSightings(f *testing.F) {
+	f.Add([]byte{})
+	f.Add(watch.EncodeSightings([]watch.Sighting{
+		{Endpoint: 7, State: chicoryhall.EndpointLeaving, Incarnation: 9, AsOfMillis: 5, Running: 3, AsDocument: true},
+		{Endpoint: 8, Holdings: []chicoryhall.Holding{{Model: "m", Version: "2", From: 1, To: 4}}},
+	}, 1000))
+	f.Add([]byte{0, 0xdd, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, packed []byte) {
+		sightings, err := watch.DecodeSightings(packed)
+		if err != nil {
+			return
+		}
+		again, err := watch.DecodeSightings(watch.EncodeSightings(sightings, 0))
+		must.NoError(t, err)
+		must.Eq(t, sightings, again)
+	})
+}
