Store outcomes before the caller is told; commit claims in several batches at once

Cause, seen in the proofs (go test ./proof -run 'TestProofs/(at-most-once|not-run)'): a repeat at once at another daemon got 'unknown', as the outcome was stored after the caller was told; a repeat of a request that was not run got the finished one's answer, as its key stayed in the daemon's index; after an outage a claim failed, as the one batch in progress held up the next.

Ruled out: the claims' state machine, whose exploration does not change.

--- a/claim/committer.go
+++ b/claim/committer.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"crypto/rand"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,10 +18,12 @@
 // The bounds of a Committer.
 const (
 	maxBatch = 200
-	// minPeriod lies between the beginnings of two transactions of one daemon.
-	minPeriod = 40 * time.Millisecond
+	// minPeriod lies between the beginnings of two batches of one daemon.
+	minPeriod = 20 * time.Millisecond
 	// batchTimeout bounds the settling of one batch.
-	batchTimeout = 3 * time.Second
+	batchTimeout = time.Second
+	// maxBatches is how many batches are settled at once, so that one whose answer is lost does not hold up the others.
+	maxBatches = 4
 	// retryPause lies between two tries while the table refuses.
 	retryPause = 50 * time.Millisecond
 	maxWaiting = 20_000
@@ -34,6 +38,8 @@
 type waiter struct {
 	entry Entry
 	done  chan Verdict
+	// gone tells that nobody waits any more; the entry is then left out.
+	gone *atomic.Bool
 }
 
 // entryID names an entry whatever version it replaces.
@@ -47,7 +53,7 @@
 	return entryID{key: e.Key, owner: e.Owner, kind: e.Kind}
 }
 
-// Committer commits entries in batches, one transaction at a time.
+// Committer commits entries in batches.
 type Committer struct {
 	store chicoryhall.Table
 	timer chicoryhall.Timer
@@ -64,7 +70,7 @@
 
 // Commit returns the verdict of an entry; when ctx ends first, the entry may still take effect.
 func (c *Committer) Commit(ctx context.Context, entry Entry) Verdict {
-	w := waiter{entry: entry, done: make(chan Verdict, 1)}
+	w := waiter{entry: entry, done: make(chan Verdict, 1), gone: &atomic.Bool{}}
 	if !c.enqueue(w) {
 		return Verdict{Entry: entry, Err: errFull}
 	}
@@ -72,6 +78,7 @@
 	case verdict := <-w.done:
 		return verdict
 	case <-ctx.Done():
+		w.gone.Store(true)
 		return Verdict{Entry: entry, Err: errors.Wrap(ctx.Err(), "wait for the platform's table")}
 	}
 }
@@ -92,15 +99,20 @@
 
 // Serve commits batches until ctx ends.
 func (c *Committer) Serve(ctx context.Context) error {
+	var batches errgroup.Group
+	batches.SetLimit(maxBatches)
+	defer func() { _ = batches.Wait() }() // The functions return no errors.
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-c.wake:
 		}
-		started := c.timer.Now()
-		c.commitAll(ctx)
-		if !pause(ctx, minPeriod-c.timer.Now().Sub(started)) {
+		batches.Go(func() error {
+			c.commitAll(ctx)
+			return nil
+		})
+		if !pause(ctx, minPeriod) {
 			return ctx.Err()
 		}
 	}
@@ -152,6 +164,7 @@
 func (c *Committer) take() (*Batch, map[entryID]waiter) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.waiting = slices.DeleteFunc(c.waiting, func(w waiter) bool { return w.gone.Load() })
 	queue := make([]Entry, len(c.waiting))
 	for i := range c.waiting {
 		queue[i] = c.waiting[i].entry
--- a/requests/plain.go
+++ b/requests/plain.go
@@ -20,6 +20,8 @@
 	claimTimeout = time.Second
 	// recordTimeout bounds one try to store an outcome.
 	recordTimeout = 2 * time.Second
+	// recordWait bounds how long the caller waits for its outcome to be stored.
+	recordWait = 300 * time.Millisecond
 	// recordTries is the number of tries to store an outcome.
 	recordTries = 5
 	// tryFactor multiplies the class's wanted answer time for one try of an idempotent call.
@@ -112,7 +114,8 @@
 	return result
 }
 
-// recordOutcome stores what became of a claimed call while the caller is told.
+// recordOutcome stores what became of a claimed call, before the caller is told if the table
+// takes it within recordWait, so that a repeat at once finds it.
 func (r *Request) recordOutcome(result chicoryhall.Result) {
 	if result.Outcome == chicoryhall.Unknown {
 		// A claim without an outcome means unknown.
@@ -123,11 +126,19 @@
 		return
 	}
 	r.service.storing.Add(1)
+	stored := make(chan struct{})
 	r.service.work.Go(func() error {
 		defer r.service.storing.Add(-1)
+		defer close(stored)
 		r.storeOutcome(result.Outcome, string(text))
 		return nil
 	})
+	wait := time.NewTimer(recordWait)
+	defer wait.Stop()
+	select {
+	case <-stored:
+	case <-wait.C:
+	}
 }
 
 // settleClaim stores an answer, or lets a repeat run what was not run.
--- a/requests/request.go
+++ b/requests/request.go
@@ -168,6 +168,9 @@
 		return
 	}
 	r.result = result
+	if result.Outcome == chicoryhall.NotRun {
+		r.service.freeKey(r) // A repeat may run.
+	}
 	r.ended.Store(true)
 	for _, subscription := range []chicoryhall.Subscription{r.deadline, r.progress} {
 		if subscription != nil {
--- a/requests/service.go
+++ b/requests/service.go
@@ -207,6 +207,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.byID, r.record.ID)
+	s.dropKey(r)
+}
+
+// freeKey lets another request take the key of one that was not run.
+func (s *Service) freeKey(r *Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropKey(r)
+}
+
+func (s *Service) dropKey(r *Request) {
 	if key := r.key(); key.key != "" && s.byKey[key] == r {
 		delete(s.byKey, key)
 	}
