--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -14,7 +14,7 @@
 	"chicoryhall.example/chicoryhall/watch"
 )
 
-const halfSecond = 500 * time.Millisecond
+const stepTime = 500 * time.Millisecond
 
 // place is a deployment's documents and one daemon's members.
 type place struct {
@@ -141,9 +141,9 @@
 
 // run lets time pass with exchanges every half second.
 func (d *deployment) run(t *testing.T, total time.Duration) {
-	for passed := time.Duration(0); passed < total; passed += halfSecond {
+	for passed := time.Duration(0); passed < total; passed += stepTime {
 		d.shake()
-		d.clock.Advance(halfSecond)
+		d.clock.Advance(stepTime)
 		d.exchange(t)
 	}
 }
@@ -182,8 +182,8 @@
 			load := d.engines.loads["10.0.0.7:80"]
 			load.State = chicoryhall.EndpointLeaving
 			passed := time.Duration(0)
-			for ; d.count(d.ids[7], chicoryhall.EndpointLeaving) < c.daemons && passed < time.Minute; passed += halfSecond {
-				d.run(t, halfSecond)
+			for ; d.count(d.ids[7], chicoryhall.EndpointLeaving) < c.daemons && passed < time.Minute; passed += stepTime {
+				d.run(t, stepTime)
 			}
 			t.Logf("known to every daemon after %s", passed)
 			must.LessEq(t, 3*time.Second, passed)
