Make one key at several daemons one request; free the key of what was not run

A key's owner among the region's live daemons (rendezvous hashing, two of them know it) lets the first proposal win; the others follow that request. A repeat with the key of a request that was not run got the stored refusal for ten minutes; the key is freed now (TestNotRunFreesKey). A daemon is ready only when a seed has answered, at most 3 s after its start: TestProofs/whole-answer/sent-twice got two answers from daemons that did not know each other yet.

--- a/caller/answers.go
+++ b/caller/answers.go
@@ -119,3 +119,15 @@
 	w.ended = true
 	return w.tokens, first
 }
+
+// ignoringFollower is a chicoryhall.Follower that wants to know only whether a request exists.
+type ignoringFollower struct{}
+
+// OnAccepted does nothing.
+func (*ignoringFollower) OnAccepted() {}
+
+// OnTokens does nothing.
+func (*ignoringFollower) OnTokens(int, []digest.Token) {}
+
+// OnFinish does nothing.
+func (*ignoringFollower) OnFinish(chicoryhall.Result) {}
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -76,6 +76,12 @@
 	x.end()
 }
 
+// empty writes an answer without a body and ends the exchange.
+func (x *exchange) empty() {
+	x.write([]byte("HTTP/1.1 204 No Content\r\n\r\n"))
+	x.end()
+}
+
 // problem writes a Problem and ends the exchange.
 func (x *exchange) problem(problem Problem) {
 	x.write(appendProblem(nil, problem, x.last))
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"net/http"
 	"strconv"
 	"strings"
@@ -14,6 +15,9 @@
 	"chicoryhall.example/chicoryhall/requests"
 )
 
+// forwardTimeout bounds the search for a request at other daemons.
+const forwardTimeout = 2 * time.Second
+
 // servicePath starts, and requestsSuffix ends, the path of submissions.
 const (
 	servicePath    = "/v1/services/"
@@ -85,17 +89,43 @@
 		s.refuse(w, r, *problem)
 		return
 	}
-	started, err := s.parts.Requests.Submit(submission)
+	x, ok := s.newExchange(w, r)
+	if !ok {
+		return
+	}
+	organisation := submission.Record.Organisation
+	isKnown := func(id chicoryhall.RequestID) bool { return s.isKnown(id, organisation) }
+	err := s.parts.Requests.Submit(submission, isKnown, func(submitted requests.Submitted) {
+		s.followSubmitted(x, submission, submitted)
+	})
 	if err != nil {
-		s.refuse(w, r, submitProblem(err))
+		x.problem(submitProblem(err))
+	}
+}
+
+// followSubmitted writes the answer of the request that a submission started or named.
+func (s *Server) followSubmitted(x *exchange, submission requests.Submission, submitted requests.Submitted) {
+	if submitted.Err != nil {
+		x.problem(submitProblem(submitted.Err))
 		return
 	}
-	x, ok := s.newExchange(w, r)
-	if !ok {
+	x.id = submitted.ID
+	organisations := []chicoryhall.Organisation{submission.Record.Organisation}
+	stop, found := s.follow(x.id, organisations, 0, x.followerOf(submission))
+	if !found {
+		x.problem(unknownRequest(x.id))
 		return
 	}
-	x.id = started.ID()
-	x.state.onGone(started.Follow(0, x.followerOf(submission)))
+	x.state.onGone(stop)
+}
+
+// isKnown reports whether a request can be followed here or at another daemon.
+func (s *Server) isKnown(id chicoryhall.RequestID, organisation chicoryhall.Organisation) bool {
+	stop, found := s.follow(id, []chicoryhall.Organisation{organisation}, 0, &ignoringFollower{})
+	if found {
+		stop()
+	}
+	return found
 }
 
 // followerOf returns the writer of the form of answer that was asked for.
@@ -141,14 +171,32 @@
 	}
 }
 
+// handleCancel ends a request here or at another daemon.
 func (s *Server) handleCancel(w http.ResponseWriter, r *http.Request, id chicoryhall.RequestID, organisations []chicoryhall.Organisation) {
+	x, ok := s.newExchange(w, r)
+	if !ok {
+		return
+	}
+	x.id = id
+	s.work.Go(func() error {
+		if s.cancel(id, organisations) {
+			x.empty()
+		} else {
+			x.problem(unknownRequest(id))
+		}
+		return nil
+	})
+}
+
+func (s *Server) cancel(id chicoryhall.RequestID, organisations []chicoryhall.Organisation) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), forwardTimeout)
+	defer cancel()
 	for _, organisation := range organisations {
-		if s.parts.Requests.Cancel(id, organisation) || s.parts.Forwarder.Cancel(r.Context(), id, organisation) {
-			w.WriteHeader(http.StatusNoContent)
-			return
+		if s.parts.Requests.Cancel(id, organisation) || s.parts.Forwarder.Cancel(ctx, id, organisation) {
+			return true
 		}
 	}
-	s.refuse(w, r, unknownRequest(id))
+	return false
 }
 
 // handleFetch goes on behind Last-Event-ID with events, or tells what is known.
@@ -165,28 +213,48 @@
 	x.id = id
 	wantsEvents := r.Header.Get(HeaderLastEventID) != "" || strings.Contains(r.Header.Get("Accept"), MediaTypeEvents)
 	if wantsEvents {
-		stop, found := s.follow(r, id, organisations, position, &eventWriter{x: x, position: position})
-		if !found {
-			x.problem(unknownRequest(id))
-			return
-		}
-		x.state.onGone(stop)
+		s.followFetched(x, organisations, position, &eventWriter{x: x, position: position}, x.state.onGone)
 		return
 	}
 	poll := &pollWriter{x: x}
-	stop, found := s.follow(r, id, organisations, 0, poll)
-	if !found {
-		x.problem(unknownRequest(id))
+	s.followFetched(x, organisations, 0, poll, func(stop func()) {
+		s.parts.Timer.After(pollWait, func(time.Time) {
+			stop()
+			poll.pending()
+		})
+	})
+}
+
+// followFetched follows a request, on a goroutine of its own if other daemons must be asked.
+func (s *Server) followFetched(x *exchange, organisations []chicoryhall.Organisation, position int,
+	follower chicoryhall.Follower, following func(stop func()),
+) {
+	if stop, found := s.followHere(x.id, organisations, position, follower); found {
+		following(stop)
 		return
 	}
-	s.parts.Timer.After(pollWait, func(time.Time) {
-		stop()
-		poll.pending()
+	s.work.Go(func() error {
+		stop, found := s.followElsewhere(x.id, organisations, position, follower)
+		if !found {
+			x.problem(unknownRequest(x.id))
+			return nil
+		}
+		following(stop)
+		return nil
 	})
 }
 
 // follow looks for a request here and then at other daemons.
-func (s *Server) follow(r *http.Request, id chicoryhall.RequestID, organisations []chicoryhall.Organisation, position int,
+func (s *Server) follow(id chicoryhall.RequestID, organisations []chicoryhall.Organisation, position int,
+	follower chicoryhall.Follower,
+) (stop func(), found bool) {
+	if stop, found := s.followHere(id, organisations, position, follower); found {
+		return stop, true
+	}
+	return s.followElsewhere(id, organisations, position, follower)
+}
+
+func (s *Server) followHere(id chicoryhall.RequestID, organisations []chicoryhall.Organisation, position int,
 	follower chicoryhall.Follower,
 ) (stop func(), found bool) {
 	for _, organisation := range organisations {
@@ -194,8 +262,16 @@
 			return stop, true
 		}
 	}
+	return nil, false
+}
+
+func (s *Server) followElsewhere(id chicoryhall.RequestID, organisations []chicoryhall.Organisation, position int,
+	follower chicoryhall.Follower,
+) (stop func(), found bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), forwardTimeout)
+	defer cancel()
 	for _, organisation := range organisations {
-		if stop, found := s.parts.Forwarder.Follow(r.Context(), id, organisation, position, follower); found {
+		if stop, found := s.parts.Forwarder.Follow(ctx, id, organisation, position, follower); found {
 			return stop, true
 		}
 	}
--- a/caller/server.go
+++ b/caller/server.go
@@ -12,6 +12,7 @@
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/event"
@@ -52,6 +53,7 @@
 type Server struct {
 	parts       Parts
 	connections connections
+	work        errgroup.Group
 	loop        *nbhttp.Engine
 }
 
--- a/cmd/chicoryhall/daemon/builder.go
+++ b/cmd/chicoryhall/daemon/builder.go
@@ -55,6 +55,7 @@
 	holder        *holder.Keeper
 	claims        chicoryhall.Claims
 	limits        requests.Limits
+	keys          requests.Keys
 	retries       requests.Retries
 	quarantine    requests.Quarantine
 	forwarder     chicoryhall.Forwarder
@@ -91,6 +92,7 @@
 		{"keeper", b.buildKeeper},
 		{"claims", b.buildClaims},
 		{"limits", b.buildLimits},
+		{"keys", b.buildKeys},
 		{"retries", b.buildRetries},
 		{"quarantine", b.buildQuarantine},
 		{"requests", b.buildRequests},
--- a/cmd/chicoryhall/daemon/callers.go
+++ b/cmd/chicoryhall/daemon/callers.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 
 	"chicoryhall.example/chicoryhall/caller"
 	"chicoryhall.example/chicoryhall/requests"
+	"chicoryhall.example/chicoryhall/settings"
 )
 
 // buildRequests adds the part that runs requests.
@@ -13,7 +15,7 @@
 	b.requests = requests.New(requests.Parts{
 		Self: b.settings.ID, FailureDomain: b.settings.FailureDomain,
 		Timer: b.timer, Engines: b.engines, Documents: b.documents, Endpoints: b.endpoints,
-		Router: b.router, Admission: b.admission, Keeper: b.keeper, Claims: b.claims,
+		Router: b.router, Admission: b.admission, Keeper: b.keeper, Claims: b.claims, Keys: b.keys,
 		Forwarder: b.forwarder, Limits: b.limits, Retries: b.retries, Quarantine: b.quarantine, Log: b.log, Metrics: b.metrics,
 	})
 	b.holder.SetRequests(b.requests)
@@ -25,6 +27,7 @@
 func (b *builder) buildCallers() error {
 	ready := &readiness{
 		timer: b.timer, documents: b.documents, endpoints: b.endpoints, known: b.configuration.Ready,
+		members: b.members, hasSeeds: hasOtherSeeds(b.settings),
 	}
 	server := caller.NewServer(caller.Parts{
 		Address: b.settings.Listen.Callers, Timer: b.timer, Documents: b.documents,
@@ -35,3 +38,8 @@
 	b.drains = append(b.drains, func(context.Context) { ready.draining.Store(true) }, b.requests.Drain)
 	return nil
 }
+
+// hasOtherSeeds reports whether the settings name another daemon than this one.
+func hasOtherSeeds(own settings.Daemon) bool {
+	return slices.ContainsFunc(own.Seeds, func(seed string) bool { return seed != own.Listen.Peers })
+}
--- a/cmd/chicoryhall/daemon/readiness.go
+++ b/cmd/chicoryhall/daemon/readiness.go
@@ -9,7 +9,7 @@
 	"chicoryhall.example/chicoryhall"
 )
 
-// maxLearning bounds how long a new daemon waits for the first reports of all endpoints.
+// maxLearning bounds how long a new daemon waits for its peers and the first reports of all endpoints.
 const maxLearning = 3 * time.Second
 
 // The reasons for which a daemon is not ready.
@@ -17,6 +17,7 @@
 	errDraining    = errors.New("the daemon is stopping")
 	errNoDocuments = errors.New("no service document is in force here yet")
 	errLearning    = errors.New("the endpoints have not reported yet")
+	errNoPeers     = errors.New("no peer has answered yet")
 )
 
 // readiness tells whether the daemon may get requests.
@@ -24,6 +25,9 @@
 	timer     chicoryhall.Timer
 	documents chicoryhall.Documents
 	endpoints chicoryhall.Endpoints
+	members   chicoryhall.Members
+	// hasSeeds tells that other daemons are to be found.
+	hasSeeds bool
 	// known tells whether the documents were read from the table or a peer.
 	known    func() error
 	draining atomic.Bool
@@ -49,13 +53,25 @@
 	}
 	now := r.timer.Now()
 	r.since.CompareAndSwap(0, now.UnixNano())
-	if !r.knowsAll(documents) && now.UnixNano()-r.since.Load() < maxLearning.Nanoseconds() {
-		return errLearning
+	if err := r.missing(documents); err != nil && now.UnixNano()-r.since.Load() < maxLearning.Nanoseconds() {
+		return err
 	}
 	r.learned.Store(true)
 	return nil
 }
 
+// missing says what a new daemon has not learned yet. Without its peers it would hold requests
+// alone and decide by itself which request a key names.
+func (r *readiness) missing(documents []chicoryhall.InForce) error {
+	if r.hasSeeds && len(r.members.All()) == 0 {
+		return errNoPeers
+	}
+	if !r.knowsAll(documents) {
+		return errLearning
+	}
+	return nil
+}
+
 // knowsAll reports whether each endpoint has reported or has shown that it does not answer.
 func (r *readiness) knowsAll(documents []chicoryhall.InForce) bool {
 	for _, inForce := range documents {
--- /dev/null
+++ b/idempotency/table_test.go
@@ -0,0 +1,94 @@
+package idempotency_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/idempotency"
+)
+
+// TestDecide lets one request win and frees keys only as promised.
+func TestDecide(t *testing.T) {
+	now := time.Unix(1000, 0)
+	key := idempotency.Key{Organisation: "garage", Service: "manual", Text: "k"}
+	proposal := func(request chicoryhall.RequestID, fingerprint uint64, instead chicoryhall.RequestID) idempotency.Proposal {
+		return idempotency.Proposal{Key: key, Request: request, Fingerprint: fingerprint, Instead: instead}
+	}
+	cases := []struct {
+		name   string
+		before func(*idempotency.Table)
+		ask    idempotency.Proposal
+		after  time.Duration
+		want   idempotency.Decision
+	}{
+		{"first", func(*idempotency.Table) {}, proposal("b", 1, ""), 0, idempotency.Decision{Request: "b"}},
+		{"second", func(*idempotency.Table) {}, proposal("a", 1, ""), 0, idempotency.Decision{Request: "a"}},
+		{"known", func(t *idempotency.Table) { t.Decide(proposal("a", 1, ""), now) }, proposal("b", 1, ""), 0, idempotency.Decision{Request: "a"}},
+		{"other content", func(t *idempotency.Table) { t.Decide(proposal("a", 1, ""), now) }, proposal("b", 2, ""), 0, idempotency.Decision{Request: "a", Reused: true}},
+		{"learned", func(t *idempotency.Table) { t.Learn(proposal("a", 1, ""), now) }, proposal("b", 1, ""), 0, idempotency.Decision{Request: "a"}},
+		{"lost", func(t *idempotency.Table) { t.Decide(proposal("a", 1, ""), now) }, proposal("b", 1, "a"), 0, idempotency.Decision{Request: "b"}},
+		{"lost, but replaced before", func(t *idempotency.Table) {
+			t.Decide(proposal("a", 1, ""), now)
+			t.Decide(proposal("c", 1, "a"), now)
+		}, proposal("b", 1, "a"), 0, idempotency.Decision{Request: "c"}},
+		{"released", func(t *idempotency.Table) {
+			t.Decide(proposal("a", 1, ""), now)
+			t.Release(key, "a")
+		}, proposal("b", 2, ""), 0, idempotency.Decision{Request: "b"}},
+		{"released by another", func(t *idempotency.Table) {
+			t.Decide(proposal("a", 1, ""), now)
+			t.Release(key, "c")
+		}, proposal("b", 1, ""), 0, idempotency.Decision{Request: "a"}},
+		{"not yet old", func(t *idempotency.Table) { t.Decide(proposal("a", 1, ""), now) }, proposal("b", 1, ""), idempotency.Lifetime - 1, idempotency.Decision{Request: "a"}},
+		{"old", func(t *idempotency.Table) { t.Decide(proposal("a", 1, ""), now) }, proposal("b", 1, ""), idempotency.Lifetime, idempotency.Decision{Request: "b"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := idempotency.NewTable()
+			c.before(table)
+			must.Eq(t, c.want, table.Decide(c.ask, now.Add(c.after)))
+		})
+	}
+}
+
+// view is a chicoryhall.Members with a fixed list.
+type view struct {
+	self chicoryhall.Member
+	all  []chicoryhall.Member
+}
+
+func (v *view) Self() chicoryhall.Member           { return v.self }
+func (v *view) All() []chicoryhall.Member          { return v.all }
+func (v *view) Subscribe(func(chicoryhall.Member)) {}
+
+// TestOwnersAgree shows that all daemons name the same owners and that a successor takes over.
+func TestOwnersAgree(t *testing.T) {
+	var members []chicoryhall.Member
+	for i := range 9 {
+		members = append(members, chicoryhall.Member{ID: chicoryhall.DaemonID(fmt.Sprintf("d%d", i)), Region: "dakar"})
+	}
+	seenBy := func(self int, lost chicoryhall.DaemonID) *view {
+		v := &view{self: members[self]}
+		for i, member := range members {
+			if i != self && member.ID != lost {
+				v.all = append(v.all, member)
+			}
+		}
+		return v
+	}
+	for k := range 50 {
+		key := idempotency.Key{Text: fmt.Sprint(k)}
+		owners := idempotency.OwnersOf(key, seenBy(0, ""))
+		must.SliceLen(t, idempotency.Owners, owners)
+		for self := range members {
+			must.Eq(t, owners, idempotency.OwnersOf(key, seenBy(self, "")))
+			if members[self].ID != owners[0] {
+				must.Eq(t, owners[1], idempotency.OwnersOf(key, seenBy(self, owners[0]))[0])
+			}
+		}
+	}
+}
--- a/requests/request.go
+++ b/requests/request.go
@@ -11,6 +11,7 @@
 	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/digest"
 	"chicoryhall.example/chicoryhall/engine"
+	"chicoryhall.example/chicoryhall/idempotency"
 	"chicoryhall.example/chicoryhall/quarantine"
 	"chicoryhall.example/chicoryhall/stream"
 )
@@ -93,8 +94,8 @@
 
 func (r *Request) parts() *Parts { return &r.service.parts }
 
-func (r *Request) key() callerKey {
-	return callerKey{organisation: r.record.Organisation, service: r.record.Service, key: r.record.Key}
+func (r *Request) key() idempotency.Key {
+	return idempotency.Key{Organisation: r.record.Organisation, Service: r.record.Service, Text: r.record.Key}
 }
 
 // Follow tells follower of the request from position on; stop ends that.
@@ -168,9 +169,6 @@
 		return
 	}
 	r.result = result
-	if result.Outcome == chicoryhall.NotRun {
-		r.service.freeKey(r) // A repeat may run.
-	}
 	r.ended.Store(true)
 	for _, subscription := range []chicoryhall.Subscription{r.deadline, r.progress} {
 		if subscription != nil {
@@ -191,6 +189,10 @@
 	r.measureEnd()
 	followers := r.followers
 	r.followers = nil
+	if result.Outcome == chicoryhall.NotRun && r.record.Key != "" {
+		// A repeat with the key may run.
+		r.parts().Keys.Release(r.key(), r.record.ID)
+	}
 	if result.Reason == stream.ReasonReplaced.String() {
 		// The other daemon's answer is the one to fetch.
 		r.service.forget(r)
--- a/requests/service.go
+++ b/requests/service.go
@@ -12,6 +12,7 @@
 	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/engine"
 	"chicoryhall.example/chicoryhall/event"
+	"chicoryhall.example/chicoryhall/idempotency"
 	"chicoryhall.example/chicoryhall/quarantine"
 )
 
@@ -28,6 +29,7 @@
 	Keeper        chicoryhall.Keeper
 	Claims        chicoryhall.Claims
 	Limits        Limits
+	Keys          Keys
 	Retries       Retries
 	Quarantine    Quarantine
 	Log           *event.Logger
@@ -36,6 +38,14 @@
 	Forwarder chicoryhall.Forwarder
 }
 
+// Keys makes an idempotency key that is sent to several daemons one request.
+type Keys interface {
+	// Decide returns the request that a key names; the first proposal wins.
+	Decide(ctx context.Context, proposal idempotency.Proposal) idempotency.Decision
+	// Release frees a key whose request was not run.
+	Release(key idempotency.Key, request chicoryhall.RequestID)
+}
+
 // Retries is the retry budget of each service.
 type Retries interface {
 	// Succeeded counts a request that was answered.
@@ -78,16 +88,8 @@
 	// storing counts the outcomes that are being stored.
 	storing atomic.Int64
 
-	mu    sync.Mutex
-	byID  map[chicoryhall.RequestID]*Request
-	byKey map[callerKey]*Request
-}
-
-// callerKey is an idempotency key as an organisation uses it with a service.
-type callerKey struct {
-	organisation chicoryhall.Organisation
-	service      chicoryhall.ServiceName
-	key          string
+	mu   sync.Mutex
+	byID map[chicoryhall.RequestID]*Request
 }
 
 // New returns a Service.
@@ -95,7 +97,6 @@
 	s := &Service{
 		parts: parts,
 		byID:  map[chicoryhall.RequestID]*Request{},
-		byKey: map[callerKey]*Request{},
 	}
 	s.window = newWindow(s.forget)
 	parts.Endpoints.Subscribe(s.endpointChanged)
@@ -207,18 +208,4 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.byID, r.record.ID)
-	s.dropKey(r)
-}
-
-// freeKey lets another request take the key of one that was not run.
-func (s *Service) freeKey(r *Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.dropKey(r)
-}
-
-func (s *Service) dropKey(r *Request) {
-	if key := r.key(); key.key != "" && s.byKey[key] == r {
-		delete(s.byKey, key)
-	}
 }
--- a/requests/submit.go
+++ b/requests/submit.go
@@ -11,6 +11,7 @@
 
 	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/engine"
+	"chicoryhall.example/chicoryhall/idempotency"
 	"chicoryhall.example/chicoryhall/stream"
 )
 
@@ -31,40 +32,75 @@
 	Record chicoryhall.RequestRecord
 }
 
-// Submit starts a request, or returns the one that has the same idempotency key.
-func (s *Service) Submit(submission Submission) (*Request, error) {
+// Submitted tells what became of a submission.
+type Submitted struct {
+	// ID is the request that answers the submission, an earlier one if the key was known.
+	ID chicoryhall.RequestID
+	// Err is ErrKeyReused, or nil.
+	Err error
+}
+
+// decideTimeout bounds the decision which request a key names.
+const decideTimeout = time.Second
+
+// Submit starts a request unless its key names another one, and then calls done once. isKnown
+// tells whether a request that the key names can still be followed.
+func (s *Service) Submit(submission Submission, isKnown func(chicoryhall.RequestID) bool, done func(Submitted)) error {
 	if s.stopping.Load() {
-		return nil, ErrStopping
+		return ErrStopping
 	}
 	id, err := s.newID()
 	if err != nil {
-		return nil, err
+		return err
 	}
 	submission.Record.ID = id
 	r := newRequest(s, submission)
-	if earlier := s.register(r); earlier != nil {
-		if earlier.fingerprint != r.fingerprint {
-			return nil, ErrKeyReused
-		}
-		return earlier, nil
+	s.register(r)
+	if r.record.Key == "" {
+		r.start()
+		done(Submitted{ID: id})
+		return nil
 	}
-	r.start()
-	return r, nil
+	s.work.Go(func() error {
+		done(s.startKeyed(r, isKnown))
+		return nil
+	})
+	return nil
 }
 
-// register adds a request unless its key is known; then it returns the known one.
-func (s *Service) register(r *Request) (earlier *Request) {
+// startKeyed starts a request if its key names it.
+func (s *Service) startKeyed(r *Request, isKnown func(chicoryhall.RequestID) bool) Submitted {
+	ctx, cancel := context.WithTimeout(context.Background(), decideTimeout)
+	defer cancel()
+	proposal := idempotency.Proposal{Key: r.key(), Fingerprint: r.fingerprint, Request: r.record.ID}
+	decision := s.parts.Keys.Decide(ctx, proposal)
+	if decision.Request != r.record.ID && !decision.Reused && !isKnown(decision.Request) {
+		// The request that the key names was lost with all daemons that held it, or is too old.
+		proposal.Instead = decision.Request
+		decision = s.parts.Keys.Decide(ctx, proposal)
+	}
+	switch {
+	case decision.Reused:
+		s.forget(r)
+		return Submitted{Err: ErrKeyReused}
+	case decision.Request != r.record.ID:
+		s.forget(r)
+		return Submitted{ID: decision.Request}
+	default:
+		r.start()
+		return Submitted{ID: r.record.ID}
+	}
+}
+
+// register adds a request; false means that its id is known.
+func (s *Service) register(r *Request) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	key := r.key()
-	if key.key != "" {
-		if known := s.byKey[key]; known != nil {
-			return known
-		}
-		s.byKey[key] = r
+	if s.byID[r.record.ID] != nil {
+		return false
 	}
 	s.byID[r.record.ID] = r
-	return nil
+	return true
 }
 
 // newID returns an id that names this daemon and is unique.
@@ -88,7 +124,7 @@
 	}
 	r := newRequest(s, Submission{Document: inForce.Document, Class: class, Record: record})
 	r.resumed = true
-	if s.register(r) == nil {
+	if s.register(r) {
 		r.start()
 	}
 	return nil
