Count the endpoints that a request meets at each layer, in one place

It now counts per layer over all cuts (TestPlacesCountEveryLayer; with counting at the beginning only it fails after one draw).

--- a/retry/doc.go
+++ b/retry/doc.go
@@ -1,8 +1,6 @@
-// Package retry decides whether a failed request may be run again: at most the
-// share of successful requests that the service's document allows, at most a
-// set number of endpoints in one place of a request's route, and never an
-// endpoint that this request already suspects.
+// Package retry bounds the requests that are run again at live endpoints to the
+// share of successful requests that the service's document allows.
 //
-// The package does no I/O. One Budget serves a service at one daemon; one Trail
-// belongs to one request.
+// How many endpoints one request may meet in one place of its route is kept by
+// package stream, with the request. The package does no I/O.
 package retry
--- a/stream/places.go
+++ b/stream/places.go
@@ -6,63 +6,59 @@
 	"chicoryhall.example/chicoryhall"
 )
 
-// place is one boundary of layers at which stages of the routes began.
-type place struct {
-	from    int
-	engines []chicoryhall.EngineID
+// meeting is an engine that a request has met, and the layers that it ran there.
+type meeting struct {
+	engine chicoryhall.EngineID
+	from   int
+	to     int
 }
 
-// places counts the engines that a request met in each place of its routes.
-type places []place
+// places counts the engines that a request met at each layer of its routes, which may cut the
+// layers at different boundaries.
+type places []meeting
 
 func (p *places) add(hops []chicoryhall.Hop) {
 	for _, hop := range hops {
-		p.addOne(hop)
-	}
-}
-
-func (p *places) addOne(hop chicoryhall.Hop) {
-	for i := range *p {
-		known := &(*p)[i]
-		if known.from != hop.From {
-			continue
+		met := meetingOf(hop)
+		if !slices.Contains(*p, met) {
+			*p = append(*p, met)
 		}
-		if !slices.Contains(known.engines, hop.Engine) {
-			known.engines = append(known.engines, hop.Engine)
-		}
-		return
 	}
-	*p = append(*p, place{from: hop.From, engines: []chicoryhall.EngineID{hop.Engine}})
 }
 
-func (p *places) count(from int) int {
-	for _, known := range *p {
-		if known.from == from {
-			return len(known.engines)
-		}
-	}
-	return 0
+// meetingOf takes an empty range of layers as one layer.
+func meetingOf(hop chicoryhall.Hop) meeting {
+	return meeting{engine: hop.Engine, from: hop.From, to: max(hop.To, hop.From+1)}
 }
 
-// most returns the largest number of engines in one place if the hops were added.
+// most returns the largest number of engines at one layer if the hops were added.
 func (p *places) most(hops []chicoryhall.Hop) int {
 	most := 0
 	for _, hop := range hops {
-		count := 1
-		for _, known := range *p {
-			if known.from == hop.From {
-				count = known.with(hop.Engine)
-			}
+		most = max(most, p.count(hop))
+	}
+	return most
+}
+
+// count returns the largest number of engines, the hop's own included, at one of its layers.
+func (p *places) count(hop chicoryhall.Hop) int {
+	own := meetingOf(hop)
+	most := p.countAt(own.from, own.engine)
+	for _, met := range *p {
+		if own.from <= met.from && met.from < own.to {
+			most = max(most, p.countAt(met.from, own.engine))
 		}
-		most = max(most, count)
 	}
 	return most
 }
 
-// with returns the number of engines of the place if one more was met.
-func (p *place) with(id chicoryhall.EngineID) int {
-	if slices.Contains(p.engines, id) {
-		return len(p.engines)
+// countAt returns the number of engines met at a layer, with one more.
+func (p *places) countAt(layer int, with chicoryhall.EngineID) int {
+	engines := []chicoryhall.EngineID{with}
+	for _, met := range *p {
+		if met.from <= layer && layer < met.to && !slices.Contains(engines, met.engine) {
+			engines = append(engines, met.engine)
+		}
 	}
-	return len(p.engines) + 1
+	return len(engines)
 }
--- /dev/null
+++ b/stream/places_test.go
@@ -0,0 +1,38 @@
+package stream
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"chicoryhall.example/chicoryhall"
+)
+
+// TestPlacesCountEveryLayer draws stages whose cuts do not align. Mutation that it catches:
+// counting only at the layer where a stage begins.
+func TestPlacesCountEveryLayer(t *testing.T) {
+	const layers = 8
+	rapid.Check(t, func(t *rapid.T) {
+		var met places
+		var engines [layers]map[chicoryhall.EngineID]bool
+		for i := range engines {
+			engines[i] = make(map[chicoryhall.EngineID]bool)
+		}
+		for range rapid.IntRange(1, 12).Draw(t, "stages") {
+			from := rapid.IntRange(0, layers-1).Draw(t, "from")
+			hop := chicoryhall.Hop{
+				Engine: chicoryhall.EngineID(fmt.Sprintf("e%d", rapid.IntRange(0, 5).Draw(t, "engine"))),
+				From:   from, To: rapid.IntRange(from+1, layers).Draw(t, "to"),
+			}
+			want := 0
+			for layer := hop.From; layer < hop.To; layer++ {
+				engines[layer][hop.Engine] = true
+				want = max(want, len(engines[layer]))
+			}
+			must.Eq(t, want, met.most([]chicoryhall.Hop{hop}))
+			met.add([]chicoryhall.Hop{hop})
+		}
+	})
+}
--- a/stream/recovery.go
+++ b/stream/recovery.go
@@ -151,7 +151,7 @@
 
 // recover replaces the current attempt by one without the failed engine.
 func (m *Machine) recover(now time.Time, failed chicoryhall.EngineID, reason Reason) {
-	if hop, found := m.hop(failed); found && m.met.count(hop.From) >= m.config.MaxEndpoints {
+	if hop, found := m.hop(failed); found && m.met.count(hop) >= m.config.MaxEndpoints {
 		m.exclude = append(m.exclude, failed)
 		m.giveUp(reasonOr(reason, ReasonEndpoints), retryAfterFailure)
 		return
