Miss an ending process at once; know new endpoints at once

The probe that follows a closed connection met a process that was just ending: its connection was reset, not refused, and the probe then waited for its timeout. A probe whose connection fails is now sent again with the next tick.

Also seen: 18 requests "not run: no ready endpoints" in the first 1.2 s after a document came into force, as daemons that do not watch an endpoint knew nothing of it. They ask it themselves until a peer has told of it. Test failed first: TestNewEndpointsAreKnownSoon, 2 of 8 daemons. A daemon also asks an endpoint itself that failed it alone. A reset connection is no protocol error any more (event 3000).

--- a/membership/probes.go
+++ b/membership/probes.go
@@ -51,6 +51,8 @@
 	target   chicoryhall.DaemonID
 	sentAt   time.Time
 	indirect bool
+	// failed tells that no answer can come, as from a process that is just ending.
+	failed bool
 	// incarnation is what is probed; an answer of a newer one ends the probe all the same.
 	incarnation int64
 }
@@ -102,8 +104,12 @@
 // Failed takes word that a probe cannot be answered; refused means that nothing listens there.
 func (s *State) Failed(number ProbeNumber, refused bool, now time.Time) []Action {
 	p, ok := s.probes[number]
-	if !ok || !refused {
-		return nil // Other peers may still reach it.
+	if !ok {
+		return nil
+	}
+	if !refused {
+		p.failed = true // The next tick tries again; other peers may still reach it.
+		return nil
 	}
 	delete(s.probes, number)
 	s.judge(p, chicoryhall.MemberDead, now)
@@ -177,6 +183,9 @@
 		case waited >= directTimeout && !p.indirect:
 			p.indirect = true
 			s.askOthers(number, p)
+		case p.failed:
+			p.failed = false
+			s.sendAgain(number, p)
 		}
 	}
 }
@@ -257,6 +266,13 @@
 	s.do(SendProbe{Probe: s.lastProbe, To: member.ID, Address: member.PeerAddress, Packet: s.packetFor(member.ID)})
 }
 
+// sendAgain repeats a probe whose connection failed.
+func (s *State) sendAgain(number ProbeNumber, p *probe) {
+	if target, ok := s.members[p.target]; ok {
+		s.do(SendProbe{Probe: number, To: p.target, Address: target.member.PeerAddress, Packet: s.packetFor(p.target)})
+	}
+}
+
 func (s *State) askOthers(number ProbeNumber, p *probe) {
 	target, ok := s.members[p.target]
 	if !ok || target.member.State == chicoryhall.MemberDead {
--- a/membership/state_test.go
+++ b/membership/state_test.go
@@ -153,6 +153,24 @@
 	}
 }
 
+// TestEndingProcessIsMissedAtOnce lets a probe meet a process that resets connections before it refuses them.
+func TestEndingProcessIsMissedAtOnce(t *testing.T) {
+	n := newNetwork(3)
+	for i := range 8 {
+		n.start(i, 1)
+	}
+	n.run(5 * time.Second)
+	state := n.daemons[name(0)].state
+	for _, action := range state.Disconnected(name(1), n.now) {
+		if a, ok := action.(membership.SendProbe); ok {
+			state.Failed(a.Probe, false, n.now)
+		}
+	}
+	n.daemons[name(1)].crashed = true
+	n.run(200 * time.Millisecond)
+	must.SliceContains(t, n.daemons[name(0)].deaths, name(1))
+}
+
 // TestLeavingSpreads tells every peer of a graceful shutdown.
 func TestLeavingSpreads(t *testing.T) {
 	n := newNetwork(3)
--- a/peer/server.go
+++ b/peer/server.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 
+	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
 	"golang.org/x/sync/errgroup"
 
@@ -118,13 +119,24 @@
 	peer   string
 }
 
-// Printf logs one complaint.
+// Printf logs one complaint, but not that a connection was reset.
 func (l protocolLogger) Printf(_ string, values ...any) {
-	if l.logger != nil {
+	if l.logger != nil && !isNetworkError(values) {
 		l.logger.Log(event.PeerProtocolError, append([]any{"peer", l.peer}, details(values)...)...)
 	}
 }
 
+func isNetworkError(values []any) bool {
+	for _, value := range values {
+		err, ok := value.(error)
+		var network *net.OpError
+		if ok && errors.As(err, &network) {
+			return true
+		}
+	}
+	return false
+}
+
 func details(values []any) []any {
 	pairs := make([]any, 0, 2*len(values))
 	for _, value := range values {
--- a/watch/entry.go
+++ b/watch/entry.go
@@ -54,6 +54,9 @@
 	}
 }
 
+// mustAsk tells whether this daemon has to poll an endpoint that others watch.
+func (e *entry) mustAsk() bool { return !e.reported || (e.suspect && e.local) }
+
 // stateForPeers leaves out a suspicion that may be due to this daemon's own path to the endpoint.
 func (e *entry) stateForPeers() chicoryhall.EndpointState {
 	state := e.state()
@@ -202,6 +205,7 @@
 		e.suspect = false
 		e.dead = false
 	case chicoryhall.ObservedRefusedConnection:
+		e.local = !e.suspect || e.local
 		e.fail(true, now)
 	case chicoryhall.ObservedSilence:
 		e.local = !e.suspect || e.local
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -25,6 +25,9 @@
 	// maxUnknownWanted and maxStaleWanted bound what one message asks for.
 	maxUnknownWanted = 256
 	maxStaleWanted   = 12
+	// maxUnknownPolls bounds the polls of one tick at endpoints that others watch: those that no peer
+	// has told of yet, as after a start or a new document, and those that failed this daemon alone.
+	maxUnknownPolls = 10
 	// urgentPollDelay is the least time between two polls after the daemon's traffic showed a failure.
 	urgentPollDelay = 200 * time.Millisecond
 )
@@ -108,7 +111,7 @@
 	now := w.timer.Now()
 	w.change(id, func(e *entry) {
 		e.observe(observed, now)
-		if observed != chicoryhall.ObservedProgress && e.watched {
+		if observed != chicoryhall.ObservedProgress {
 			e.nextPoll = earlier(e.nextPoll, now.Add(urgentPollDelay))
 		}
 	})
@@ -232,11 +235,18 @@
 	self := w.members.Self().ID
 	w.mu.Lock()
 	var due []chicoryhall.DocumentEndpoint
+	unknown := 0
 	for _, id := range slices.Sorted(maps.Keys(w.entries)) {
 		e := w.entries[id]
-		if !e.watched || e.wanted.Address == "" || now.Before(e.nextPoll) {
+		if e.wanted.Address == "" || now.Before(e.nextPoll) {
 			continue
 		}
+		if !e.watched {
+			if !e.mustAsk() || unknown >= maxUnknownPolls {
+				continue
+			}
+			unknown++
+		}
 		e.nextPoll = now.Add(laterPollPeriod)
 		if watchers := Watchers(id, e.wanted.FailureDomain, members); len(watchers) > 0 && watchers[0] == self {
 			e.nextPoll = now.Add(firstPollPeriod)
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -209,6 +209,15 @@
 	must.Eq(t, 8, d.count(d.ids[3], chicoryhall.EndpointReady))
 }
 
+// TestNewEndpointsAreKnownSoon lets a daemon route to endpoints of a document that has just come into force.
+func TestNewEndpointsAreKnownSoon(t *testing.T) {
+	d := newDeployment(t, 8, 40)
+	d.clock.Advance(stepTime)
+	for _, id := range d.ids {
+		must.Eq(t, 8, d.count(id, chicoryhall.EndpointReady), must.Sprint(id))
+	}
+}
+
 // TestOwnPathIsNotSpread keeps one daemon's trouble with an endpoint to that daemon.
 func TestOwnPathIsNotSpread(t *testing.T) {
 	d := newDeployment(t, 8, 40)
@@ -220,6 +229,8 @@
 			d.exchange(t)
 			d.exchange(t)
 			must.LessEq(t, 1, d.count(d.ids[5], chicoryhall.EndpointSuspect), must.Sprintf("daemon %d", i))
+			d.clock.Advance(stepTime)
+			must.Eq(t, 8, d.count(d.ids[5], chicoryhall.EndpointReady), must.Sprint("the daemon asks the endpoint itself"))
 			return
 		}
 	}
