Let the routing be a baseline for measurements

Cause: round robin and least reported load existed but no daemon could run them. Found: one request told as not run ran (roundRobin, -load 2.5): its first connection was lost, no other daemon knows its id or key yet, and the repeat was refused.

--- a/cmd/chicorybench/entry/layout.go
+++ b/cmd/chicorybench/entry/layout.go
@@ -10,6 +10,7 @@
 
 	"chicoryhall.example/chicoryhall/cmd/chicorybench/layout"
 	"chicoryhall.example/chicoryhall/command"
+	"chicoryhall.example/chicoryhall/pipeline"
 )
 
 // layoutVerb writes a deployment for one machine.
@@ -28,6 +29,7 @@
 		flags.DurationVar(&options.Duration, "duration", 20*time.Second, "`TIME` of the load")
 		flags.Float64Var(&options.Load, "load", 1, "`FACTOR` on all rates")
 		flags.IntVar(&options.Daemons, "daemons", 0, "`NUMBER` of daemons in each failure domain; 0 follows the scale")
+		flags.TextVar(&options.Routing, "routing", pipeline.PolicyFlow, "`WAY` to choose engines: flow, roundRobin or leastLoad")
 		flags.StringVar(&options.Scenario, "scenario", "demo", "`NAME` of the faults: "+layout.ScenarioNames())
 		return func(_ context.Context, _ command.Streams, arguments []string) error {
 			if len(arguments) != 1 {
--- a/cmd/chicorybench/layout/layout.go
+++ b/cmd/chicorybench/layout/layout.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/pipeline"
 )
 
 // The ports of the processes; every address is on the loopback interface.
@@ -55,6 +56,8 @@
 	Load float64
 	// Daemons is the number of daemons in each failure domain; 0 follows the scale.
 	Daemons int
+	// Routing is the daemons' way to choose engines.
+	Routing pipeline.Policy
 	// Scenario names the faults of the plan.
 	Scenario string
 }
