Clear a suspect with the token that the crash kept back

Suspects run one at a time on the two engines left of the range, and each round took four tokens, about 120 ms. Ruled out: detection (155 ms p95 before suspects were kept apart); two suspects at once on an engine (a second crash could not convict exactly one). Change: one token behind the crash clears, since the crash came while that token was computed. Still above 300 ms where many suspects meet two engines; left to the asking for reservations.

--- a/requests/route.go
+++ b/requests/route.go
@@ -14,7 +14,7 @@
 	// reservationPoll is the time after which a suspect asks again for engines of its own.
 	reservationPoll = 25 * time.Millisecond
 	// probationTokens is the number of tokens behind a crash that clear a suspect.
-	probationTokens = 4
+	probationTokens = 1
 )
 
 // chooseRoute asks the retry budget, the router and the quarantine, and answers the machine.
