--- a/proof/cluster_test.go
+++ b/proof/cluster_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
-	"strings"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -22,6 +24,8 @@
 	plains    []*plain
 	daemons   []*daemon
 	documents []string
+	// tokens is the file with the operators' tokens.
+	tokens string
 }
 
 // size is what a cluster consists of.
@@ -64,6 +68,8 @@
 func newCluster(t *testing.T, s size) *cluster {
 	t.Helper()
 	c := &cluster{folder: t.TempDir()}
+	c.tokens = filepath.Join(c.folder, "operator-tokens")
+	must.NoError(t, os.WriteFile(c.tokens, []byte(team+" "+operatorToken+"\n"), 0o600))
 	c.plan(t, s)
 	c.startProxy(t)
 	c.startPlatform(t)
@@ -83,12 +89,33 @@
 	for _, d := range c.daemons {
 		c.startDaemon(t, d)
 	}
+	c.apply(t)
 	for _, d := range c.daemons {
 		c.awaitReady(t, d)
 	}
 	return c
 }
 
+// apply makes the documents known by chicoryctl at the first daemon.
+func (c *cluster) apply(t *testing.T) {
+	t.Helper()
+	d := c.daemons[0]
+	eventually(t, string(d.id)+" answers operators", startTimeout, func() bool {
+		must.True(t, d.running(), must.Sprintf("%s ended: %s", d.id, d.output.String()))
+		return answers(d.operators, "/healthz")
+	})
+	for _, path := range c.documents {
+		ctl := exec.Command(program(t, "chicoryctl"), "apply", "-server", d.operators, path)
+		ctl.Env = append(os.Environ(), "CHICORYCTL_TOKEN="+operatorToken)
+		out, err := ctl.CombinedOutput()
+		must.NoError(t, err, must.Sprint(string(out)))
+	}
+	c.awaitVersion(t, drafting, 1)
+	if len(c.plains) > 0 {
+		c.awaitVersion(t, booking, 1)
+	}
+}
+
 // plan gives every process its name and addresses.
 func (c *cluster) plan(t *testing.T, s size) {
 	t.Helper()
@@ -164,7 +191,7 @@
 		"-failure-domain", string(domain), "-vm-list", c.platform.address, "-service-time", "20ms")
 }
 
-// startDaemon starts a daemon with the documents in force.
+// startDaemon starts a daemon, which has its documents from the table and its peers.
 func (c *cluster) startDaemon(t *testing.T, d *daemon) {
 	t.Helper()
 	own := settings.Daemon{
@@ -173,8 +200,9 @@
 		Platform: settings.Platform{
 			Table: c.platform.address, Objects: c.platform.address, Weights: c.platform.address, VMList: c.platform.address,
 		},
-		DrainTimeout: 20 * time.Second,
-		LogLevel:     "info",
+		OperatorTokensFile: c.tokens,
+		DrainTimeout:       20 * time.Second,
+		LogLevel:           "info",
 	}
 	for _, other := range c.daemons {
 		if other != d {
@@ -182,8 +210,7 @@
 		}
 	}
 	d.settings = writeYAML(t, c.folder, string(d.id)+".yaml", own)
-	d.process = start(t, string(d.id), "chicoryhall", "serve",
-		"-settings", d.settings, "-documents", strings.Join(c.documents, ","))
+	d.process = start(t, string(d.id), "chicoryhall", "serve", "-settings", d.settings)
 }
 
 func (c *cluster) awaitReady(t *testing.T, d *daemon) {
--- a/proof/documents_test.go
+++ b/proof/documents_test.go
@@ -22,6 +22,9 @@
 	organisation = chicoryhall.Organisation("studio")
 	team         = "lantern-vow"
 	callerToken  = "studio-token"
+
+	operatorToken = "lantern-vow-operator-token"
+
 	accelerator  = chicoryhall.AcceleratorKind("a")
 	modelName    = "drafter"
 	modelVersion = "1"
--- a/proof/scenario_test.go
+++ b/proof/scenario_test.go
@@ -80,8 +80,11 @@
 	{"stop/daemon", stopCutsNone, daemonStopped, usual, proveDaemonStopped},
 	{"stop/engine", stopCutsNone, engineStopped, usual, proveEngineStopped},
 	{"crash/prompt", crashBounded, promptCrashes, size{daemons: 2, enginesPerStage: 4}, proveCrashingPrompt},
-	{"document/operators-race", documentHeld, editsRace, usual, nil},
-	{"document/table-restored", documentHeld, tableRestored, usual, nil},
+	{"document/operators-race", documentHeld, editsRace, usual, proveOperatorsRace},
+	{"document/table-answer-lost", documentHeld, tableAnswerLost, usual, proveDocumentAnswerLost},
+	{"document/table-restored", documentHeld, tableRestored, usual, proveTableRestored},
+	{"document/table-down", documentHeld, tableDown, usual, proveStartWithoutPlatform},
+	{"document/daemon-frozen", documentHeld, daemonFrozen, usual, proveDocumentAfterPause},
 }
 
 // TestProofs runs every scenario with processes of its own.
