--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -144,21 +144,35 @@
 }
 
 // The ports of the processes lie below those that the system gives to outgoing connections.
+// Each test process has a block of them, whose first port it holds while it lives, so that
+// several may run on one machine.
 const (
-	firstPort = 20_000
-	lastPort  = 32_000
+	firstPort  = 20_000
+	blockPorts = 400
+	blocks     = 30
 )
 
-// nextPort counts the ports that this test process gave out, from a place of its own.
-var nextPort atomic.Int64
+// block is the first port of this process's block.
+var block = sync.OnceValues(func() (int, error) {
+	for i := range blocks {
+		port := firstPort + (os.Getpid()+i)%blocks*blockPorts
+		if _, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			return port, nil // never closed: the block is held until the process ends
+		}
+	}
+	return 0, fmt.Errorf("all %d blocks of ports from %d on are held", blocks, firstPort)
+})
 
-func init() { nextPort.Store(int64(os.Getpid() * 97 % (lastPort - firstPort))) }
+// nextPort counts the ports that this process gave out.
+var nextPort atomic.Int64
 
-// freeAddress returns an IP:PORT on which nothing listens and that was not returned before.
+// freeAddress returns an IP:PORT of the block on which nothing listens.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	for range lastPort - firstPort {
-		port := firstPort + int(nextPort.Add(1))%(lastPort-firstPort)
+	begin, err := block()
+	must.NoError(t, err)
+	for range blockPorts {
+		port := begin + 1 + int(nextPort.Add(1))%(blockPorts-1)
 		address := fmt.Sprintf("127.0.0.1:%d", port)
 		listener, err := net.Listen("tcp", address)
 		if err == nil {
@@ -166,7 +180,7 @@
 			return address
 		}
 	}
-	t.Fatalf("no port is free between %d and %d", firstPort, lastPort)
+	t.Fatalf("no port is free between %d and %d", begin, begin+blockPorts)
 	return ""
 }
 
