--- a/cmd/chicoryhall/daemon/endpoints.go
+++ b/cmd/chicoryhall/daemon/endpoints.go
@@ -10,6 +10,7 @@
 
 	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/engine"
+	"chicoryhall.example/chicoryhall/vmlist"
 	"chicoryhall.example/chicoryhall/watch"
 )
 
@@ -30,6 +31,20 @@
 	b.endpoints = view
 	b.knowledge.Add(view)
 	b.knowledge.Add(watch.NewExchange(view, b.node, xxhash.Sum64String(string(b.settings.ID))))
+	return b.buildVMList(view)
+}
+
+// buildVMList lets the view hear of leaving VMs by the platform's list.
+func (b *builder) buildVMList(view *watch.Watch) error {
+	if b.settings.Platform.VMList == "" {
+		return nil
+	}
+	client, err := vmlist.NewClient(b.settings.Platform.VMList)
+	if err != nil {
+		return err
+	}
+	b.knowledge.Add(client)
+	b.knowledge.Add(watch.NewVMs(view, client))
 	return nil
 }
 
--- /dev/null
+++ b/vmlist/client.go
@@ -0,0 +1,86 @@
+package vmlist
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/lesismal/nbio/nbhttp"
+	"github.com/pkg/errors"
+)
+
+const (
+	// listTimeout bounds one reading of the list.
+	listTimeout = 2 * time.Second
+	// maxListBytes bounds the list.
+	maxListBytes = 4 << 20
+)
+
+// Client reads the platform's list of VMs.
+type Client struct {
+	address string
+	engine  *nbhttp.Engine
+	http    *nbhttp.Client
+}
+
+// NewClient returns a Client of the list at address (IP:PORT).
+func NewClient(address string) (*Client, error) {
+	engine := nbhttp.NewEngine(nbhttp.Config{Name: "vmlist", NPoller: 1, ReadLimit: maxListBytes, MaxHTTPBodySize: maxListBytes})
+	if err := engine.Start(); err != nil {
+		return nil, errors.WithMessage(err, "start the client of the VM list")
+	}
+	return &Client{
+		address: address, engine: engine,
+		http: &nbhttp.Client{Engine: engine, Timeout: listTimeout, MaxConnsPerHost: 1},
+	}, nil
+}
+
+// Serve keeps the client usable until ctx ends.
+func (c *Client) Serve(ctx context.Context) error {
+	<-ctx.Done()
+	c.http.Close()
+	c.engine.Stop()
+	return ctx.Err()
+}
+
+// String names the part in the supervisor's reports.
+func (c *Client) String() string { return "VM list client" }
+
+// List reads the list and calls done once, on any goroutine, with its size in bytes.
+func (c *Client) List(done func(list List, size int, err error)) {
+	fail := func(err error) {
+		done(List{}, 0, errors.WithMessagef(err, "read the VM list at %s", c.address))
+	}
+	request, err := http.NewRequest(http.MethodGet, "http://"+c.address+"/v1/vms", nil)
+	if err != nil {
+		fail(err)
+		return
+	}
+	c.http.Do(request, func(response *http.Response, _ net.Conn, err error) {
+		if err != nil {
+			fail(err)
+			return
+		}
+		list, size, err := decode(response)
+		if err != nil {
+			fail(err)
+			return
+		}
+		done(list, size, nil)
+	})
+}
+
+func decode(response *http.Response) (List, int, error) {
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return List{}, 0, errors.Errorf("status %d", response.StatusCode)
+	}
+	var list List
+	decoder := json.NewDecoder(response.Body)
+	if err := decoder.Decode(&list); err != nil {
+		return List{}, 0, errors.WithMessage(err, "decode")
+	}
+	return list, int(decoder.InputOffset()), nil
+}
--- a/watch/entry.go
+++ b/watch/entry.go
@@ -33,6 +33,8 @@
 	// told is what peers were last told.
 	told   Sighting
 	toldAt time.Time
+	// startSeen is when this daemon first heard of the incarnation.
+	startSeen time.Time
 	// heardAt is when the figures were last renewed.
 	heardAt  time.Time
 	nextPoll time.Time
@@ -85,6 +87,7 @@
 func (e *entry) renew(load chicoryhall.Load, now time.Time) {
 	if !e.reported || load.Incarnation > e.load.Incarnation {
 		e.leaving = false
+		e.startSeen = now
 		e.failedAt = time.Time{}
 		e.clockOffset = arrivalDelay(load, now)
 	}
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -141,10 +141,14 @@
 	w.subscribers = append(w.subscribers, changed)
 }
 
-// Leaving takes word of the platform's list that an endpoint's VM leaves.
-func (w *Watch) Leaving(id chicoryhall.EngineID) {
-	if w.View(id).State != chicoryhall.EndpointLeaving {
-		w.change(id, func(e *entry) { e.observe(chicoryhall.ObservedLeaving, time.Time{}) })
+// Leaving takes word of the platform's list, as of a time, that an endpoint's VM leaves.
+func (w *Watch) Leaving(id chicoryhall.EngineID, asOf time.Time) {
+	w.mu.Lock()
+	e, ok := w.entries[id]
+	isNew := ok && !e.leaving && asOf.After(e.startSeen)
+	w.mu.Unlock()
+	if isNew { // An older list may mean an earlier run of the endpoint.
+		w.change(id, func(e *entry) { e.leaving = true })
 	}
 }
 
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -11,6 +11,7 @@
 
 	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/timer"
+	"chicoryhall.example/chicoryhall/vmlist"
 	"chicoryhall.example/chicoryhall/watch"
 )
 
@@ -66,6 +67,9 @@
 	ids     []chicoryhall.EngineID
 	bytes   int
 	turn    int
+	// listed is the time of the platform's list, reads how often it was read.
+	listed time.Time
+	reads  int
 }
 
 func newDeployment(t *testing.T, daemons, endpoints int) *deployment {
@@ -209,6 +213,30 @@
 	must.Eq(t, 8, d.count(d.ids[3], chicoryhall.EndpointReady))
 }
 
+// List gives a platform's list that tells of one leaving VM.
+func (d *deployment) List(done func(vmlist.List, int, error)) {
+	d.reads++
+	done(vmlist.List{VMs: []vmlist.VM{{Name: string(d.ids[9]), Leaving: true}}, AsOfMillis: d.listed.UnixMilli()}, 100, nil)
+}
+
+// TestPlatformListTellsOfLeaving gives two of eight daemons a list from before and after an endpoint's start.
+func TestPlatformListTellsOfLeaving(t *testing.T) {
+	d := newDeployment(t, 8, 40)
+	d.listed = d.clock.Now()
+	for _, w := range d.watches {
+		d.clock.Every(100*time.Millisecond, watch.NewVMs(w, d).Tick)
+	}
+	d.run(t, 5*time.Second)
+	must.Eq(t, 8, d.count(d.ids[9], chicoryhall.EndpointReady), must.Sprint("the list is older than the endpoint"))
+	must.LessEq(t, 2*6, d.reads)
+	d.listed = d.clock.Now()
+	d.run(t, 3*time.Second)
+	must.Eq(t, 8, d.count(d.ids[9], chicoryhall.EndpointLeaving))
+	d.engines.loads["10.0.0.9:80"].Incarnation++
+	d.run(t, 5*time.Second)
+	must.Eq(t, 8, d.count(d.ids[9], chicoryhall.EndpointReady), must.Sprint("the list is older than the restart"))
+}
+
 // TestNewEndpointsAreKnownSoon lets a daemon route to endpoints of a document that has just come into force.
 func TestNewEndpointsAreKnownSoon(t *testing.T) {
 	d := newDeployment(t, 8, 40)
