Suspect only requests that had not generated tokens; wait for endpoints before giving up

A request that has run and finds no route now asks again for 2 s instead of ending as unknown at once.

--- a/requests/perform.go
+++ b/requests/perform.go
@@ -98,6 +98,7 @@
 func (r *Request) openAttempt(action stream.Action) {
 	r.leaveEndpoints()
 	r.counted = action.Route.Hops
+	r.openedWith = len(r.machine.Tokens())
 	for _, hop := range r.counted {
 		r.parts().Endpoints.Begin(hop.Engine)
 	}
--- a/requests/request.go
+++ b/requests/request.go
@@ -47,6 +47,10 @@
 	// current is the open attempt, or nil; counted are the endpoints that count it.
 	current *engine.Stream
 	counted []chicoryhall.Hop
+	// openedWith is the number of tokens when the open attempt began.
+	openedWith int
+	// unroutableSince is when the request first found no route, or zero.
+	unroutableSince time.Time
 	// reserved tells that the quarantine has reserved engines for the request; probationEnd is the
 	// number of tokens at which it is cleared then.
 	reserved     bool
--- a/requests/route.go
+++ b/requests/route.go
@@ -13,8 +13,15 @@
 const (
 	// reservationPoll is the time after which a suspect asks again for engines of its own.
 	reservationPoll = 25 * time.Millisecond
+	// unroutableGrace is how long a request that has run waits for endpoints, asking every
+	// unroutablePoll: states change while endpoints fail, and giving up loses its answer.
+	unroutableGrace = 2 * time.Second
+	unroutablePoll  = 50 * time.Millisecond
 	// probationTokens is the number of tokens behind a crash that clear a suspect.
 	probationTokens = 1
+	// innocentTokens is the number of tokens on an endpoint that show that the request does not
+	// crash it.
+	innocentTokens = 2
 )
 
 // chooseRoute asks the retry budget, the router and the quarantine, and answers the machine.
@@ -48,15 +55,37 @@
 	}
 	route, err := r.routeAvoiding(action, append(r.parts().Quarantine.Avoid(), busy...))
 	if err != nil {
-		r.parts().Log.Log(event.RequestUnroutable, "request", r.record.ID, "error", err)
-		r.answer(stream.Input{Kind: stream.InputUnroutable, Reason: stream.ReasonNoRoute})
+		r.unroutable(action, err)
 		return
 	}
+	r.unroutableSince = time.Time{}
 	r.parts().Quarantine.Begin(r.record.ID, r.content, newStages(route.Hops), func(answer quarantine.Answer) {
 		r.post(message{call: func() { r.decided(action, route, answer) }})
 	})
 }
 
+// unroutable gives a request up that no endpoints can run; one that has run waits a little first.
+func (r *Request) unroutable(action stream.Action, cause error) {
+	now := r.parts().Timer.Now()
+	if r.unroutableSince.IsZero() {
+		r.unroutableSince = now
+		r.parts().Log.Log(event.RequestUnroutable, "request", r.record.ID, "error", cause)
+	}
+	if action.Recovery && now.Sub(r.unroutableSince) < unroutableGrace {
+		r.placeAfter(unroutablePoll, action, nil)
+		return
+	}
+	r.unroutableSince = time.Time{}
+	r.answer(stream.Input{Kind: stream.InputUnroutable, Reason: stream.ReasonNoRoute})
+}
+
+// placeAfter chooses a route again after a delay.
+func (r *Request) placeAfter(delay time.Duration, action stream.Action, busy []chicoryhall.EngineID) {
+	r.parts().Timer.After(delay, func(time.Time) {
+		r.post(message{call: func() { r.place(action, busy) }})
+	})
+}
+
 // routeAvoiding chooses a route without the engines to avoid, or else with them; stages that are
 // kept are not avoided.
 func (r *Request) routeAvoiding(action stream.Action, avoid []chicoryhall.EngineID) (chicoryhall.Route, error) {
@@ -85,9 +114,7 @@
 		r.parts().Log.Log(event.RequestQuarantined, "request", r.record.ID, "fingerprint", r.content)
 		r.answer(stream.Input{Kind: stream.InputUnroutable, Reason: stream.ReasonQuarantined})
 	case quarantine.DecisionWait:
-		r.parts().Timer.After(reservationPoll, func(time.Time) {
-			r.post(message{call: func() { r.place(action, answer.Busy) }})
-		})
+		r.placeAfter(reservationPoll, action, answer.Busy)
 	case quarantine.DecisionReserved:
 		r.reserved = true
 		r.probationEnd = len(r.machine.Tokens()) + probationTokens
@@ -125,8 +152,13 @@
 	}
 }
 
-// crashed tells the quarantine of a stage that broke while the request was on it.
+// crashed tells the quarantine of a stage that broke while the request was on it. A request that
+// has generated tokens there is no suspect: making one of every stream on a killed engine would
+// let most of them wait for engines of their own.
 func (r *Request) crashed(id chicoryhall.EngineID) {
+	if len(r.machine.Tokens())-r.openedWith >= innocentTokens {
+		return
+	}
 	for _, hop := range r.counted {
 		if hop.Engine == id {
 			r.parts().Quarantine.Crashed(r.content, hop)
