--- /dev/null
+++ b/proof/session_test.go
@@ -0,0 +1,179 @@
+package proof
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"chicoryhall.example/chicoryhall/caller"
+)
+
+// callTimeout bounds one call of a session.
+const callTimeout = 15 * time.Second
+
+// sessionKey finds what one session remembers.
+type sessionKey struct{}
+
+// session is what the calls of one script have in common.
+type session struct {
+	// requests are the ids of requests in the order in which they were seen.
+	requests []string
+}
+
+// shownHeaders are the headers of an answer that a session prints, besides the media type.
+var shownHeaders = []string{"Retry-After", "Location", "Www-Authenticate", "Allow"}
+
+var (
+	requestIDs  = regexp.MustCompile(`entry-\d\.[0-9a-f]+`)
+	tokenValues = regexp.MustCompile(`"token":\d+`)
+	tokenLists  = regexp.MustCompile(`"tokens":\[[\d,]+\]`)
+	runNumbers  = regexp.MustCompile(`by booking-\d run \d+`)
+)
+
+// TestSessions plays whole sessions of callers and operators with a cluster of real processes.
+func TestSessions(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts real processes")
+	}
+	c := newCluster(t, usual)
+	testscript.Run(t, testscript.Params{
+		Dir:           "testdata/sessions",
+		UpdateScripts: os.Getenv("UPDATE_SESSIONS") != "",
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"call":  call,
+			"pause": pause,
+			"ctl": func(ts *testscript.TestScript, neg bool, arguments []string) {
+				ctl(ts, neg, arguments, program(t, "chicoryctl"))
+			},
+		},
+		Setup: func(env *testscript.Env) error {
+			env.Values[sessionKey{}] = &session{}
+			env.Setenv("ENTRY0", c.daemons[0].callers)
+			env.Setenv("ENTRY1", c.daemons[1].callers)
+			env.Setenv("OPERATORS0", c.daemons[0].operators)
+			env.Setenv("OPERATORS1", c.daemons[1].operators)
+			env.Setenv("CHICORYCTL_TOKEN", operatorToken)
+			return nil
+		},
+	})
+}
+
+// call sends one request and prints its answer:
+//
+//	call [-body FILE] [-events N] [-header 'NAME: VALUE']... METHOD ADDRESS PATH
+//
+// With -events it closes the connection behind N events. Ids of requests become REQUEST-1 and so
+// on, tokens TOKEN. The variable REQUEST holds the id of the newest answer that named one.
+func call(ts *testscript.TestScript, neg bool, arguments []string) {
+	if neg {
+		ts.Fatalf("call prints the status; ! has no meaning")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	request, events := parseCall(ctx, ts, arguments)
+	transport := &http.Transport{DisableKeepAlives: true}
+	response, err := transport.RoundTrip(request)
+	ts.Check(err)
+	defer func() { _ = response.Body.Close() }()
+	if id := response.Header.Get(caller.HeaderRequestID); id != "" {
+		ts.Setenv("REQUEST", id)
+	}
+	var out strings.Builder
+	fmt.Fprintf(&out, "%d %s\n", response.StatusCode, response.Header.Get("Content-Type"))
+	for _, name := range shownHeaders {
+		if value := response.Header.Get(name); value != "" {
+			fmt.Fprintf(&out, "%s: %s\n", name, value)
+		}
+	}
+	out.WriteString(readBody(response.Body, events))
+	s := ts.Value(sessionKey{}).(*session)
+	_, err = io.WriteString(ts.Stdout(), s.stable(out.String()))
+	ts.Check(err)
+}
+
+func parseCall(ctx context.Context, ts *testscript.TestScript, arguments []string) (request *http.Request, events int) {
+	var body []byte
+	header := http.Header{"Authorization": {"Bearer " + callerToken}}
+	for len(arguments) > 3 {
+		switch arguments[0] {
+		case "-body":
+			body = []byte(ts.ReadFile(arguments[1]))
+			header.Set("Content-Type", caller.MediaTypeJSON)
+		case "-events":
+			_, err := fmt.Sscan(arguments[1], &events)
+			ts.Check(err)
+		case "-header":
+			name, value, _ := strings.Cut(arguments[1], ": ")
+			header.Set(name, value)
+		default:
+			ts.Fatalf("call has no option %q", arguments[0])
+		}
+		arguments = arguments[2:]
+	}
+	if len(arguments) != 3 {
+		ts.Fatalf("call needs METHOD ADDRESS PATH")
+	}
+	request, err := http.NewRequestWithContext(ctx, arguments[0], "http://"+arguments[1]+arguments[2], bytes.NewReader(body))
+	ts.Check(err)
+	request.Header = header
+	return request, events
+}
+
+// readBody reads a body, or only its first events.
+func readBody(body io.Reader, events int) string {
+	var out strings.Builder
+	seen := 0
+	for lines := bufio.NewScanner(body); lines.Scan(); {
+		out.WriteString(lines.Text() + "\n")
+		if lines.Text() == "" {
+			seen++
+		}
+		if events > 0 && seen == events {
+			break
+		}
+	}
+	return out.String()
+}
+
+// stable replaces what differs between two runs.
+func (s *session) stable(text string) string {
+	text = requestIDs.ReplaceAllStringFunc(text, func(id string) string {
+		for i, known := range s.requests {
+			if known == id {
+				return fmt.Sprintf("REQUEST-%d", i+1)
+			}
+		}
+		s.requests = append(s.requests, id)
+		return fmt.Sprintf("REQUEST-%d", len(s.requests))
+	})
+	text = tokenValues.ReplaceAllString(text, `"token":TOKEN`)
+	text = runNumbers.ReplaceAllString(text, "by ENDPOINT run NUMBER")
+	return tokenLists.ReplaceAllStringFunc(text, func(list string) string {
+		return fmt.Sprintf(`"tokens":[%d TOKENS]`, strings.Count(list, ",")+1)
+	})
+}
+
+// pause waits.
+func pause(ts *testscript.TestScript, _ bool, arguments []string) {
+	length, err := time.ParseDuration(arguments[0])
+	ts.Check(err)
+	time.Sleep(length)
+}
+
+// ctl runs chicoryctl.
+func ctl(ts *testscript.TestScript, neg bool, arguments []string, path string) {
+	err := ts.Exec(path, arguments...)
+	if (err != nil) != neg {
+		ts.Fatalf("chicoryctl %s: %v", strings.Join(arguments, " "), err)
+	}
+}
