--- a/caller/server.go
+++ b/caller/server.go
@@ -8,6 +8,7 @@
 	"runtime"
 	"time"
 
+	"github.com/lesismal/llib/std/crypto/tls"
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
@@ -36,7 +37,9 @@
 
 // Parts are the parts that the callers' interface needs.
 type Parts struct {
-	Address   string
+	Address string
+	// TLS serves encrypted connections, or is nil for plain TCP.
+	TLS       *tls.Config
 	Timer     chicoryhall.Timer
 	Documents chicoryhall.Documents
 	Requests  *requests.Service
@@ -68,13 +71,19 @@
 // Serve answers callers until ctx ends.
 func (s *Server) Serve(ctx context.Context) error {
 	logging.SetLevel(logging.LevelNone)
-	s.loop = nbhttp.NewEngine(nbhttp.Config{
-		Name: "callers", Network: "tcp", Addrs: []string{s.parts.Address},
+	config := nbhttp.Config{
+		Name: "callers", Network: "tcp",
 		MaxLoad: maxConnections, ReadLimit: maxBody + maxHeaders, MaxHTTPBodySize: maxBody,
 		NPoller:            max(1, runtime.GOMAXPROCS(0)/processorsPerPoller),
 		MaxWriteBufferSize: maxUnsent, KeepaliveTime: readTimeout,
 		Handler: http.HandlerFunc(s.handle), SupportServerOnly: true,
-	})
+	}
+	if s.parts.TLS == nil {
+		config.Addrs = []string{s.parts.Address}
+	} else {
+		config.AddrsTLS, config.TLSConfig = []string{s.parts.Address}, s.parts.TLS
+	}
+	s.loop = nbhttp.NewEngine(config)
 	s.loop.Engine.OnData(s.onData)
 	s.loop.OnOpen(s.connections.opened)
 	s.loop.OnClose(func(c net.Conn, _ error) { s.connections.closed(c) })
@@ -92,7 +101,7 @@
 	conn := s.connections.of(c)
 	if conn.received.Add(int64(len(data))) > maxBody+maxHeaders {
 		s.parts.Log.Log(event.CallerRefused, "caller", c.RemoteAddr(), "detail", "oversized message")
-		conn.refuse(c, tooLarge())
+		s.refuseMessage(conn, c, tooLarge())
 		return
 	}
 	parser, ok := c.Session().(nbhttp.ParserCloser)
@@ -106,6 +115,15 @@
 	}
 	if err := parser.Parse(data); err != nil {
 		s.parts.Log.Log(event.CallerRefused, "caller", c.RemoteAddr(), "detail", err)
-		conn.refuse(c, malformed("message", "the message is not HTTP/1.1: "+err.Error()))
+		s.refuseMessage(conn, c, malformed("message", "the message is not HTTP/1.1: "+err.Error()))
+	}
+}
+
+// refuseMessage answers what cannot be parsed; an encrypted connection is only closed.
+func (s *Server) refuseMessage(conn *connection, c *nbio.Conn, problem Problem) {
+	if s.parts.TLS != nil {
+		_ = c.Close()
+		return
 	}
+	conn.refuse(c, problem)
 }
--- a/cmd/chicoryhall/daemon/callers.go
+++ b/cmd/chicoryhall/daemon/callers.go
@@ -30,7 +30,7 @@
 		members: b.members, hasSeeds: hasOtherSeeds(b.settings),
 	}
 	server := caller.NewServer(caller.Parts{
-		Address: b.settings.Listen.Callers, Timer: b.timer, Documents: b.documents,
+		Address: b.settings.Listen.Callers, TLS: b.tls, Timer: b.timer, Documents: b.documents,
 		Requests: b.requests, Forwarder: b.forwarder, Metrics: b.metrics, Ready: ready.check, Log: b.log,
 		MoreMetrics: append(b.decisionMetrics, b.peerMetrics.WritePrometheus),
 	})
--- a/cmd/chicoryhall/daemon/client_test.go
+++ b/cmd/chicoryhall/daemon/client_test.go
@@ -23,11 +23,12 @@
 // testCaller calls one daemon over connections of its own.
 type testCaller struct {
 	daemon string
+	scheme string
 	client http.Client
 }
 
 func newCaller(d *testDaemon) *testCaller {
-	return &testCaller{daemon: d.callers, client: http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	return &testCaller{daemon: d.callers, scheme: "http", client: http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 }
 
 // reply is what a caller got.
@@ -58,7 +59,7 @@
 }
 
 func (c *testCaller) do(ctx context.Context, method, path string, body []byte, most int, headers ...string) reply {
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.daemon+path, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, c.scheme+"://"+c.daemon+path, bytes.NewReader(body))
 	if err != nil {
 		return reply{err: err}
 	}
@@ -147,7 +148,7 @@
 }
 
 // control sets a fault of a stand-in.
-func control(t *testing.T, address, fault string) {
+func control(t testing.TB, address, fault string) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
--- a/cmd/chicoryhall/daemon/process_test.go
+++ b/cmd/chicoryhall/daemon/process_test.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -84,13 +85,24 @@
 	}
 }
 
+// The ports of tests lie below those that the system gives to outgoing connections.
+const (
+	firstTestPort = 10000
+	lastTestPort  = 32000
+)
+
 // freeAddress returns a loopback address that nothing listens at.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	defer func() { must.NoError(t, listener.Close()) }()
-	return listener.Addr().String()
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", firstTestPort+rand.IntN(lastTestPort-firstTestPort))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		must.NoError(t, listener.Close())
+		return address
+	}
 }
 
 // testEndpoint is an endpoint of the test's document.
@@ -100,6 +112,7 @@
 	control string
 	from    int
 	to      int
+	process *process
 }
 
 // testLayers is the number of layers of the test's model.
@@ -150,7 +163,7 @@
 	}
 	var daemons []*testDaemon
 	for i := range peers {
-		daemons = append(daemons, beginDaemon(t, i, peers, environment, documents))
+		daemons = append(daemons, beginDaemon(t, i, peers, environment, documents, ""))
 	}
 	for _, d := range daemons {
 		waitFor(t, "the daemon to be ready", func() bool { return statusOf(d.callers, "/readyz") == http.StatusNoContent })
@@ -158,8 +171,8 @@
 	return daemons
 }
 
-// beginDaemon starts one daemon; it may not be ready yet.
-func beginDaemon(t testing.TB, index int, peers, environment, documents []string) *testDaemon {
+// beginDaemon starts one daemon with more settings; it may not be ready yet.
+func beginDaemon(t testing.TB, index int, peers, environment, documents []string, more string) *testDaemon {
 	t.Helper()
 	folder := t.TempDir()
 	callers := freeAddress(t)
@@ -179,7 +192,7 @@
 logLevel: info
 `, index+1, callers, freeAddress(t), peers[index], strings.Join(seeds, ", "), freeAddress(t), freeAddress(t), freeAddress(t), freeAddress(t))
 	settingsFile := filepath.Join(folder, "daemon.yaml")
-	must.NoError(t, os.WriteFile(settingsFile, []byte(settings), 0o600))
+	must.NoError(t, os.WriteFile(settingsFile, []byte(settings+more), 0o600))
 	var files []string
 	for i, text := range documents {
 		file := filepath.Join(folder, fmt.Sprintf("document%d.yaml", i))
@@ -200,7 +213,7 @@
 		if i%2 == 1 {
 			e.from, e.to = testLayers/2, testLayers
 		}
-		start(t, "chicorystand", nil, "engine", "-id", e.id, "-listen", e.address, "-control", e.control,
+		e.process = start(t, "chicorystand", nil, "engine", "-id", e.id, "-listen", e.address, "-control", e.control,
 			"-holdings", fmt.Sprintf("assistant@1:%d-%d", e.from, e.to), "-failure-domain", "plateau")
 		engines = append(engines, e)
 	}
--- a/requests/plain.go
+++ b/requests/plain.go
@@ -133,11 +133,12 @@
 		r.storeOutcome(result.Outcome, string(text))
 		return nil
 	})
-	wait := time.NewTimer(recordWait)
-	defer wait.Stop()
+	late := make(chan struct{})
+	wait := r.parts().Timer.After(recordWait, func(time.Time) { close(late) })
+	defer wait.Cancel()
 	select {
 	case <-stored:
-	case <-wait.C:
+	case <-late:
 	}
 }
 
