Give each engine its own silences, and more time with each

A trial with prints showed 160 exclusions as endpoint-silent of engines that answered their probes. The silences of all engines were counted together, so that after one exclusion each next engine was excluded at its first silence, and the time allowed did not grow although all engines were late. Ruled out: refusals of full engines (none in the trial). Change: the count starts anew with each exclusion, and the allowance doubles with each silence of a living engine up to 16 times; progress resets both. TestEveryEngineGetsItsRounds fails without the reset at its exclusions and without the doubling at its delays.

--- a/stream/machine.go
+++ b/stream/machine.go
@@ -19,6 +19,8 @@
 	maxSilence = 2 * time.Second
 	// maxSilentRounds is the number of silences of an engine that answers probes before it is replaced.
 	maxSilentRounds = 2
+	// maxDoublings bounds the growth of the time allowed without progress.
+	maxDoublings = 4
 	// maxAttempts bounds the attempts that one daemon starts for a request.
 	maxAttempts = 16
 	// retryAfterFailure is the time to come back after a failure that a repeat may cure.
@@ -87,7 +89,10 @@
 	cause Reason
 	// stalled is the engine that the first one waits for, or empty.
 	stalled chicoryhall.EngineID
-	silent  int
+	// silent is the number of silences of the engine in question while it answered probes;
+	// doublings counts those of all engines since the last progress.
+	silent    int
+	doublings int
 }
 
 // New returns the machine of a request that has not begun.
@@ -241,8 +246,14 @@
 	m.giveUp(reason, max(in.RetryAfter, retryAfterFailure))
 }
 
-// allowance is the time that may pass without progress in the current attempt.
+// allowance is the time that may pass without progress in the current attempt. It doubles with
+// each silence of an engine that lives: under overload all engines are late, and replacing them
+// in turn adds to it.
 func (m *Machine) allowance() time.Duration {
+	return m.expectedSilence() << min(m.doublings, maxDoublings)
+}
+
+func (m *Machine) expectedSilence() time.Duration {
 	if !m.prefilled {
 		return max(minSilence, firstTokenFactor*m.route.FirstToken)
 	}
--- a/stream/machine_test.go
+++ b/stream/machine_test.go
@@ -460,6 +460,45 @@
 	must.Eq(t, []chicoryhall.EngineID{"a"}, choose.Exclude)
 }
 
+// TestEveryEngineGetsItsRounds lets one engine after another be late, as under overload. Mutation
+// that it catches: counting the silences of all engines together, so that the second engine is
+// blamed for its first.
+func TestEveryEngineGetsItsRounds(t *testing.T) {
+	const silences = 3
+	now := time.Unix(1000, 0)
+	m := stream.New(stream.Config{MaxTokens: 4, Idempotent: true, MaxEndpoints: 3})
+	m.Step(now, stream.Input{Kind: stream.InputBegin})
+	attempt := 0
+	var delays []time.Duration
+	var excluded []int
+	for _, id := range []chicoryhall.EngineID{"a", "b"} {
+		route := chicoryhall.Route{Hops: []chicoryhall.Hop{{Engine: id, Address: string(id), To: 8}}}
+		for range silences {
+			attempt++
+			m.Step(now, stream.Input{Kind: stream.InputRouted, Route: route})
+			for _, action := range m.Step(now, stream.Input{Kind: stream.InputRaised, Attempt: attempt}) {
+				if action.Kind == stream.ActionAwaitProgress {
+					delays = append(delays, action.Delay)
+				}
+			}
+			now = now.Add(time.Minute)
+			m.Step(now, stream.Input{Kind: stream.InputProgressDue})
+			actions := m.Step(now, stream.Input{Kind: stream.InputProbed, Attempt: attempt, Engine: id, Alive: true})
+			excluded = append(excluded, len(actions[len(actions)-1].Exclude))
+		}
+	}
+	must.Eq(t, []int{0, 0, 1, 1, 1, 2}, excluded)
+	must.Eq(t, []time.Duration{1, 2, 4, 8, 8}, inUnitsOfFirst(delays)) // from the second attempt on
+}
+
+func inUnitsOfFirst(delays []time.Duration) []time.Duration {
+	units := make([]time.Duration, len(delays))
+	for i := range delays {
+		units[i] = delays[i] / delays[0]
+	}
+	return units
+}
+
 // TestRedialBeforeBlame shows that a silent connection alone blames no engine.
 func TestRedialBeforeBlame(t *testing.T) {
 	cases := []struct {
--- a/stream/recovery.go
+++ b/stream/recovery.go
@@ -140,6 +140,7 @@
 		return
 	}
 	m.silent++
+	m.doublings++
 	if m.silent > maxSilentRounds {
 		m.recover(now, in.Engine, m.cause)
 		return
@@ -156,6 +157,7 @@
 		m.giveUp(reasonOr(reason, ReasonEndpoints), retryAfterFailure)
 		return
 	}
+	m.silent = 0
 	if !slices.Contains(m.exclude, failed) {
 		m.exclude = append(m.exclude, failed)
 	}
--- a/stream/tokens.go
+++ b/stream/tokens.go
@@ -47,7 +47,7 @@
 	}
 	m.prefilled = true
 	m.progressed(now)
-	m.silent = 0
+	m.silent, m.doublings = 0, 0
 	m.tokens = append(m.tokens, event.Token)
 	m.replicate(event.Position)
 	if len(m.tokens) == m.config.MaxTokens {
