--- a/cmd/chicoryhall/daemon/bench_test.go
+++ b/cmd/chicoryhall/daemon/bench_test.go
@@ -99,21 +99,25 @@
 }
 
 // BenchmarkTokens measures a daemon's processor time per token over real sockets: each token is a
-// write of its own at the engine, as from batches that give each stream one token per step.
+// write of its own at the engine, as from batches that give each stream one token per step. With two
+// daemons, the second one holds each token before the caller gets it.
 func BenchmarkTokens(b *testing.B) {
 	const length = 2000
 	cases := []struct {
 		streams int
 		period  time.Duration
+		daemons int
 	}{
-		{64, 10 * time.Millisecond},
-		{256, 10 * time.Millisecond},
-		{64, 0},
+		{64, 10 * time.Millisecond, 1},
+		{256, 10 * time.Millisecond, 1},
+		{256, 10 * time.Millisecond, 2},
+		{64, 0, 1},
 	}
 	for _, c := range cases {
-		b.Run(fmt.Sprintf("streams=%d/period=%s", c.streams, c.period), func(b *testing.B) {
+		b.Run(fmt.Sprintf("streams=%d/period=%s/daemons=%d", c.streams, c.period, c.daemons), func(b *testing.B) {
 			fake := startFakeEngine(b, c.period)
-			d := startDaemon(b, []string{"GOMAXPROCS=1"}, documentText("pipeline", []testEndpoint{{id: "e0", address: fake.address, from: 0, to: testLayers}}))
+			document := documentText("pipeline", []testEndpoint{{id: "e0", address: fake.address, from: 0, to: testLayers}})
+			d := startDaemons(b, c.daemons, []string{"GOMAXPROCS=1"}, document)[0]
 			waitFor(b, "the endpoint to be ready", func() bool {
 				return newCaller(d).submit(context.Background(), query("warm up", 1), 0).whole
 			})
