--- a/proof/cluster_test.go
+++ b/proof/cluster_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -84,7 +85,7 @@
 		c.documents = append(c.documents, writeYAML(t, c.folder, "booking.yaml", bookingDocument(c.plains)))
 	}
 	for _, e := range c.endpoints() {
-		eventually(t, string(e.id)+" answers", startTimeout, func() bool { return answers(e.address, "/healthz") })
+		c.awaitEndpoint(t, e)
 	}
 	for _, d := range c.daemons {
 		c.startDaemon(t, d)
@@ -96,6 +97,24 @@
 	return c
 }
 
+// awaitEndpoint waits until an endpoint answers through its link; if it does not, the stacks of
+// it and of the proxy are shown.
+func (c *cluster) awaitEndpoint(t *testing.T, e *endpoint) {
+	t.Helper()
+	for deadline := time.Now().Add(startTimeout); !answers(e.address, "/healthz"); time.Sleep(poll) {
+		if time.Now().Before(deadline) {
+			continue
+		}
+		t.Logf("%s at its own address: %t; its control: %t", e.id, answers(e.own, "/healthz"), answers(e.control, "/ledger"))
+		for _, p := range []*process{c.proxy.process, e.process} {
+			p.signal(syscall.SIGQUIT)
+			p.wait(time.Second)
+			t.Logf("stacks of %s:\n%s", p.name, p.output.String())
+		}
+		t.Fatalf("%s did not answer through its link within %s", e.id, startTimeout)
+	}
+}
+
 // apply makes the documents known by chicoryctl at the first daemon.
 func (c *cluster) apply(t *testing.T) {
 	t.Helper()
