Place engines under a lease; change a model's version without a cut-off request

Cause: a new version in a document made every daemon route by it at once, with no engine that holds it. Serving now routes by the version that a chain of engines holds; the lease's holder loads the new one beside the old, two engines at a time, and drops the old one only after the new chain has stood for the longest request and 15 s. A leaving engine gets no order, since an order would make it take new work again.

TestVersionChangeCutsNoRequest (rapid, 100 runs: 1 to 3 copies, two changes or a change and its way back, late reports, failed polls, a new holder at any second).

Not proved over real processes.

--- a/cmd/chicoryhall/daemon/builder.go
+++ b/cmd/chicoryhall/daemon/builder.go
@@ -87,6 +87,8 @@
 		{"members", b.buildMembers},
 		{"configuration", b.buildConfiguration},
 		{"endpoints", b.buildEndpoints},
+		{"serving", b.buildServing},
+		{"placement", b.buildPlacement},
 		{"router", b.buildRouter},
 		{"admission", b.buildAdmission},
 		{"keeper", b.buildKeeper},
--- /dev/null
+++ b/placement/change_test.go
@@ -0,0 +1,150 @@
+package placement_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/placement"
+)
+
+// The sizes of the simulated service.
+const (
+	stages      = 3
+	layers      = 12
+	timeout     = 20 * time.Second
+	maxLag      = 4 * time.Second
+	maxLoadTime = 15 * time.Second
+	ends        = 8 * time.Minute
+	// faultsEnd is when every engine answers again, so that the change must come to its end.
+	faultsEnd    = 3 * time.Minute
+	changeAt     = 10 * time.Second
+	secondChange = 40 * time.Second
+)
+
+// fakeEngine holds what it was ordered once it has loaded it, as an engine's protocol says.
+type fakeEngine struct {
+	endpoint chicoryhall.DocumentEndpoint
+	held     []chicoryhall.Holding
+	// history are the holdings at each second, for reports that lag.
+	history [][]chicoryhall.Holding
+	wanted  []chicoryhall.Holding
+	readyAt time.Duration
+}
+
+// obey drops at once what is not wanted and loads the rest.
+func (e *fakeEngine) obey(holdings []chicoryhall.Holding, readyAt time.Duration) {
+	e.held = slices.DeleteFunc(slices.Clone(e.held), func(h chicoryhall.Holding) bool { return !slices.Contains(holdings, h) })
+	e.wanted, e.readyAt = holdings, readyAt
+}
+
+func (e *fakeEngine) pass(now time.Duration) {
+	if e.wanted != nil && now >= e.readyAt {
+		e.held, e.wanted = e.wanted, nil
+	}
+	e.history = append(e.history, slices.Clone(e.held))
+}
+
+func (e *fakeEngine) reportedAt(second int) []chicoryhall.Holding { return e.history[max(0, second)] }
+
+func fleetDocument(copies int, version string) *chicoryhall.Document {
+	d := &chicoryhall.Document{
+		Service: "s", Kind: chicoryhall.ServicePipeline,
+		Model:   chicoryhall.DocumentModel{Name: "m", Version: version, Layers: layers},
+		Classes: []chicoryhall.DocumentClass{{Name: "c", Timeout: timeout}},
+	}
+	for stage := range stages {
+		for i := range copies {
+			d.Endpoints = append(d.Endpoints, chicoryhall.DocumentEndpoint{
+				ID: chicoryhall.EngineID(fmt.Sprintf("e-%d-%d", stage, i)), FailureDomain: "f",
+				From: stage * layers / stages, To: (stage + 1) * layers / stages,
+			})
+		}
+	}
+	return d
+}
+
+// request is one request that was started with a version and needs it until its end.
+type request struct {
+	version string
+	ends    time.Duration
+}
+
+func hasChain(fleet []*fakeEngine, version string) bool {
+	for stage := range stages {
+		holding := chicoryhall.Holding{Model: "m", Version: version, From: stage * layers / stages, To: (stage + 1) * layers / stages}
+		if !slices.ContainsFunc(fleet, func(e *fakeEngine) bool { return slices.Contains(e.held, holding) }) {
+			return false
+		}
+	}
+	return true
+}
+
+func TestVersionChangeCutsNoRequest(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		copies := rapid.IntRange(1, 3).Draw(rt, "copies")
+		versions := []string{"v1", "v2", rapid.SampledFrom([]string{"v1", "v3"}).Draw(rt, "third")}
+		d := fleetDocument(copies, versions[0])
+		var fleet []*fakeEngine
+		for _, endpoint := range d.Endpoints {
+			held := []chicoryhall.Holding{{Model: "m", Version: "v1", From: endpoint.From, To: endpoint.To}}
+			fleet = append(fleet, &fakeEngine{endpoint: endpoint, held: held})
+		}
+		planner := placement.NewPlanner(placement.Config{FailureDomain: "f", MaxLoads: 2})
+		holderChanges := time.Duration(rapid.IntRange(0, 200).Draw(rt, "holderChanges")) * time.Second
+		var running []request
+		for now := time.Duration(0); now < ends; now += time.Second {
+			second := int(now / time.Second)
+			for _, e := range fleet {
+				e.pass(now)
+			}
+			if now == changeAt {
+				d = fleetDocument(copies, versions[1])
+			}
+			if now == secondChange {
+				d = fleetDocument(copies, versions[2])
+			}
+			if now == holderChanges {
+				planner = placement.NewPlanner(placement.Config{FailureDomain: "f", MaxLoads: 2})
+			}
+			// Each second a request starts at a daemon whose view is late.
+			loads := map[chicoryhall.EngineID]chicoryhall.Load{}
+			for _, e := range fleet {
+				lag := rapid.IntRange(0, int(maxLag/time.Second)).Draw(rt, "lag")
+				loads[e.endpoint.ID] = chicoryhall.Load{Holdings: e.reportedAt(second - lag)}
+			}
+			running = append(running, request{version: placement.ServedVersion(d, loads), ends: now + timeout})
+			running = slices.DeleteFunc(running, func(r request) bool { return r.ends <= now })
+			for _, r := range running {
+				if !hasChain(fleet, r.version) {
+					rt.Fatalf("at %s no chain holds %s, which a request that ends at %s needs", now, r.version, r.ends)
+				}
+			}
+			plan(rt, planner, d, fleet, now)
+		}
+		for _, e := range fleet {
+			must.Eq(rt, []chicoryhall.Holding{{Model: "m", Version: versions[2], From: e.endpoint.From, To: e.endpoint.To}}, e.held)
+		}
+	})
+}
+
+// plan lets the holder read the engines back and carries its orders out.
+func plan(rt *rapid.T, planner *placement.Planner, d *chicoryhall.Document, fleet []*fakeEngine, now time.Duration) {
+	reports := map[chicoryhall.EngineID]placement.Report{}
+	for _, e := range fleet {
+		known := now > faultsEnd || rapid.IntRange(0, 9).Draw(rt, "known") > 0
+		reports[e.endpoint.ID] = placement.Report{Load: chicoryhall.Load{Holdings: slices.Clone(e.held)}, Known: known}
+	}
+	for _, order := range planner.Plan([]*chicoryhall.Document{d}, reports, time.Unix(0, 0).Add(now)) {
+		for _, e := range fleet {
+			if e.endpoint.ID == order.Engine {
+				e.obey(order.Holdings, now+time.Duration(rapid.IntRange(1, int(maxLoadTime/time.Second)).Draw(rt, "loadTime"))*time.Second)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/placement/holder.go
@@ -0,0 +1,193 @@
+package placement
+
+import (
+	"context"
+	"crypto/rand"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/engine"
+	"chicoryhall.example/chicoryhall/event"
+	"chicoryhall.example/chicoryhall/lease"
+	"chicoryhall.example/chicoryhall/table"
+)
+
+// The times and bounds of a Holder.
+const (
+	leaseDuration  = 15 * time.Second
+	leaseMargin    = 5 * time.Second
+	longestPause   = 30 * time.Second
+	holderPeriod   = time.Second
+	leasePeriod    = 3 * time.Second
+	tableTimeout   = 2 * time.Second
+	engineTimeout  = time.Second
+	maxEngineCalls = 16
+	maxLoads       = 2
+)
+
+// leasePrefix begins the keys of the leases in the table.
+const leasePrefix = "leases/"
+
+// Engines is what a Holder needs of the engine client.
+type Engines interface {
+	// Load polls an engine's load report.
+	Load(ctx context.Context, address string) (chicoryhall.Load, error)
+	// Order gives an engine the state that it shall reach.
+	Order(ctx context.Context, address string, order engine.Order) (engine.OrderResult, error)
+}
+
+// Parts are what a Holder needs.
+type Parts struct {
+	Self          chicoryhall.DaemonID
+	FailureDomain chicoryhall.FailureDomain
+	Table         chicoryhall.Table
+	Documents     chicoryhall.Documents
+	Engines       Engines
+	Timer         chicoryhall.Timer
+	Log           *event.Logger
+}
+
+// Holder seeks the failure domain's lease and gives orders while it holds it.
+type Holder struct {
+	parts   Parts
+	lease   *lease.Lease
+	planner *Planner
+	fence   int64
+}
+
+// NewHolder returns a Holder that works once Serve runs.
+func NewHolder(parts Parts) *Holder {
+	return &Holder{parts: parts, lease: lease.New(lease.Config{
+		Self: parts.Self, Key: leasePrefix + string(parts.FailureDomain),
+		Duration: leaseDuration, Margin: leaseMargin, LongestPause: longestPause,
+	})}
+}
+
+// Serve seeks and uses the lease until ctx ends.
+func (h *Holder) Serve(ctx context.Context) error {
+	due := make(chan struct{}, 1)
+	ticks := h.parts.Timer.Every(holderPeriod, func(time.Time) {
+		select {
+		case due <- struct{}{}:
+		default:
+		}
+	})
+	defer ticks.Cancel()
+	var lastRead time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-due:
+		}
+		now := h.parts.Timer.Now()
+		if now.Sub(lastRead) >= leasePeriod {
+			lastRead = now
+			h.seek(ctx)
+		}
+		if h.lease.Valid(h.parts.Timer.Now()) {
+			h.work(ctx)
+		}
+	}
+}
+
+// seek reads the lease's row and writes it when that is due.
+func (h *Holder) seek(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	row, _, err := h.parts.Table.Row(ctx, leasePrefix+string(h.parts.FailureDomain))
+	if err == nil {
+		err = h.lease.Read(row, h.parts.Timer.Now())
+	}
+	if err != nil || !h.lease.Wants(h.parts.Timer.Now()) {
+		return
+	}
+	sent := h.parts.Timer.Now()
+	transaction := h.lease.Write(rand.Text())
+	_, err = table.Settle(ctx, h.parts.Table, transaction)
+	if other, conflict := table.IsConflict(err); conflict {
+		err = h.lease.Refused(other, h.parts.Timer.Now())
+	} else if err == nil {
+		err = h.lease.Wrote(transaction, sent)
+	}
+	if err == nil && h.lease.Valid(h.parts.Timer.Now()) && h.lease.Fence() != h.fence {
+		h.begin()
+	}
+}
+
+// begin starts a new term with a planner that has seen nothing.
+func (h *Holder) begin() {
+	h.fence = h.lease.Fence()
+	h.planner = NewPlanner(Config{FailureDomain: h.parts.FailureDomain, MaxLoads: maxLoads})
+	h.parts.Log.Log(event.LeaseTaken, "failureDomain", h.parts.FailureDomain, "fence", h.fence)
+}
+
+// work reads the engines back and gives the orders that are due.
+func (h *Holder) work(ctx context.Context) {
+	var documents []*chicoryhall.Document
+	for _, inForce := range h.parts.Documents.All() {
+		if inForce.Document.Kind == chicoryhall.ServicePipeline {
+			documents = append(documents, inForce.Document)
+		}
+	}
+	reports := h.read(ctx, documents)
+	for _, order := range h.planner.Plan(documents, reports, h.parts.Timer.Now()) {
+		h.give(ctx, order)
+	}
+}
+
+// read asks every engine of the documents for its state.
+func (h *Holder) read(ctx context.Context, documents []*chicoryhall.Document) map[chicoryhall.EngineID]Report {
+	reports := map[chicoryhall.EngineID]Report{}
+	var mu sync.Mutex
+	var group errgroup.Group
+	group.SetLimit(maxEngineCalls)
+	for _, d := range documents {
+		for _, endpoint := range d.Endpoints {
+			group.Go(func() error {
+				short, cancel := context.WithTimeout(ctx, engineTimeout)
+				defer cancel()
+				load, err := h.parts.Engines.Load(short, endpoint.Address)
+				mu.Lock()
+				defer mu.Unlock()
+				// A leaving engine gets no orders: one would make it take new work again.
+				reports[endpoint.ID] = Report{Load: load, Known: err == nil && load.State != chicoryhall.EndpointLeaving}
+				return nil
+			})
+		}
+	}
+	_ = group.Wait() // The functions return no errors.
+	for _, d := range documents {
+		for _, endpoint := range d.Endpoints {
+			if endpoint.FailureDomain == h.parts.FailureDomain {
+				h.lease.Observe(reports[endpoint.ID].Load.Fence)
+			}
+		}
+	}
+	return reports
+}
+
+// give sends one order if the lease allows it at this moment.
+func (h *Holder) give(ctx context.Context, order Order) {
+	if !h.lease.MayOrder(h.parts.Timer.Now(), order.Fencing) {
+		h.planner.Failed(order.Engine)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	result, err := h.parts.Engines.Order(ctx, order.Address, engine.Order{Fence: h.fence, Holdings: order.Holdings})
+	if err == nil && result.Refusal == engine.RefusalFenced {
+		h.lease.Observe(result.Fence)
+		err = errors.Errorf("the engine has seen the newer fencing number %d", result.Fence)
+	}
+	if err != nil {
+		h.planner.Failed(order.Engine)
+		h.parts.Log.Log(event.OrderFailed, "engine", order.Engine, "address", order.Address, "fence", h.fence, "error", err)
+		return
+	}
+	h.parts.Log.Log(event.OrderGiven, "engine", order.Engine, "fence", h.fence, "holdings", len(order.Holdings))
+}
--- /dev/null
+++ b/placement/plan.go
@@ -0,0 +1,166 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"chicoryhall.example/chicoryhall"
+)
+
+const (
+	// dropMargin is added to the longest request before an old version is dropped: the
+	// time in which all daemons see that the new one stands.
+	dropMargin = 15 * time.Second
+	// repeatAfter is how long an engine may take to reach a state before it is ordered again.
+	repeatAfter = 2 * time.Minute
+)
+
+// Config bounds what a Planner orders.
+type Config struct {
+	FailureDomain chicoryhall.FailureDomain
+	// MaxLoads is how many engines of the failure domain load weights at once.
+	MaxLoads int
+}
+
+// Report is what one engine said of itself.
+type Report struct {
+	Load chicoryhall.Load
+	// Known is false when the engine could not be asked.
+	Known bool
+}
+
+// Order is the state that one engine shall reach.
+type Order struct {
+	Engine   chicoryhall.EngineID
+	Address  string
+	Fencing  bool
+	Holdings []chicoryhall.Holding
+}
+
+// given is the last order of an engine.
+type given struct {
+	holdings []chicoryhall.Holding
+	at       time.Time
+}
+
+// Planner decides orders; it does no I/O.
+type Planner struct {
+	config Config
+	// standing is since when each service's wanted version has had a chain.
+	standing map[chicoryhall.ServiceName]stood
+	given    map[chicoryhall.EngineID]given
+}
+
+// stood is since when a version has had a chain.
+type stood struct {
+	model chicoryhall.DocumentModel
+	since time.Time
+}
+
+// NewPlanner returns a Planner that has seen nothing, so that it drops nothing soon.
+func NewPlanner(config Config) *Planner {
+	return &Planner{
+		config: config, standing: map[chicoryhall.ServiceName]stood{}, given: map[chicoryhall.EngineID]given{},
+	}
+}
+
+// Plan returns the orders that are due, from every engine's report.
+func (p *Planner) Plan(documents []*chicoryhall.Document, reports map[chicoryhall.EngineID]Report, now time.Time) []Order {
+	p.observe(documents, reports, now)
+	loading := p.loading(reports, now)
+	var orders []Order
+	for _, engine := range p.engines(documents) {
+		report := reports[engine.endpoint.ID]
+		if !report.Known {
+			continue
+		}
+		wanted := p.target(engine, documents, report.Load.Holdings, now)
+		loads := !holdsAll(report.Load.Holdings, wanted)
+		if loads && !loading[engine.endpoint.ID] && len(loading) >= p.config.MaxLoads {
+			continue
+		}
+		if !p.due(engine.endpoint.ID, wanted, report.Load.Holdings, now) {
+			continue
+		}
+		if loads {
+			loading[engine.endpoint.ID] = true
+		}
+		p.given[engine.endpoint.ID] = given{holdings: wanted, at: now}
+		orders = append(orders, Order{
+			Engine: engine.endpoint.ID, Address: engine.endpoint.Address, Fencing: engine.endpoint.Fencing, Holdings: wanted,
+		})
+	}
+	return orders
+}
+
+// Failed forgets an order that did not reach its engine.
+func (p *Planner) Failed(id chicoryhall.EngineID) { delete(p.given, id) }
+
+// observe notes since when each service's wanted version has had a chain.
+func (p *Planner) observe(documents []*chicoryhall.Document, reports map[chicoryhall.EngineID]Report, now time.Time) {
+	for _, d := range documents {
+		before, known := p.standing[d.Service]
+		switch {
+		case !stands(d, reports):
+			delete(p.standing, d.Service)
+		case !known || before.model != d.Model:
+			p.standing[d.Service] = stood{model: d.Model, since: now}
+		}
+	}
+}
+
+// loading returns the engines that are on their way to hold what they were ordered.
+func (p *Planner) loading(reports map[chicoryhall.EngineID]Report, now time.Time) map[chicoryhall.EngineID]bool {
+	busy := map[chicoryhall.EngineID]bool{}
+	for id, last := range p.given {
+		report := reports[id]
+		if report.Known && !holdsAll(report.Load.Holdings, last.holdings) && now.Sub(last.at) < repeatAfter {
+			busy[id] = true
+		}
+	}
+	return busy
+}
+
+// due tells whether the engine must be told: it is in another state and was not told so lately.
+func (p *Planner) due(id chicoryhall.EngineID, wanted, held []chicoryhall.Holding, now time.Time) bool {
+	if same(wanted, held) {
+		return false
+	}
+	last, told := p.given[id]
+	return !told || !same(last.holdings, wanted) || now.Sub(last.at) >= repeatAfter
+}
+
+// target returns what the engine shall hold: what documents want, and what may not be dropped yet.
+func (p *Planner) target(e wantedEngine, documents []*chicoryhall.Document, held []chicoryhall.Holding, now time.Time) []chicoryhall.Holding {
+	target := slices.Clone(e.wanted)
+	for _, holding := range held {
+		if !slices.Contains(target, holding) && !p.mayDrop(holding, e, documents, held, now) {
+			target = append(target, holding)
+		}
+	}
+	return target
+}
+
+// mayDrop tells whether nothing needs a holding: its engine holds what replaces it, and the
+// version in force has stood for longer than a request of the old one may run.
+func (p *Planner) mayDrop(holding chicoryhall.Holding, e wantedEngine, documents []*chicoryhall.Document, held []chicoryhall.Holding, now time.Time) bool {
+	for _, d := range documents {
+		if d.Model.Name != holding.Model {
+			continue
+		}
+		standing, stands := p.standing[d.Service]
+		if !stands || !holdsAll(held, e.wanted) || now.Sub(standing.since) < longestRequest(d)+dropMargin {
+			return false
+		}
+	}
+	return true
+}
+
+// longestRequest returns the greatest timeout of the document's classes.
+func longestRequest(d *chicoryhall.Document) time.Duration {
+	var longest time.Duration
+	for _, class := range d.Classes {
+		longest = max(longest, class.Timeout)
+	}
+	return longest
+}
--- /dev/null
+++ b/placement/serving.go
@@ -0,0 +1,155 @@
+package placement
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/event"
+)
+
+// servingPeriod lies between two looks at which version can be served.
+const servingPeriod = 200 * time.Millisecond
+
+// ServedVersion returns the version of the document's model to route by: the wanted one if
+// a chain of engines holds it or none holds any, or else the one that most engines hold.
+func ServedVersion(d *chicoryhall.Document, loads map[chicoryhall.EngineID]chicoryhall.Load) string {
+	held := map[string][]chicoryhall.Holding{}
+	for _, endpoint := range d.Endpoints {
+		for _, holding := range loads[endpoint.ID].Holdings {
+			if holding.Model == d.Model.Name {
+				held[holding.Version] = append(held[holding.Version], holding)
+			}
+		}
+	}
+	if covers(held[d.Model.Version], d.Model.Layers) {
+		return d.Model.Version
+	}
+	best := d.Model.Version
+	most := 0
+	for version, holdings := range held {
+		count := len(holdings)
+		if covers(holdings, d.Model.Layers) && (count > most || (count == most && version > best)) {
+			best, most = version, count
+		}
+	}
+	return best
+}
+
+// Serving is a chicoryhall.Documents whose models have the version that can be served now.
+type Serving struct {
+	documents chicoryhall.Documents
+	endpoints chicoryhall.Endpoints
+	timer     chicoryhall.Timer
+	log       *event.Logger
+
+	mu          sync.Mutex
+	served      map[chicoryhall.ServiceName]served
+	subscribers []func(chicoryhall.InForce)
+}
+
+// served is a version in force and what stands in for it.
+type served struct {
+	inForce chicoryhall.InForce
+	given   chicoryhall.InForce
+}
+
+// NewServing returns a Serving over the versions in force.
+func NewServing(documents chicoryhall.Documents, endpoints chicoryhall.Endpoints, timer chicoryhall.Timer, log *event.Logger) *Serving {
+	s := &Serving{documents: documents, endpoints: endpoints, timer: timer, log: log, served: map[chicoryhall.ServiceName]served{}}
+	documents.Subscribe(func(inForce chicoryhall.InForce) { s.update(inForce) })
+	return s
+}
+
+// Serve looks at the engines' holdings until ctx ends.
+func (s *Serving) Serve(ctx context.Context) error {
+	ticks := s.timer.Every(servingPeriod, func(time.Time) {
+		for _, inForce := range s.documents.All() {
+			s.update(inForce)
+		}
+	})
+	defer ticks.Cancel()
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// InForce returns the document of one service with the version that can be served.
+func (s *Serving) InForce(service chicoryhall.ServiceName) (chicoryhall.InForce, bool) {
+	inForce, known := s.documents.InForce(service)
+	if !known {
+		return chicoryhall.InForce{}, false
+	}
+	return s.of(inForce), true
+}
+
+// All returns every service's document, ordered by name.
+func (s *Serving) All() []chicoryhall.InForce {
+	all := slices.Clone(s.documents.All())
+	for i := range all {
+		all[i] = s.of(all[i])
+	}
+	return all
+}
+
+// Subscribe calls changed for each new version and each change of the served one.
+func (s *Serving) Subscribe(changed func(chicoryhall.InForce)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.subscribers = append(s.subscribers, changed)
+}
+
+// of returns what stands in for a version in force.
+func (s *Serving) of(inForce chicoryhall.InForce) chicoryhall.InForce {
+	s.mu.Lock()
+	known, ok := s.served[inForce.Document.Service]
+	s.mu.Unlock()
+	if ok && known.inForce.Document == inForce.Document {
+		return known.given
+	}
+	return s.update(inForce)
+}
+
+// update decides which version is served and tells the subscribers of a change.
+func (s *Serving) update(inForce chicoryhall.InForce) chicoryhall.InForce {
+	version := inForce.Document.Model.Version
+	if inForce.Document.Kind == chicoryhall.ServicePipeline {
+		version = ServedVersion(inForce.Document, s.loads(inForce.Document))
+	}
+	s.mu.Lock()
+	known, ok := s.served[inForce.Document.Service]
+	unchanged := ok && known.inForce.Document == inForce.Document && known.given.Document.Model.Version == version
+	if unchanged || (ok && inForce.Version < known.inForce.Version) {
+		s.mu.Unlock()
+		return known.given
+	}
+	given := withVersion(inForce, version)
+	s.served[inForce.Document.Service] = served{inForce: inForce, given: given}
+	subscribers := s.subscribers
+	s.mu.Unlock()
+	s.log.Log(event.VersionServed, "service", inForce.Document.Service, "version", inForce.Version,
+		"model", inForce.Document.Model.Name, "wanted", inForce.Document.Model.Version, "served", version)
+	for _, changed := range subscribers {
+		changed(given)
+	}
+	return given
+}
+
+func (s *Serving) loads(d *chicoryhall.Document) map[chicoryhall.EngineID]chicoryhall.Load {
+	loads := map[chicoryhall.EngineID]chicoryhall.Load{}
+	for _, endpoint := range d.Endpoints {
+		loads[endpoint.ID] = s.endpoints.View(endpoint.ID).Load
+	}
+	return loads
+}
+
+func withVersion(inForce chicoryhall.InForce, version string) chicoryhall.InForce {
+	if inForce.Document.Model.Version == version {
+		return inForce
+	}
+	d := *inForce.Document
+	d.Model.Version = version
+	inForce.Document = &d
+	return inForce
+}
