--- a/cmd/chicorybench/judge/ledger.go
+++ b/cmd/chicorybench/judge/ledger.go
@@ -119,8 +119,8 @@
 }
 
 type callRun struct {
-	Body    string `json:"body"`
-	Started int    `json:"started"`
+	Body       string `json:"body"`
+	Executions int    `json:"executions"`
 }
 
 func (l *Ledger) add(page *ledgerPage) {
@@ -128,6 +128,6 @@
 		l.streams[run.Stream] = true
 	}
 	for _, call := range page.Calls {
-		l.runs[call.Body] += call.Started
+		l.runs[call.Body] += call.Executions
 	}
 }
