--- a/cmd/chicoryhall/daemon/serve_test.go
+++ b/cmd/chicoryhall/daemon/serve_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -273,3 +274,25 @@
 		must.Eq(t, replies[0].tokens[30:], again.tokens)
 	}
 }
+
+// TestMetrics reads the histograms of the class and of the organisation behind an answer.
+func TestMetrics(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts real processes")
+	}
+	d := startDaemon(t, nil, documentText("pipeline", startEngines(t)))
+	mustBeWhole(t, newCaller(d).submit(context.Background(), query(promptOf(0), 5), 0), promptOf(0), 5)
+	response, err := http.Get("http://" + d.callers + "/metrics")
+	must.NoError(t, err)
+	page, err := io.ReadAll(response.Body)
+	must.NoError(t, err)
+	must.NoError(t, response.Body.Close())
+	for _, want := range []string{
+		`chicoryhall_first_token_seconds_count{class="manual/query"} 1`,
+		`chicoryhall_first_token_seconds_count{organisation="garage"} 1`,
+		`chicoryhall_requests_total{service="manual",outcome="answered",reason=""} 1`,
+		`chicoryhall_tokens_total{service="manual"} 5`,
+	} {
+		must.StrContains(t, string(page), want)
+	}
+}
