--- a/cmd/chicoryhall/daemon/quarantine.go
+++ b/cmd/chicoryhall/daemon/quarantine.go
@@ -161,7 +161,7 @@
 func (d *quarantineDesk) isGone(address string) bool {
 	for try := range crashProbes {
 		if try > 0 {
-			time.Sleep(crashProbePause)
+			d.pause(crashProbePause)
 		}
 		if engine.IsGone(d.probe(address)) {
 			return true
@@ -170,6 +170,13 @@
 	return false
 }
 
+// pause waits for a delay of the timer.
+func (d *quarantineDesk) pause(delay time.Duration) {
+	passed := make(chan struct{})
+	d.timer.After(delay, func(time.Time) { close(passed) })
+	<-passed
+}
+
 func (d *quarantineDesk) probe(address string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 	defer cancel()
