--- a/cmd/chicorybench/capacity/experiment.go
+++ b/cmd/chicorybench/capacity/experiment.go
@@ -32,6 +32,8 @@
 	all = append(all, limitExperiments()...)
 	all = append(all, membershipExperiments()...)
 	all = append(all, documentExperiments()...)
+	all = append(all, holderExperiments()...)
+	all = append(all, watchExperiments()...)
 	return all
 }
 
--- /dev/null
+++ b/cmd/chicorybench/capacity/holders.go
@@ -0,0 +1,97 @@
+package capacity
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/digest"
+	"chicoryhall.example/chicoryhall/holder"
+)
+
+// The names of the measurements of the second holders.
+const (
+	holderTokenBytes  = "second holder token messages"
+	holderRecordBytes = "second holder record messages"
+	holderMemory      = "second holder memory"
+	holderTime        = "second holder time"
+)
+
+// promptTokens is the prompt length of the requests that are measured, eight bytes each.
+const promptTokens = 100
+
+// answerTokens is the answer length of the requests that are measured.
+const answerTokens = 280
+
+func holderExperiments() []Experiment {
+	return []Experiment{
+		{name: holderTokenBytes, unit: "bytes", driver: "tokens in a batch, one for each stream", sizes: []int{1, 8, 32}, measure: measureTokenBytes},
+		{name: holderRecordBytes, unit: "bytes", driver: "prompt tokens", sizes: []int{10, 100, 400}, measure: measureRecordBytes},
+		{name: holderMemory, unit: "bytes", driver: "requests held", sizes: []int{50, 220, 1000}, measure: measureHolderMemory},
+		{name: holderTime, unit: "µs", driver: "tokens in a batch, one for each stream", sizes: []int{1, 8, 32}, measure: measureHolderTime},
+	}
+}
+
+func recordOf(number, prompt int) chicoryhall.RequestRecord {
+	return chicoryhall.RequestRecord{
+		ID:      chicoryhall.RequestID(fmt.Sprintf("domain0-entry000.%024d", number)),
+		Service: "service", Organisation: "organisation000", Class: "class",
+		Key: fmt.Sprintf("key-%020d", number), Prompt: strings.Repeat("eight by", prompt), MaxTokens: answerTokens,
+		Deadline: time.Unix(1_796_330_000, 0),
+	}
+}
+
+func tokenUpdates(count int) []holder.Update {
+	updates := make([]holder.Update, count)
+	for i := range updates {
+		updates[i] = holder.Update{
+			Handle: holder.Handle(i + 1), Term: 1, Generation: 1, Attempt: 1, Position: 100 + i, Tokens: []digest.Token{digest.Token(1 << 30)},
+		}
+	}
+	return updates
+}
+
+// measureTokenBytes counts one batch with its answer, as JSON-RPC carries them.
+func measureTokenBytes(tokens int) (float64, error) {
+	packed, err := holder.EncodeUpdates(tokenUpdates(tokens))
+	return 2*frameBytes + base64Growth*float64(len(packed)) + float64(tokens), err
+}
+
+func measureRecordBytes(prompt int) (float64, error) {
+	record := recordOf(1, prompt)
+	packed, err := holder.EncodeUpdates([]holder.Update{{Handle: 1, Term: 1, Generation: 1, Record: &record}})
+	return 2*frameBytes + base64Growth*float64(len(packed)), err
+}
+
+func newHolder(requests int) *holder.State {
+	members := membersOf(daemonsPerDomain * designDomains)
+	state := holder.New(members.self)
+	now := time.Unix(0, 0)
+	for _, member := range members.others {
+		state.MemberChanged(member, now)
+	}
+	for i := range requests {
+		state.Accept(recordOf(i, promptTokens), now)
+	}
+	return state
+}
+
+func measureHolderMemory(requests int) (float64, error) {
+	empty := heapBytes(func() any { return newHolder(0) })
+	return heapBytes(func() any { return newHolder(requests) }) - empty, nil
+}
+
+// measureHolderTime packs and reads one batch; its state is looked up once for each token.
+func measureHolderTime(tokens int) (float64, error) {
+	updates := tokenUpdates(tokens)
+	var err error
+	cost := microseconds(func() {
+		var packed []byte
+		packed, err = holder.EncodeUpdates(updates)
+		if err == nil {
+			_, err = holder.DecodeUpdates(packed)
+		}
+	})
+	return cost, err
+}
--- a/cmd/chicorybench/capacity/page.go
+++ b/cmd/chicorybench/capacity/page.go
@@ -21,6 +21,10 @@
 	p := &page{file: f}
 	p.head()
 	p.table()
+	p.notBuilt()
+	p.data()
+	p.platform()
+	p.observed()
 	p.failures()
 	p.measurements()
 	_, err := io.WriteString(w, p.text.String())
@@ -141,3 +145,25 @@
 	}
 	return strings.Join(sizes, ", ")
 }
+
+// observed extrapolates what real daemons showed, with the spread of the points.
+func (p *page) observed() {
+	p.line("## Real daemons, extrapolated")
+	p.line("")
+	p.line("Whole daemons without load, at the sizes that fit one machine; the line is carried to the design size.")
+	p.line("")
+	p.line("| measurement | at the largest size | at the design size | spread | unit |")
+	p.line("|---|---|---|---|---|")
+	for _, m := range p.file.Measurements {
+		size, known := observedSizes[m.Driver]
+		if !known || !strings.HasPrefix(m.Name, "observed") {
+			continue
+		}
+		last := m.Points[len(m.Points)-1]
+		p.line("| %s | %.4g at %g | %.4g at %g | %.2g | %s |", m.Name, last.Cost, last.Size, m.Line.At(size), size, m.Line.Spread, m.Unit)
+	}
+	p.line("")
+}
+
+// observedSizes are the drivers of observed measurements at the design size.
+var observedSizes = map[string]float64{"daemons": designDaemons, "engines": designEngines}
--- a/cmd/chicorybench/capacity/roles.go
+++ b/cmd/chicorybench/capacity/roles.go
@@ -57,6 +57,27 @@
 			messages:  []term{{limitBytes, busyOrganisations, kilobytesPerByte, "one organisation in ten above its base at a time"}},
 			processor: []term{{limitTime, designOrganisations, requestsPerDaemonSecond * corePercentPerMicro, "21.9 requests/s"}},
 		},
+		{
+			name:      "stream holder",
+			state:     "the record and tokens of each request in progress",
+			mechanism: "the home's own state; taken over by the second holder (stream, requests)",
+			memory:    []term{{holderMemory, requestsInProgress, megabytesPerByte, "once"}},
+		},
+		{
+			name:      "second holder",
+			state:     "a copy of the record and tokens of as many requests",
+			mechanism: "one batch in progress to each peer, the next gathers (holder); its messages are data, shown below",
+			memory:    []term{{holderMemory, requestsInProgress, megabytesPerByte, "once"}},
+			processor: []term{{holderTime, tokensPerBatch, batchesPerSecond * corePercentPerMicro, "a batch for each step of a peer's streams"}},
+		},
+		{
+			name:      "watcher",
+			state:     "an entry for each endpoint of the documents",
+			mechanism: "two daemons of the failure domain poll an endpoint; sightings spread by exchanges (watch)",
+			memory:    []term{{watchMemory, designEngines, megabytesPerByte, "once"}},
+			messages:  []term{{watchBytes, sightingsPerMessage, exchangesPerSecond * messagesPerExchange * kilobytesPerByte, "1.5 exchanges/s of full messages, asked and answered"}},
+			processor: []term{{watchTime, sightingsPerMessage, exchangesPerSecond * messagesPerExchange * corePercentPerMicro, "the same messages"}},
+		},
 		{
 			name:      "membership",
 			state:     "an entry for each daemon",
@@ -76,6 +97,14 @@
 	}
 }
 
+// A daemon's streams spread over the other daemons of its failure domain as second holders; one
+// batch to each of them carries a token of each of their streams.
+const (
+	tokenPeriodSeconds = 0.036
+	tokensPerBatch     = requestsInProgress / (daemonsPerDomain - 1)
+	batchesPerSecond   = (daemonsPerDomain - 1) / tokenPeriodSeconds
+)
+
 // sharesPerSecond is how often an endpoint's state changes: engines' VMs fail and restart as the
 // daemons' do, each with two changes of state.
 const sharesPerSecond = 2 * (designFailuresPerDay + designRestartsPerDay) / secondsPerDay
--- /dev/null
+++ b/cmd/chicorybench/capacity/watches.go
@@ -0,0 +1,79 @@
+package capacity
+
+import (
+	"fmt"
+	"time"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/timer"
+	"chicoryhall.example/chicoryhall/watch"
+)
+
+// The names of the measurements of the watchers of endpoints.
+const (
+	watchBytes  = "sightings message"
+	watchMemory = "watch memory"
+	watchTime   = "sightings time"
+)
+
+// What the exchange of sightings sends at the design size: an exchange a second inside the failure
+// domain and one in two seconds beyond, each a question and an answer, asked and answered alike.
+const (
+	exchangesPerSecond  = 1.5
+	messagesPerExchange = 4
+	sightingsPerMessage = 12
+)
+
+func watchExperiments() []Experiment {
+	return []Experiment{
+		{name: watchBytes, unit: "bytes", driver: "sightings in a message", sizes: []int{1, 6, 12}, measure: measureSightingBytes},
+		{name: watchTime, unit: "µs", driver: "sightings in a message", sizes: []int{1, 6, 12}, measure: measureSightingTime},
+		{name: watchMemory, unit: "bytes", driver: "engines known", sizes: []int{210, 420, 2100}, measure: measureWatchMemory},
+	}
+}
+
+func sightingsOf(count int) []watch.Sighting {
+	sightings := make([]watch.Sighting, count)
+	for i := range sightings {
+		sightings[i] = watch.Sighting{
+			Endpoint: watch.EndpointHash(0x9e3779b9 * uint32(i+1)), Incarnation: 1_796_330_000_000, AsOfMillis: 1_796_330_500_000,
+			Running: 48, Waiting: 5, KVPercent: 60, StepMicros: 9000, AsDocument: true,
+		}
+	}
+	return sightings
+}
+
+func measureSightingBytes(count int) (float64, error) {
+	packed := watch.EncodeSightings(sightingsOf(count), 1_796_330_501_000)
+	return frameBytes + base64Growth*float64(len(packed)), nil
+}
+
+func measureSightingTime(count int) (float64, error) {
+	sightings := sightingsOf(count)
+	var err error
+	cost := microseconds(func() {
+		_, err = watch.DecodeSightings(watch.EncodeSightings(sightings, 1_796_330_501_000))
+	})
+	return cost, err
+}
+
+// noLoads never reports a load.
+type noLoads struct{}
+
+func (noLoads) Load(string, func(chicoryhall.Load, chicoryhall.Observation)) {}
+
+func measureWatchMemory(engines int) (float64, error) {
+	document := documentOf(engines, 1)
+	return heapBytes(func() any {
+		w := watch.New(watch.Config{
+			Timer:     timer.NewManual(time.Unix(0, 0)),
+			Documents: &fakeDocuments{all: []chicoryhall.InForce{{Document: document, Version: 1}}},
+			Members:   membersOf(1),
+			Loads:     noLoads{},
+		})
+		for i := range engines {
+			w.Observe(chicoryhall.EngineID(fmt.Sprintf("engine%04d", i)), chicoryhall.ObservedProgress)
+		}
+		return w
+	}), nil
+}
