Cover the answer to a probe of an earlier attempt

Without the check of the attempt, TestOldProbeProvesNothing fails: 'expected slice to be empty, len(slice): 3' (the engine is blamed and replaced).

--- a/stream/machine_test.go
+++ b/stream/machine_test.go
@@ -527,3 +527,26 @@
 		})
 	}
 }
+
+// TestOldProbeProvesNothing ignores the answer to a probe of an earlier attempt.
+func TestOldProbeProvesNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := stream.New(stream.Config{MaxTokens: 4, Idempotent: true, MaxEndpoints: 3})
+	route := chicoryhall.Route{Hops: []chicoryhall.Hop{{Engine: "a", Address: "a", To: 4}, {Engine: "b", Address: "b", From: 4, To: 8}}}
+	other := chicoryhall.Route{Hops: []chicoryhall.Hop{route.Hops[0], {Engine: "c", Address: "c", From: 4, To: 8}}}
+	m.Step(now, stream.Input{Kind: stream.InputBegin})
+	m.Step(now, stream.Input{Kind: stream.InputRouted, Route: route})
+	m.Step(now, stream.Input{Kind: stream.InputSending, Attempt: 1})
+	now = now.Add(time.Minute)
+	must.Eq(t, stream.ActionProbe, last(m.Step(now, stream.Input{Kind: stream.InputProgressDue})).Kind)
+	m.StepEvents(now, 1, []engine.Event{{Kind: engine.EventStageFailed, Attempt: 1, Engine: "b"}})
+	m.Step(now, stream.Input{Kind: stream.InputRouted, Route: other})
+	m.Step(now, stream.Input{Kind: stream.InputRaised, Attempt: 2})
+	now = now.Add(time.Minute)
+	must.Eq(t, stream.ActionProbe, last(m.Step(now, stream.Input{Kind: stream.InputProgressDue})).Kind)
+	must.SliceEmpty(t, m.Step(now, stream.Input{Kind: stream.InputProbed, Attempt: 1, Engine: "a", Alive: false}))
+}
+
+func last(actions []stream.Action) stream.Action {
+	return actions[len(actions)-1]
+}
