--- /dev/null
+++ b/holder/bench_test.go
@@ -0,0 +1,106 @@
+package holder_test
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/digest"
+	"chicoryhall.example/chicoryhall/holder"
+)
+
+const (
+	// designTokens is what one of 360 daemons carries of 2.2 million tokens a second.
+	designTokens = designStreams * tokensPerStream
+	// designStreams is the number of its streams with 36 ms between tokens.
+	designStreams = 220
+	// tokensPerStream is what one stream gives in a second.
+	tokensPerStream = 28
+)
+
+// cpuTime returns the processor time of this process so far.
+func cpuTime(b *testing.B) time.Duration {
+	b.Helper()
+	var usage syscall.Rusage
+	must.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkDesignRate gives tokens of one home to its two second holders at the rate of the design
+// size; cores counts home and second holders together.
+func BenchmarkDesignRate(b *testing.B) {
+	a := startDaemon(b, "a")
+	for _, id := range []chicoryhall.DaemonID{"b", "c"} {
+		d := startDaemon(b, id, a.node.Address())
+		eventually(b, "the home is known", func() bool { return len(d.members.All()) > 0 })
+	}
+	eventually(b, "two peers", func() bool { return len(a.members.All()) == 2 })
+	ids := make([]chicoryhall.RequestID, designStreams)
+	for i := range ids {
+		ids[i] = chicoryhall.RequestID(fmt.Sprintf("a.%024d", i))
+		must.NoError(b, a.keeper.Accept(context.Background(), chicoryhall.RequestRecord{ID: ids[i], Deadline: time.Now().Add(time.Hour)}))
+	}
+	waits := make(chan time.Duration, designTokens)
+	b.ResetTimer()
+	for range b.N {
+		began, cpu, bytes := time.Now(), cpuTime(b), a.sentBytes()
+		for sent := 0; sent < designTokens; sent++ {
+			time.Sleep(time.Until(began.Add(time.Duration(sent) * time.Second / designTokens)))
+			at := time.Now()
+			position := sent / designStreams
+			a.keeper.Tokens(ids[sent%designStreams], position+a.offset, []digest.Token{digest.Token(sent)}, func(error) { waits <- time.Since(at) })
+		}
+		var total, worst time.Duration
+		for range designTokens {
+			wait := <-waits
+			total += wait
+			worst = max(worst, wait)
+		}
+		a.offset += tokensPerStream
+		b.ReportMetric(float64(cpuTime(b)-cpu)/float64(time.Since(began)), "cores")
+		b.ReportMetric(float64(a.sentBytes()-bytes)/designTokens, "bytes/token")
+		b.ReportMetric(float64(total.Microseconds())/designTokens, "mean-us")
+		b.ReportMetric(float64(worst.Microseconds()), "worst-us")
+	}
+}
+
+// BenchmarkDecision gives the cost of one token in the States of a home and its second holder.
+func BenchmarkDecision(b *testing.B) {
+	now := time.Unix(1_000_000, 0)
+	home, second := holder.New(member("a", chicoryhall.MemberAlive)), holder.New(member("b", chicoryhall.MemberAlive))
+	home.MemberChanged(member("b", chicoryhall.MemberAlive), now)
+	second.MemberChanged(member("a", chicoryhall.MemberAlive), now)
+	pass := func(actions []holder.Action) {
+		for _, action := range actions {
+			if a, ok := action.(holder.SendBatch); ok {
+				verdicts, _ := second.Receive("a", a.Batch, now)
+				home.BatchAnswered("b", a.Number, verdicts, now)
+			}
+		}
+	}
+	for i := range designStreams {
+		pass(home.Accept(chicoryhall.RequestRecord{ID: chicoryhall.RequestID(fmt.Sprintf("a.%d", i)), Deadline: now.Add(time.Hour)}, now))
+	}
+	for i := range b.N {
+		id := chicoryhall.RequestID(fmt.Sprintf("a.%d", i%designStreams))
+		pass(home.Tokens(id, i/designStreams, []digest.Token{digest.Token(i)}, now))
+	}
+}
+
+// BenchmarkFind gives the time in which a daemon finds a request that another one runs.
+func BenchmarkFind(b *testing.B) {
+	home := startDaemon(b, "a")
+	other := startDaemon(b, "b", home.node.Address())
+	eventually(b, "a peer", func() bool { return len(home.members.All()) == 1 && len(other.members.All()) == 1 })
+	must.NoError(b, home.Resume(chicoryhall.RequestRecord{ID: "a.1", Tokens: []digest.Token{1, 2}}))
+	b.ResetTimer()
+	for range b.N {
+		_, found := other.keeper.Follow(context.Background(), "a.1", "", 0, &reader{})
+		must.True(b, found)
+	}
+}
--- a/holder/keeper_test.go
+++ b/holder/keeper_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 
@@ -25,19 +26,23 @@
 	members *membership.Membership
 	node    *peer.Node
 	stop    func()
+	metrics *metrics.Set
+	// offset is the position at which a benchmark's next round begins.
+	offset int
 
 	mu      sync.Mutex
 	resumed []chicoryhall.RequestRecord
 }
 
-func startDaemon(t *testing.T, id chicoryhall.DaemonID, seeds ...string) *daemon {
+func startDaemon(t testing.TB, id chicoryhall.DaemonID, seeds ...string) *daemon {
 	t.Helper()
 	clock := timer.New()
-	node, err := peer.New(peer.Config{Self: id, Listen: "127.0.0.1:0", Timer: clock})
+	set := metrics.NewSet()
+	node, err := peer.New(peer.Config{Self: id, Listen: "127.0.0.1:0", Timer: clock, Metrics: set})
 	must.NoError(t, err)
 	self := chicoryhall.Member{ID: id, FailureDomain: "xinyi", PeerAddress: node.Address(), Incarnation: time.Now().UnixMilli()}
 	members := membership.Start(membership.Config{Self: self, Seeds: seeds, RandomSeed: 1}, node, clock, nil)
-	d := &daemon{id: id, members: members, node: node}
+	d := &daemon{id: id, members: members, node: node, metrics: set}
 	d.keeper = holder.Start(holder.Config{Node: node, Members: members, Fences: members, Timer: clock})
 	d.keeper.SetRequests(d)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -55,6 +60,12 @@
 	return d
 }
 
+// sentBytes returns what the daemon sent of batches and read of their answers.
+func (d *daemon) sentBytes() uint64 {
+	return d.metrics.GetOrCreateCounter(`chicoryhall_peer_bytes_total{direction="out",method="holder.batch"}`).Get() +
+		d.metrics.GetOrCreateCounter(`chicoryhall_peer_bytes_total{direction="in",method="holder.batch"}`).Get()
+}
+
 // Follow replays the tokens of a resumed request and ends it.
 func (d *daemon) Follow(id chicoryhall.RequestID, _ chicoryhall.Organisation, position int, follower chicoryhall.Follower) (func(), bool) {
 	d.mu.Lock()
@@ -85,7 +96,7 @@
 	return slices.Clone(d.resumed)
 }
 
-func eventually(t *testing.T, what string, check func() bool) {
+func eventually(t testing.TB, what string, check func() bool) {
 	t.Helper()
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(check), wait.Timeout(20*time.Second), wait.Gap(5*time.Millisecond)), must.Sprint(what))
 }
