Pack the limits' messages and bound the rates in each

Ruled out: asking one peer less often (a loan would end before the next). Change: a rate is named by a 64-bit hash and packed by msgp, an ask names at most 24 rates in turn and goes to two peers.

--- a/cmd/chicorybench/capacity/limits.go
+++ b/cmd/chicorybench/capacity/limits.go
@@ -33,8 +33,8 @@
 	return limit.New(documents, membersOf(designDaemons)), document
 }
 
-// measureLimitBytes lets every organisation ask this daemon for twice its base, and counts the
-// asks that follow; each is answered by a grant of the same size.
+// measureLimitBytes lets every organisation ask this daemon for more than its base, and counts the
+// asks that follow; each is answered by a grant of the same size, and peers ask as often.
 func measureLimitBytes(organisations int) (float64, error) {
 	limiter, document := newLimiter(organisations)
 	now := time.Unix(0, 0)
@@ -53,7 +53,7 @@
 			if err != nil {
 				return 0, err
 			}
-			sum += 2 * (len(text) + frameBytes)
+			sum += 2 * 2 * (len(text) + frameBytes)
 		}
 	}
 	return float64(sum) / (seconds * limit.AskPeriod.Seconds()), nil
--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -22,7 +22,7 @@
 	// MinBurst is the least number of requests that a daemon may keep.
 	MinBurst = 1.0
 	// asksPerPeriod bounds the peers that are asked in one period.
-	asksPerPeriod = 4
+	asksPerPeriod = 2
 	// demandWeight is the weight of one period in the mean demand.
 	demandWeight = 0.5
 	// headroom is the factor by which a daemon keeps more than its mean demand.
@@ -43,6 +43,12 @@
 	mu      sync.Mutex
 	random  *rand.Rand
 	buckets map[key]*bucket
+	// names finds the limited rates of the documents in force by their Key.
+	names map[Key]key
+	// learnt tells that names was made since the last Tick.
+	learnt bool
+	// turn is where the next Ask begins when more rates are lacking than it may name.
+	turn int
 }
 
 // New returns a Limiter over the documents in force and the members alive.
@@ -53,6 +59,30 @@
 		members:   members,
 		random:    rand.New(rand.NewPCG(seed, seed)),
 		buckets:   make(map[key]*bucket),
+		names:     make(map[Key]key),
+	}
+}
+
+// name returns the rate that a message means; it looks into the documents once in each period.
+func (l *Limiter) name(wanted Key) (key, bool) {
+	if !l.learnt {
+		l.learnNames()
+	}
+	k, known := l.names[wanted]
+	return k, known
+}
+
+// learnNames finds the limited rates of the documents in force.
+func (l *Limiter) learnNames() {
+	l.learnt = true
+	clear(l.names)
+	for _, inForce := range l.documents.All() {
+		for _, organisation := range inForce.Document.Organisations {
+			if organisation.RequestsPerSecond > 0 {
+				service := inForce.Document.Service
+				l.names[KeyOf(service, organisation.Name)] = key{service, organisation.Name}
+			}
+		}
 	}
 }
 
@@ -122,6 +152,7 @@
 func (l *Limiter) Tick(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.learnt = false
 	for k, b := range l.buckets {
 		base, limited := l.base(k)
 		if !limited || b.idle(now) {
@@ -137,16 +168,16 @@
 func (l *Limiter) Asks() map[chicoryhall.DaemonID]Ask {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var wants []Want
+	var wants Wants
 	for k, b := range l.buckets {
 		if lacking := b.lacking(); lacking > 0 {
-			wants = append(wants, Want{Service: k.service, Organisation: k.organisation, Rate: lacking})
+			wants = append(wants, Want{Key: KeyOf(k.service, k.organisation), Rate: lacking})
 		}
 	}
 	if len(wants) == 0 {
 		return nil
 	}
-	sortWants(wants)
+	wants = l.next(wants)
 	asks := make(map[chicoryhall.DaemonID]Ask)
 	for _, peer := range l.somePeers() {
 		asks[peer] = Ask{From: l.members.Self().ID, Wants: wants}
@@ -154,10 +185,15 @@
 	return asks
 }
 
-func sortWants(wants []Want) {
-	slices.SortFunc(wants, func(a, b Want) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Organisation, b.Organisation))
-	})
+// next returns as many of the wants as one Ask may name, another part of them each time.
+func (l *Limiter) next(wants Wants) Wants {
+	slices.SortFunc(wants, func(a, b Want) int { return cmp.Compare(a.Key, b.Key) })
+	if len(wants) <= maxWants {
+		return wants
+	}
+	first := l.turn % len(wants)
+	l.turn += maxWants
+	return append(slices.Clone(wants[first:]), wants[:first]...)[:maxWants]
 }
 
 // somePeers draws daemons of this failure domain.
@@ -179,9 +215,12 @@
 	defer l.mu.Unlock()
 	var grant Grant
 	for _, want := range ask.Wants {
-		k := key{want.Service, want.Organisation}
+		k, known := l.name(want.Key)
+		if !known || !(want.Rate > 0) {
+			continue
+		}
 		base, limited := l.base(k)
-		if !limited || !(want.Rate > 0) {
+		if !limited {
 			continue
 		}
 		b := l.buckets[k]
@@ -191,7 +230,7 @@
 			l.buckets[k] = b
 		}
 		if lent := b.lend(want.Rate, now); lent > 0 {
-			grant.Loans = append(grant.Loans, Want{Service: want.Service, Organisation: want.Organisation, Rate: lent})
+			grant.Loans = append(grant.Loans, Want{Key: want.Key, Rate: lent})
 		}
 	}
 	return grant
@@ -202,7 +241,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, loan := range grant.Loans {
-		if b := l.buckets[key{loan.Service, loan.Organisation}]; b != nil && loan.Rate > 0 {
+		k, _ := l.name(loan.Key)
+		if b := l.buckets[k]; b != nil && loan.Rate > 0 {
 			b.borrow(loan.Rate, asked.Add(LoanLifetime), now)
 		}
 	}
--- a/limit/limiter_test.go
+++ b/limit/limiter_test.go
@@ -27,7 +27,10 @@
 func (f *fakeDocuments) InForce(service chicoryhall.ServiceName) (chicoryhall.InForce, bool) {
 	return chicoryhall.InForce{Document: f.document}, service == f.document.Service
 }
-func (f *fakeDocuments) All() []chicoryhall.InForce          { return nil }
+
+func (f *fakeDocuments) All() []chicoryhall.InForce {
+	return []chicoryhall.InForce{{Document: f.document}}
+}
 func (f *fakeDocuments) Subscribe(func(chicoryhall.InForce)) {}
 
 // fakeMembers is one daemon's view of all.
