Ask loading endpoints more often, so that their layers serve soon

Watchers ask a loading endpoint every 250 ms. Test failed first: TestLoadedEndpointIsKnownSoon, 0 instead of 2 watchers after 300 ms. Spreading to the other daemons still takes up to a second.

--- a/watch/watch.go
+++ b/watch/watch.go
@@ -14,6 +14,8 @@
 const (
 	// tickPeriod is how often due polls are begun.
 	tickPeriod = 100 * time.Millisecond
+	// loadingPollPeriod is the time between two polls of an endpoint that loads layers, by its watchers.
+	loadingPollPeriod = 250 * time.Millisecond
 	// assignPeriod is the least time between two assignments after changes of members.
 	assignPeriod = time.Second
 	// firstPollPeriod and laterPollPeriod are the times between two polls of an endpoint by its
@@ -257,6 +259,9 @@
 		if watchers := Watchers(id, e.wanted.FailureDomain, members); len(watchers) > 0 && watchers[0] == self {
 			e.nextPoll = now.Add(firstPollPeriod)
 		}
+		if e.watched && e.state() == chicoryhall.EndpointLoading {
+			e.nextPoll = now.Add(loadingPollPeriod)
+		}
 		due = append(due, e.wanted)
 	}
 	w.mu.Unlock()
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -240,6 +240,21 @@
 	must.Eq(t, 8, d.count(d.ids[9], chicoryhall.EndpointReady), must.Sprint("the list is older than the restart"))
 }
 
+// TestLoadedEndpointIsKnownSoon lets an endpoint become ready just after it was polled.
+func TestLoadedEndpointIsKnownSoon(t *testing.T) {
+	d := newDeployment(t, 8, 40)
+	load := d.engines.loads["10.0.0.4:80"]
+	load.State = chicoryhall.EndpointLoading
+	d.run(t, 5*time.Second)
+	must.Eq(t, 8, d.count(d.ids[4], chicoryhall.EndpointLoading))
+	d.clock.Advance(100 * time.Millisecond)
+	load.State = chicoryhall.EndpointReady
+	d.clock.Advance(300 * time.Millisecond)
+	must.Eq(t, 2, d.count(d.ids[4], chicoryhall.EndpointReady), must.Sprint("its watchers"))
+	d.run(t, 2*stepTime)
+	must.Eq(t, 8, d.count(d.ids[4], chicoryhall.EndpointReady))
+}
+
 // TestNewEndpointsAreKnownSoon lets a daemon route to endpoints of a document that has just come into force.
 func TestNewEndpointsAreKnownSoon(t *testing.T) {
 	d := newDeployment(t, 8, 40)
