Measure named runs in one go and report them on one page

Cause: the figures of load, faults and baselines stood only in commit bodies. scripts/measure carries runs out and "chicorybench report" writes the page from their result files; a storm sets another fault every five seconds.

Ruled out, tried and reverted: aligning periodic calls in the timer service and ticking the second holders and the lag watch every 50 in place of 20 ms, to bring an idle daemon's 3.4% of a core under 1.9%.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := ./... ./cmd/chicoryhall/... ./cmd/chicoryctl/... ./cmd/chicorystand/... ./cmd/chicorybench/...
 GO_FILES = $(shell git ls-files '*.go' ':!*_enumer.go')
 
-.PHONY: build test prove lint generate docs demo
+.PHONY: build test prove lint generate demo measure capacity
 
 # build puts the four programs into bin/.
 build:
@@ -38,3 +38,7 @@
 # capacity measures the slopes and writes docs/CAPACITY.md.
 capacity: build
 	bash scripts/capacity
+
+# measure carries the runs of docs/MEASUREMENTS.md out and writes that page.
+measure: build
+	bash scripts/measure
--- a/cmd/chicorybench/entry/layout.go
+++ b/cmd/chicorybench/entry/layout.go
@@ -28,6 +28,7 @@
 		flags.Uint64Var(&options.Seed, "seed", 1, "`SEED` of the load")
 		flags.DurationVar(&options.Duration, "duration", 20*time.Second, "`TIME` of the load")
 		flags.Float64Var(&options.Load, "load", 1, "`FACTOR` on all rates")
+		flags.Float64Var(&options.PlainLoad, "plain-load", 1, "`FACTOR` on the rates of plain services besides -load")
 		flags.IntVar(&options.Daemons, "daemons", 0, "`NUMBER` of daemons in each failure domain; 0 follows the scale")
 		flags.TextVar(&options.Routing, "routing", pipeline.PolicyFlow, "`WAY` to choose engines: flow, roundRobin or leastLoad")
 		flags.StringVar(&options.Scenario, "scenario", "demo", "`NAME` of the faults: "+layout.ScenarioNames())
@@ -42,7 +43,15 @@
 			if err != nil {
 				return errors.Wrap(err, "folder")
 			}
+			options.Command = commandOf(flags)
 			return layout.New(options).Write(folder)
 		}
 	},
 }
+
+// commandOf returns the verb with the flags that were given.
+func commandOf(flags *flag.FlagSet) string {
+	command := "chicorybench layout"
+	flags.Visit(func(f *flag.Flag) { command += " -" + f.Name + " " + f.Value.String() })
+	return command
+}
--- a/cmd/chicorybench/entry/load.go
+++ b/cmd/chicorybench/entry/load.go
@@ -71,6 +71,7 @@
 	ledger := judge.ReadLedgers(ctx, p.Ledgers)
 	judged := judge.New(documents, ledger).Result(outcome)
 	judged.Seed = p.Seed
+	judged.Layout = p.Layout
 	judged.BoundTokensPerSecond, err = documents.bound(p)
 	return judged, err
 }
--- a/cmd/chicorybench/entry/verbs.go
+++ b/cmd/chicorybench/entry/verbs.go
@@ -6,7 +6,7 @@
 var program = command.Program{
 	Name:    "chicorybench",
 	Summary: "sends load, judges the answers from the ledgers and compares results",
-	Verbs:   []command.Verb{layoutVerb, loadVerb, showVerb, compareVerb, plotVerb, slopesVerb, observeVerb, capacityVerb},
+	Verbs:   []command.Verb{layoutVerb, loadVerb, showVerb, compareVerb, reportVerb, plotVerb, slopesVerb, observeVerb, capacityVerb},
 }
 
 // Main runs chicorybench and exits.
--- a/cmd/chicorybench/layout/layout.go
+++ b/cmd/chicorybench/layout/layout.go
@@ -52,12 +52,15 @@
 	PortOffset int
 	Seed       uint64
 	Duration   time.Duration
-	// Load multiplies the rates of all traffic.
-	Load float64
+	// Load multiplies the rates of all traffic, PlainLoad those of plain services besides.
+	Load      float64
+	PlainLoad float64
 	// Daemons is the number of daemons in each failure domain; 0 follows the scale.
 	Daemons int
 	// Routing is the daemons' way to choose engines.
 	Routing pipeline.Policy
+	// Command is how the layout was asked for, for reports.
+	Command string
 	// Scenario names the faults of the plan.
 	Scenario string
 }
--- a/cmd/chicorybench/layout/plan.go
+++ b/cmd/chicorybench/layout/plan.go
@@ -22,6 +22,7 @@
 // plan returns the traffic of both users with its faults.
 func (l *Layout) plan(folder string) plan.Plan {
 	p := plan.Plan{
+		Layout:   l.options.Command,
 		Seed:     l.options.Seed,
 		Duration: l.options.Duration,
 		Targets:  []string{l.addr(portBalancer)},
@@ -47,13 +48,17 @@
 		shares += o.Share
 	}
 	lines := make([]plan.Traffic, 0, len(s.tokens))
+	load := l.options.Load
+	if s.document.Kind == chicoryhall.ServicePlain {
+		load *= l.options.PlainLoad
+	}
 	for i, o := range s.document.Organisations {
 		line := plan.Traffic{
 			Service:      s.document.Service,
 			Class:        class.Name,
 			Organisation: o.Name,
 			Token:        s.tokens[i],
-			Rate:         rateOf(class.Name) * l.options.Scale * l.options.Load * float64(o.Share) / float64(shares),
+			Rate:         rateOf(class.Name) * l.options.Scale * load * float64(o.Share) / float64(shares),
 			PromptBytes:  plainBytes,
 			Operation:    string(class.Name),
 			Timeout:      class.Timeout,
--- a/cmd/chicorybench/layout/scenarios.go
+++ b/cmd/chicorybench/layout/scenarios.go
@@ -36,6 +36,7 @@
 	{"silence-together", "open connections of three engines go silent", engineFaults(3, "goes silent", "/silence", "", "")},
 	{"slow", "engines slow down, one at a time", engineFaults(1, "slows down", "/faults", slowBody, "/faults")},
 	{"slow-together", "three engines slow down at once", engineFaults(3, "slows down", "/faults", slowBody, "/faults")},
+	{"storm", "every few seconds another fault of engines, daemons or the table", stormFaults},
 	{"daemons", "two daemons are killed, one after the other", daemonFaults},
 }
 
@@ -95,14 +96,7 @@
 }
 
 func (l *Layout) killDaemon(folder string, n int, at time.Duration) plan.Fault {
-	killed := l.daemons[n]
-	return plan.Fault{
-		At:       at.Round(time.Millisecond),
-		Name:     fmt.Sprintf("daemon %s is killed", killed.id),
-		PIDFile:  filepath.Join(folder, "pids", string(killed.id)),
-		Signal:   "KILL",
-		Recovery: true,
-	}
+	return l.signalDaemon(folder, n, at, "is killed", "KILL")
 }
 
 // demoFaults crashes one engine and kills one daemon at the thirds of the run.
@@ -140,3 +134,73 @@
 	slices.SortStableFunc(faults, func(a, b plan.Fault) int { return cmp.Compare(a.At, b.At) })
 	return faults
 }
+
+// stormPeriod is the time between two faults of a storm.
+const stormPeriod = 5 * time.Second
+
+// pauseLength is how long a daemon is stopped in a storm.
+const pauseLength = 2 * time.Second
+
+// The faults of the table in a storm.
+const (
+	tableLosesAnswers = `{"table":{"loseAnswers":3}}`
+	tableIsDown       = `{"table":{"outage":"refuse"}}`
+	tableIsWell       = `{}`
+)
+
+// stormFaults strikes throughout the run: with faults that heal, in turn, and once with a crash
+// and once with a kill.
+func stormFaults(l *Layout, folder string) []plan.Fault {
+	faults := demoFaults(l, folder)
+	turn := 0
+	for at := stormPeriod; at+healAfter < l.options.Duration; at += stormPeriod {
+		faults = append(faults, l.stormFault(turn, at, folder)...)
+		turn++
+	}
+	return inOrder(faults)
+}
+
+// stormFault returns the fault of one turn with what heals it.
+func (l *Layout) stormFault(turn int, at time.Duration, folder string) []plan.Fault {
+	victim := 1 + turn%5
+	switch turn % 6 {
+	case 0:
+		return []plan.Fault{
+			l.engineFault(victim, at, "freezes", "/freeze", "", true),
+			l.engineFault(victim, at+healAfter, "heals", "/thaw", "{}", false),
+		}
+	case 1:
+		return []plan.Fault{l.engineFault(victim, at, "goes silent", "/silence", "", true)}
+	case 2:
+		return []plan.Fault{l.platformFault(at, "table loses answers", tableLosesAnswers)}
+	case 3:
+		return []plan.Fault{
+			l.signalDaemon(folder, turn%(len(l.daemons)-1), at, "is stopped", "STOP"),
+			l.signalDaemon(folder, turn%(len(l.daemons)-1), at+pauseLength, "goes on", "CONT"),
+		}
+	case 4:
+		return []plan.Fault{
+			l.engineFault(victim, at, "slows down", "/faults", slowBody, true),
+			l.engineFault(victim, at+healAfter, "heals", "/faults", "{}", false),
+		}
+	}
+	return []plan.Fault{
+		l.platformFault(at, "table is down", tableIsDown),
+		l.platformFault(at+healAfter, "table is back", tableIsWell),
+	}
+}
+
+func (l *Layout) platformFault(at time.Duration, name, body string) plan.Fault {
+	return plan.Fault{At: at, Name: name, Control: l.control(0), Path: "/faults", Body: body}
+}
+
+func (l *Layout) signalDaemon(folder string, n int, at time.Duration, what, signal string) plan.Fault {
+	id := l.daemons[n].id
+	return plan.Fault{
+		At:       at.Round(time.Millisecond),
+		Name:     fmt.Sprintf("daemon %s %s", id, what),
+		PIDFile:  filepath.Join(folder, "pids", string(id)),
+		Signal:   signal,
+		Recovery: signal != "CONT",
+	}
+}
--- a/cmd/chicorybench/plan/plan.go
+++ b/cmd/chicorybench/plan/plan.go
@@ -12,6 +12,8 @@
 
 // Plan is one experiment.
 type Plan struct {
+	// Layout is the command that wrote the deployment, for reports.
+	Layout string `yaml:"layout,omitempty"`
 	// Seed makes arrivals, prompts and lengths repeatable.
 	Seed     uint64        `yaml:"seed"`
 	Duration time.Duration `yaml:"duration"`
--- a/cmd/chicorybench/result/result.go
+++ b/cmd/chicorybench/result/result.go
@@ -69,7 +69,9 @@
 
 // Result is what one run showed.
 type Result struct {
-	Plan       string     `json:"plan"`
+	Plan string `json:"plan"`
+	// Layout is the command that wrote the deployment.
+	Layout     string     `json:"layout,omitempty"`
 	Seed       uint64     `json:"seed"`
 	Seconds    float64    `json:"seconds"`
 	Rows       []Row      `json:"rows"`
