Keep a caller from a mixture of two answers when daemons are cut apart

Cause: while two daemons of a failure domain are cut off from each other, the home goes on alone and the second holder takes over. The home may deliver tokens that the other never had; a caller that went on at the other got the first tokens of one answer and the rest of another. Found by the new proof whole-answer/daemons-cut, which failed: "first wrong token: 12, wanted -1". Ruled out: the engines (a stage refuses the older attempt); the second holder's copy (every token before the cut was there). Ways weighed: hold tokens back for a time after the loss of a second holder (stalls each answer on every silent death of a daemon); ask the caller's side. Change: the id of an event is the position and a digest of the answer up to it. A daemon follows a request from its first token and compares; where the beginning differs the fetch ends with 412 and the caller fetches the whole. The same comparison guards the relays between daemons and a replaced home.

Proofs with daemons behind the fault proxy need an address to give to peers: settings.advertise.

--- a/caller/answers.go
+++ b/caller/answers.go
@@ -23,9 +23,10 @@
 // OnAccepted writes nothing.
 func (w *wholeWriter) OnAccepted() {}
 
-// OnTokens collects the answer.
-func (w *wholeWriter) OnTokens(_ int, tokens []digest.Token) {
-	w.tokens = append(w.tokens, tokens...)
+// OnTokens collects the answer; tokens that come again take the place of the older ones, of which
+// the caller has none.
+func (w *wholeWriter) OnTokens(position int, tokens []digest.Token) {
+	w.tokens = append(w.tokens[:min(position, len(w.tokens))], tokens...)
 }
 
 // OnFinish writes the answer or a Problem.
@@ -92,10 +93,10 @@
 func (w *pollWriter) OnAccepted() {}
 
 // OnTokens collects the answer so far.
-func (w *pollWriter) OnTokens(_ int, tokens []digest.Token) {
+func (w *pollWriter) OnTokens(position int, tokens []digest.Token) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.tokens = append(w.tokens, tokens...)
+	w.tokens = append(w.tokens[:min(position, len(w.tokens))], tokens...)
 }
 
 // OnFinish writes the whole answer.
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -111,7 +111,7 @@
 	}
 	x.id = submitted.ID
 	organisations := []chicoryhall.Organisation{submission.Record.Organisation}
-	stop, found := s.follow(x.id, organisations, 0, x.followerOf(submission))
+	stop, found := s.follow(x.id, organisations, x.followerOf(submission))
 	if !found {
 		x.problem(unknownRequest(x.id))
 		return
@@ -121,7 +121,7 @@
 
 // isKnown reports whether a request can be followed here or at another daemon.
 func (s *Server) isKnown(id chicoryhall.RequestID, organisation chicoryhall.Organisation) bool {
-	stop, found := s.follow(id, []chicoryhall.Organisation{organisation}, 0, &ignoringFollower{})
+	stop, found := s.follow(id, []chicoryhall.Organisation{organisation}, &ignoringFollower{})
 	if found {
 		stop()
 	}
@@ -136,7 +136,7 @@
 	case submission.Record.Async:
 		return &acceptWriter{x: x}
 	default:
-		return &eventWriter{x: x}
+		return newEventWriter(x, prefix{})
 	}
 }
 
@@ -201,7 +201,7 @@
 
 // handleFetch goes on behind Last-Event-ID with events, or tells what is known.
 func (s *Server) handleFetch(w http.ResponseWriter, r *http.Request, id chicoryhall.RequestID, organisations []chicoryhall.Organisation) {
-	position, problem := positionOf(r)
+	has, problem := prefixOf(r)
 	if problem != nil {
 		s.refuse(w, r, *problem)
 		return
@@ -213,11 +213,11 @@
 	x.id = id
 	wantsEvents := r.Header.Get(HeaderLastEventID) != "" || strings.Contains(r.Header.Get("Accept"), MediaTypeEvents)
 	if wantsEvents {
-		s.followFetched(x, organisations, position, &eventWriter{x: x, position: position}, x.state.onGone)
+		s.followFetched(x, organisations, newEventWriter(x, has), x.state.onGone)
 		return
 	}
 	poll := &pollWriter{x: x}
-	s.followFetched(x, organisations, 0, poll, func(stop func()) {
+	s.followFetched(x, organisations, poll, func(stop func()) {
 		s.parts.Timer.After(pollWait, func(time.Time) {
 			stop()
 			poll.pending()
@@ -226,15 +226,15 @@
 }
 
 // followFetched follows a request, on a goroutine of its own if other daemons must be asked.
-func (s *Server) followFetched(x *exchange, organisations []chicoryhall.Organisation, position int,
+func (s *Server) followFetched(x *exchange, organisations []chicoryhall.Organisation,
 	follower chicoryhall.Follower, following func(stop func()),
 ) {
-	if stop, found := s.followHere(x.id, organisations, position, follower); found {
+	if stop, found := s.followHere(x.id, organisations, follower); found {
 		following(stop)
 		return
 	}
 	s.work.Go(func() error {
-		stop, found := s.followElsewhere(x.id, organisations, position, follower)
+		stop, found := s.followElsewhere(x.id, organisations, follower)
 		if !found {
 			x.problem(unknownRequest(x.id))
 			return nil
@@ -245,48 +245,48 @@
 }
 
 // follow looks for a request here and then at other daemons.
-func (s *Server) follow(id chicoryhall.RequestID, organisations []chicoryhall.Organisation, position int,
+func (s *Server) follow(id chicoryhall.RequestID, organisations []chicoryhall.Organisation,
 	follower chicoryhall.Follower,
 ) (stop func(), found bool) {
-	if stop, found := s.followHere(id, organisations, position, follower); found {
+	if stop, found := s.followHere(id, organisations, follower); found {
 		return stop, true
 	}
-	return s.followElsewhere(id, organisations, position, follower)
+	return s.followElsewhere(id, organisations, follower)
 }
 
-func (s *Server) followHere(id chicoryhall.RequestID, organisations []chicoryhall.Organisation, position int,
+func (s *Server) followHere(id chicoryhall.RequestID, organisations []chicoryhall.Organisation,
 	follower chicoryhall.Follower,
 ) (stop func(), found bool) {
 	for _, organisation := range organisations {
-		if stop, found := s.parts.Requests.Follow(id, organisation, position, follower); found {
+		if stop, found := s.parts.Requests.Follow(id, organisation, 0, follower); found {
 			return stop, true
 		}
 	}
 	return nil, false
 }
 
-func (s *Server) followElsewhere(id chicoryhall.RequestID, organisations []chicoryhall.Organisation, position int,
+func (s *Server) followElsewhere(id chicoryhall.RequestID, organisations []chicoryhall.Organisation,
 	follower chicoryhall.Follower,
 ) (stop func(), found bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), forwardTimeout)
 	defer cancel()
 	for _, organisation := range organisations {
-		if stop, found := s.parts.Forwarder.Follow(ctx, id, organisation, position, follower); found {
+		if stop, found := s.parts.Forwarder.Follow(ctx, id, organisation, 0, follower); found {
 			return stop, true
 		}
 	}
 	return nil, false
 }
 
-// positionOf returns the first position that the caller does not have.
-func positionOf(r *http.Request) (int, *Problem) {
+// prefixOf returns what the caller has of the answer.
+func prefixOf(r *http.Request) (prefix, *Problem) {
 	text := r.Header.Get(HeaderLastEventID)
 	if text == "" {
-		return 0, nil
+		return prefix{}, nil
 	}
-	last, err := strconv.Atoi(text)
-	if err != nil || last < 0 || last >= maxTokens {
-		return 0, refuse(HeaderLastEventID, strconv.Quote(text)+" is not the id of an event")
+	has, err := parseID(text)
+	if err != nil {
+		return prefix{}, refuse(HeaderLastEventID, err.Error())
 	}
-	return last + 1, nil
+	return has, nil
 }
--- a/caller/problem.go
+++ b/caller/problem.go
@@ -24,6 +24,7 @@
 	reasonMethod       = "method"
 	reasonNotReady     = "not-ready"
 	reasonShutdown     = "shutdown"
+	reasonBegunAnew    = "begun-anew"
 )
 
 // newProblem returns a Problem of a request that was not run.
@@ -55,6 +56,15 @@
 	return problem
 }
 
+// answerBegunAnew tells a caller that the rest would not fit to what it has.
+func answerBegunAnew(id chicoryhall.RequestID) Problem {
+	problem := newProblem(http.StatusPreconditionFailed, reasonBegunAnew, HeaderLastEventID,
+		"another daemon has begun the answer anew; fetch it without Last-Event-ID for the whole of it")
+	problem.Outcome = chicoryhall.Unknown
+	problem.Request = id
+	return problem
+}
+
 // problemOf explains a result without an answer.
 func problemOf(id chicoryhall.RequestID, result chicoryhall.Result) Problem {
 	status := statusOf(result)
--- a/cmd/chicorybench/router/client.go
+++ b/cmd/chicorybench/router/client.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"net"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -84,8 +83,8 @@
 	return response, errors.Wrap(err, "submit")
 }
 
-// resume asks for the rest of an answer behind the last position received.
-func (c *Client) resume(ctx context.Context, request *Request, id chicoryhall.RequestID, last int) (*http.Response, error) {
+// resume asks for the rest of an answer behind the last event received.
+func (c *Client) resume(ctx context.Context, request *Request, id chicoryhall.RequestID, lastEvent string) (*http.Response, error) {
 	url := "http://" + c.target() + "/v1/requests/" + string(id)
 	message, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -93,8 +92,8 @@
 	}
 	message.Header.Set("Authorization", "Bearer "+request.Token)
 	message.Header.Set("Accept", caller.MediaTypeEvents)
-	if last >= 0 {
-		message.Header.Set(caller.HeaderLastEventID, strconv.Itoa(last))
+	if lastEvent != "" {
+		message.Header.Set(caller.HeaderLastEventID, lastEvent)
 	}
 	response, err := c.http.Do(message)
 	return response, errors.Wrap(err, "resume")
--- a/cmd/chicorybench/router/exchange.go
+++ b/cmd/chicorybench/router/exchange.go
@@ -24,6 +24,7 @@
 	request   *Request
 	result    *Exchange
 	id        chicoryhall.RequestID
+	lastEvent string
 	lastToken time.Time
 }
 
@@ -49,7 +50,7 @@
 		return e.client.submit(ctx, e.request)
 	}
 	e.result.Resumed++
-	return e.client.resume(ctx, e.request, e.id, len(e.result.Tokens)-1)
+	return e.client.resume(ctx, e.request, e.id, e.lastEvent)
 }
 
 // read takes in one HTTP answer and reports whether it was final.
@@ -63,6 +64,10 @@
 	case response.StatusCode == http.StatusAccepted:
 		return false
 	case response.StatusCode == http.StatusNotFound && e.id != "":
+		e.restart()
+		e.id = ""
+		return false
+	case response.StatusCode == http.StatusPreconditionFailed && e.lastEvent != "":
 		e.restart()
 		return false
 	}
@@ -78,9 +83,9 @@
 	e.result.IDs = append(e.result.IDs, id)
 }
 
-// restart forgets the tokens so far: no daemon knows the request any more.
+// restart forgets the tokens so far: no daemon knows them any more.
 func (e *exchange) restart() {
-	e.id = ""
+	e.lastEvent = ""
 	e.result.Restarted++
 	e.result.Tokens = nil
 }
@@ -94,7 +99,7 @@
 		case caller.EventEnd:
 			return e.end(event.Data)
 		case caller.EventError:
-			return e.readProblem(strings.NewReader(event.Data))
+			return e.readErrorEvent(event.Data)
 		case "":
 			e.token(event)
 		}
@@ -102,6 +107,17 @@
 	return false
 }
 
+// readErrorEvent reads a Problem that ends a stream; one that tells of an answer begun anew is not
+// final, as the whole of it can be fetched.
+func (e *exchange) readErrorEvent(data string) bool {
+	var problem caller.Problem
+	if json.Unmarshal([]byte(data), &problem) == nil && problem.Status == http.StatusPreconditionFailed {
+		e.restart()
+		return false
+	}
+	return e.readProblem(strings.NewReader(data))
+}
+
 // end accepts a whole answer; one that is shorter than it says is read on.
 func (e *exchange) end(data string) bool {
 	var end caller.End
@@ -117,7 +133,8 @@
 
 func (e *exchange) token(event sse.Event) {
 	var token caller.TokenEvent
-	position, err := strconv.Atoi(event.LastEventID)
+	text, _, _ := strings.Cut(event.LastEventID, "-")
+	position, err := strconv.Atoi(text)
 	if err != nil || json.Unmarshal([]byte(event.Data), &token) != nil {
 		e.result.Skipped++
 		return
@@ -130,6 +147,7 @@
 		e.result.Skipped++
 	}
 	e.result.Tokens = append(e.result.Tokens, token.Token)
+	e.lastEvent = event.LastEventID
 	e.timeToken()
 }
 
--- a/cmd/chicoryhall/daemon/callers.go
+++ b/cmd/chicoryhall/daemon/callers.go
@@ -41,5 +41,5 @@
 
 // hasOtherSeeds reports whether the settings name another daemon than this one.
 func hasOtherSeeds(own settings.Daemon) bool {
-	return slices.ContainsFunc(own.Seeds, func(seed string) bool { return seed != own.Listen.Peers })
+	return slices.ContainsFunc(own.Seeds, func(seed string) bool { return seed != own.PeerAddress() })
 }
--- a/cmd/chicoryhall/daemon/client_test.go
+++ b/cmd/chicoryhall/daemon/client_test.go
@@ -36,12 +36,14 @@
 	status    int
 	id        chicoryhall.RequestID
 	positions []int
-	tokens    []digest.Token
-	whole     bool
-	problem   *caller.Problem
-	answer    *caller.Answer
-	headers   http.Header
-	err       error
+	// events are the ids of the events.
+	events  []string
+	tokens  []digest.Token
+	whole   bool
+	problem *caller.Problem
+	answer  *caller.Answer
+	headers http.Header
+	err     error
 }
 
 // submit sends a submission and reads its whole answer, or most events of it.
@@ -53,9 +55,9 @@
 	return c.do(ctx, http.MethodPost, requestsPath, body, most, headers...)
 }
 
-// resume reads on behind the last position.
-func (c *testCaller) resume(ctx context.Context, id chicoryhall.RequestID, last int) reply {
-	return c.do(ctx, http.MethodGet, "/v1/requests/"+string(id), nil, 0, caller.HeaderLastEventID, strconv.Itoa(last))
+// resume reads on behind the last event.
+func (c *testCaller) resume(ctx context.Context, id chicoryhall.RequestID, last string) reply {
+	return c.do(ctx, http.MethodGet, "/v1/requests/"+string(id), nil, 0, caller.HeaderLastEventID, last)
 }
 
 func (c *testCaller) do(ctx context.Context, method, path string, body []byte, most int, headers ...string) reply {
@@ -98,12 +100,14 @@
 		case "event":
 			name = value
 		case "id":
-			position, err := strconv.Atoi(value)
+			text, _, _ := strings.Cut(value, "-")
+			position, err := strconv.Atoi(text)
 			if err != nil {
 				r.err = err
 				return
 			}
 			r.positions = append(r.positions, position)
+			r.events = append(r.events, value)
 		case "data":
 			r.readData(name, value)
 		}
--- a/cmd/chicoryhall/daemon/members.go
+++ b/cmd/chicoryhall/daemon/members.go
@@ -56,6 +56,6 @@
 func selfOf(own settings.Daemon) chicoryhall.Member {
 	return chicoryhall.Member{
 		ID: own.ID, Region: own.Region, FailureDomain: own.FailureDomain,
-		PeerAddress: own.Listen.Peers, CallerAddress: own.Listen.Callers, State: chicoryhall.MemberAlive,
+		PeerAddress: own.PeerAddress(), CallerAddress: own.CallerAddress(), State: chicoryhall.MemberAlive,
 	}
 }
--- a/cmd/chicoryhall/daemon/serve_test.go
+++ b/cmd/chicoryhall/daemon/serve_test.go
@@ -64,7 +64,7 @@
 	cancel()
 	must.NoError(t, first.err)
 	must.Eq(t, cutBehind, len(first.tokens))
-	second := client.resume(context.Background(), first.id, cutBehind-1)
+	second := client.resume(context.Background(), first.id, first.events[cutBehind-1])
 	second.tokens = append(first.tokens, second.tokens...)
 	second.positions = append(first.positions, second.positions...)
 	mustBeWhole(t, second, promptOf(0), length)
@@ -269,7 +269,7 @@
 	must.Eq(t, replies[0].id, replies[1].id)
 	must.Eq(t, replies[0].tokens, replies[1].tokens)
 	for _, d := range daemons {
-		again := newCaller(d).resume(context.Background(), replies[0].id, 29)
+		again := newCaller(d).resume(context.Background(), replies[0].id, replies[0].events[29])
 		must.NoError(t, again.err)
 		must.Eq(t, replies[0].tokens[30:], again.tokens)
 	}
--- a/holder/relay.go
+++ b/holder/relay.go
@@ -181,6 +181,7 @@
 		r.lostAt = now
 	}
 	r.try++ // Events of the lost daemon count no more.
+	r.position = 0
 	r.via = ""
 	expired := now.Sub(r.lostAt) > searchTimeout
 	r.mu.Unlock()
@@ -290,17 +291,17 @@
 	return relayAnswer{Wanted: current && result == nil}, nil
 }
 
-// take tells the follower of events that it has not seen; it returns the result if there is one.
+// take tells the follower of events, also of tokens that come again from a new home; it returns
+// the result if there is one.
 func (r *relay) take(events []relayEvent) *chicoryhall.Result {
 	for _, e := range events {
 		if e.Accepted && !r.accepted {
 			r.accepted = true
 			r.follower.OnAccepted()
 		}
-		if end := e.Position + len(e.Tokens); e.Position <= r.position && end > r.position {
-			unseen := e.Tokens[r.position-e.Position:]
-			r.follower.OnTokens(r.position, unseen)
-			r.position = end
+		if len(e.Tokens) > 0 && e.Position <= r.position {
+			r.follower.OnTokens(e.Position, e.Tokens)
+			r.position = e.Position + len(e.Tokens)
 		}
 		if e.Result != nil {
 			return e.Result
--- a/proof/caller_test.go
+++ b/proof/caller_test.go
@@ -44,12 +44,15 @@
 
 // reply is what became of a request, as its caller saw it.
 type reply struct {
-	mu       sync.Mutex
-	id       chicoryhall.RequestID
-	tokens   []digest.Token
-	at       []time.Time
-	repeated int
-	gaps     int
+	mu     sync.Mutex
+	id     chicoryhall.RequestID
+	tokens []digest.Token
+	at     []time.Time
+	// lastEvent is the id of the last event, anew counts answers that another daemon began anew.
+	lastEvent string
+	anew      int
+	repeated  int
+	gaps      int
 	// ended tells that the caller got a final word, which is outcome.
 	ended   bool
 	outcome chicoryhall.Outcome
@@ -188,8 +191,8 @@
 		if a.service == drafting {
 			request.Header.Set("Accept", caller.MediaTypeEvents)
 		}
-		if len(r.tokens) > 0 {
-			request.Header.Set(caller.HeaderLastEventID, strconv.Itoa(len(r.tokens)-1))
+		if r.lastEvent != "" {
+			request.Header.Set(caller.HeaderLastEventID, r.lastEvent)
 		}
 		return request
 	}
@@ -239,12 +242,13 @@
 		r.outcome = chicoryhall.Answered
 		return
 	case caller.EventError:
-		r.ended = true
-		_ = json.Unmarshal([]byte(data), &r.problem)
-		r.outcome = r.problem.Outcome
+		var problem caller.Problem
+		_ = json.Unmarshal([]byte(data), &problem)
+		r.fail(problem)
 		return
 	}
-	position, err := strconv.Atoi(id)
+	text, _, _ := strings.Cut(id, "-")
+	position, err := strconv.Atoi(text)
 	var token caller.TokenEvent
 	if err != nil || json.Unmarshal([]byte(data), &token) != nil {
 		return
@@ -256,6 +260,7 @@
 		r.gaps++
 	default:
 		r.tokens = append(r.tokens, token.Token)
+		r.lastEvent = id
 		r.at = append(r.at, time.Now())
 	}
 }
@@ -271,6 +276,18 @@
 	if problem.Status == http.StatusNotFound && r.tries > 1 {
 		return // another daemon may know the request
 	}
+	r.fail(problem)
+}
+
+// fail takes a Problem; it is the final word unless the answer was begun anew.
+func (r *reply) fail(problem caller.Problem) {
+	if problem.Status == http.StatusPreconditionFailed {
+		r.anew++
+		r.tokens = nil
+		r.at = nil
+		r.lastEvent = ""
+		return
+	}
 	r.ended = true
 	r.problem = problem
 	r.outcome = problem.Outcome
--- a/proof/cluster_test.go
+++ b/proof/cluster_test.go
@@ -61,8 +61,10 @@
 	id        chicoryhall.DaemonID
 	callers   string
 	operators string
-	peers     string
-	settings  string
+	// peers is what the daemon listens on, link where its peers reach it through the proxy.
+	peers    string
+	link     string
+	settings string
 }
 
 // newCluster starts a cluster and waits until its daemons are ready.
@@ -152,7 +154,7 @@
 	for i := range s.daemons {
 		c.daemons = append(c.daemons, &daemon{
 			id:      chicoryhall.DaemonID(fmt.Sprintf("entry-%d", i)),
-			callers: freeAddress(t), operators: freeAddress(t), peers: freeAddress(t),
+			callers: freeAddress(t), operators: freeAddress(t), peers: freeAddress(t), link: freeAddress(t),
 		})
 	}
 }
@@ -184,6 +186,9 @@
 	for _, e := range c.endpoints() {
 		arguments = append(arguments, e.address+"="+e.own)
 	}
+	for _, d := range c.daemons {
+		arguments = append(arguments, d.link+"="+d.peers)
+	}
 	c.proxy.process = start(t, "proxy", "chicorystand", arguments...)
 }
 
@@ -215,7 +220,8 @@
 	t.Helper()
 	own := settings.Daemon{
 		ID: d.id, Region: "tw-north", FailureDomain: domain,
-		Listen: settings.Listen{Callers: d.callers, Operators: d.operators, Peers: d.peers},
+		Listen:    settings.Listen{Callers: d.callers, Operators: d.operators, Peers: d.peers},
+		Advertise: settings.Advertise{Peers: d.link},
 		Platform: settings.Platform{
 			Table: c.platform.address, Objects: c.platform.address, Weights: c.platform.address, VMList: c.platform.address,
 		},
@@ -225,7 +231,7 @@
 	}
 	for _, other := range c.daemons {
 		if other != d {
-			own.Seeds = append(own.Seeds, other.peers)
+			own.Seeds = append(own.Seeds, other.link)
 		}
 	}
 	d.settings = writeYAML(t, c.folder, string(d.id)+".yaml", own)
@@ -246,6 +252,16 @@
 	c.proxy.faults(t, linksFaults{Links: map[string]linkFaults{e.address: faults}})
 }
 
+// cutDaemons cuts the daemons off from each other, and joins them again.
+func (c *cluster) cutDaemons(t *testing.T, cut bool) {
+	t.Helper()
+	faults := linksFaults{Links: map[string]linkFaults{}}
+	for _, d := range c.daemons {
+		faults.Links[d.link] = linkFaults{Cut: cut}
+	}
+	c.proxy.faults(t, faults)
+}
+
 // silence makes the open connections to an endpoint silent; new ones work.
 func (c *cluster) silence(t *testing.T, e *endpoint) {
 	t.Helper()
--- a/proof/page_test.go
+++ b/proof/page_test.go
@@ -75,15 +75,20 @@
 	var page strings.Builder
 	page.WriteString(pageHead)
 	for _, s := range scenarios {
-		known, ran := results.states[s.name]
-		if !ran {
-			known = stateNotProved
-		}
-		page.WriteString(pageLine(s, known))
+		page.WriteString(pageLine(s, resultOf(s)))
 	}
+	page.WriteString(matrix(resultOf))
 	return os.WriteFile(path, []byte(page.String()), 0o600)
 }
 
+// resultOf is what became of a scenario in this process.
+func resultOf(s scenario) state {
+	if known, ran := results.states[s.name]; ran {
+		return known
+	}
+	return stateNotProved
+}
+
 func TestMain(m *testing.M) {
 	status := m.Run()
 	if err := writePage(); err != nil {
@@ -117,17 +122,20 @@
 	text, err := os.ReadFile(pageFile)
 	must.NoError(t, err)
 	red := knownRed(t)
-	var want strings.Builder
-	want.WriteString(pageHead)
-	for _, s := range scenarios {
-		known := stateProved
+	listed := func(s scenario) state {
 		switch {
 		case s.run == nil:
-			known = stateNotProved
+			return stateNotProved
 		case red["TestProofs/"+s.name]:
-			known = stateRed
+			return stateRed
 		}
-		want.WriteString(pageLine(s, known))
+		return stateProved
+	}
+	var want strings.Builder
+	want.WriteString(pageHead)
+	for _, s := range scenarios {
+		want.WriteString(pageLine(s, listed(s)))
 	}
+	want.WriteString(matrix(listed))
 	must.Eq(t, want.String(), string(text), must.Sprint("run make prove and list what is red in KNOWN-RED.txt"))
 }
--- a/proof/scenario_test.go
+++ b/proof/scenario_test.go
@@ -44,6 +44,9 @@
 	promptCrashes    fault = "prompt crashes engines"
 	editsRace        fault = "operators race"
 	tableRestored    fault = "table restored from a backup"
+	domainCut        fault = "daemons cut off from each other"
+	tableSlow        fault = "table slow"
+	daemonJoins      fault = "daemon restarted"
 )
 
 // scenario proves one promise under one fault; without run it is not proved yet.
@@ -70,10 +73,15 @@
 	{"whole-answer/daemon-frozen", wholeAnswer, daemonFrozen, usual, proveDaemonFrozen},
 	{"whole-answer/table-down", wholeAnswer, tableDown, usual, proveDraftsWithoutTable},
 	{"whole-answer/sent-twice", wholeAnswer, sentTwice, usual, proveSentTwice},
+	{"whole-answer/daemons-cut", wholeAnswer, domainCut, usual, proveDraftsCutApart},
+	{"whole-answer/daemon-restarted", wholeAnswer, daemonJoins, usual, proveDaemonRestarted},
 	{"at-most-once/none", atMostOnce, noFault, usual, proveHolds},
 	{"at-most-once/daemon-killed", atMostOnce, daemonKilled, usual, proveHoldsDaemonKilled},
 	{"at-most-once/service-answer-lost", atMostOnce, serviceCut, usual, proveHoldAnswerLost},
 	{"at-most-once/table-answer-lost", atMostOnce, tableAnswerLost, usual, proveHoldTableAnswerLost},
+	{"at-most-once/daemons-cut", atMostOnce, domainCut, usual, proveHoldsCutApart},
+	{"at-most-once/daemon-frozen", atMostOnce, daemonFrozen, usual, proveHoldsDaemonFrozen},
+	{"at-most-once/table-slow", atMostOnce, tableSlow, usual, proveHoldsTableSlow},
 	{"not-run/table-down", notRun, tableDown, usual, proveHoldTableDown},
 	{"not-run/service-full", notRun, serviceFull, usual, proveServiceFull},
 	{"leaving/vm-list", leavingStops, engineLeaves, usual, proveLeaving},
@@ -84,6 +92,8 @@
 	{"document/table-answer-lost", documentHeld, tableAnswerLost, usual, proveDocumentAnswerLost},
 	{"document/table-restored", documentHeld, tableRestored, usual, proveTableRestored},
 	{"document/table-down", documentHeld, tableDown, usual, proveStartWithoutPlatform},
+	{"document/table-slow", documentHeld, tableSlow, usual, proveDocumentTableSlow},
+	{"document/daemons-cut", documentHeld, domainCut, usual, proveDocumentCutApart},
 	{"document/daemon-frozen", documentHeld, daemonFrozen, usual, proveDocumentAfterPause},
 }
 
--- a/proof/session_test.go
+++ b/proof/session_test.go
@@ -36,6 +36,7 @@
 var (
 	requestIDs  = regexp.MustCompile(`entry-\d\.[0-9a-f]+`)
 	tokenValues = regexp.MustCompile(`"token":\d+`)
+	eventIDs    = regexp.MustCompile(`(?m)^id: ((\d+)-[0-9a-f]{8})$`)
 	tokenLists  = regexp.MustCompile(`"tokens":\[[\d,]+\]`)
 	runNumbers  = regexp.MustCompile(`by booking-\d run \d+`)
 )
@@ -73,7 +74,8 @@
 //	call [-body FILE] [-events N] [-header 'NAME: VALUE']... METHOD ADDRESS PATH
 //
 // With -events it closes the connection behind N events. Ids of requests become REQUEST-1 and so
-// on, tokens TOKEN. The variable REQUEST holds the id of the newest answer that named one.
+// on, tokens TOKEN, digests in events' ids DIGEST. The variable REQUEST holds the id of the newest
+// answer that named one, EVENT that of the last event.
 func call(ts *testscript.TestScript, neg bool, arguments []string) {
 	if neg {
 		ts.Fatalf("call prints the status; ! has no meaning")
@@ -95,7 +97,11 @@
 			fmt.Fprintf(&out, "%s: %s\n", name, value)
 		}
 	}
-	out.WriteString(readBody(response.Body, events))
+	body := readBody(response.Body, events)
+	if ids := eventIDs.FindAllStringSubmatch(body, -1); len(ids) > 0 {
+		ts.Setenv("EVENT", ids[len(ids)-1][1])
+	}
+	out.WriteString(body)
 	s := ts.Value(sessionKey{}).(*session)
 	_, err = io.WriteString(ts.Stdout(), s.stable(out.String()))
 	ts.Check(err)
@@ -156,6 +162,7 @@
 		s.requests = append(s.requests, id)
 		return fmt.Sprintf("REQUEST-%d", len(s.requests))
 	})
+	text = eventIDs.ReplaceAllString(text, "id: $2-DIGEST")
 	text = tokenValues.ReplaceAllString(text, `"token":TOKEN`)
 	text = runNumbers.ReplaceAllString(text, "by ENDPOINT run NUMBER")
 	return tokenLists.ReplaceAllStringFunc(text, func(list string) string {
--- a/requests.go
+++ b/requests.go
@@ -65,7 +65,9 @@
 type Follower interface {
 	// OnAccepted tells that the request is held and will end with an outcome.
 	OnAccepted()
-	// OnTokens gives tokens from position; they follow the ones before without a gap.
+	// OnTokens gives tokens from position; they follow the ones before without a gap. When another
+	// daemon has become the holder, tokens come again from position 0, and those that were given
+	// before may differ.
 	OnTokens(position int, tokens []digest.Token)
 	// OnFinish is the last call.
 	OnFinish(result Result)
--- a/requests/request.go
+++ b/requests/request.go
@@ -209,7 +209,8 @@
 	r.service.window.add(r, r.parts().Timer.Now())
 }
 
-// forward lets followers go on at the daemon that has become the home.
+// forward lets followers go on at the daemon that has become the home, from the first token, so
+// that they can tell whether its answer is the same.
 func (r *Request) forward(followers []*followed, result chicoryhall.Result) {
 	for _, f := range followers {
 		r.service.work.Go(func() error {
@@ -220,7 +221,7 @@
 				f.to.OnFinish(result)
 				return nil
 			}
-			if _, found := forwarder.Follow(ctx, r.record.ID, r.record.Organisation, f.position, f.to); !found {
+			if _, found := forwarder.Follow(ctx, r.record.ID, r.record.Organisation, 0, f.to); !found {
 				f.to.OnFinish(result)
 			}
 			return nil
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"time"
 
 	"chicoryhall.example/chicoryhall"
@@ -12,6 +13,8 @@
 	Region        chicoryhall.Region        `yaml:"region"`
 	FailureDomain chicoryhall.FailureDomain `yaml:"failureDomain"`
 	Listen        Listen                    `yaml:"listen"`
+	// Advertise holds the addresses to give to peers, where they differ from Listen.
+	Advertise Advertise `yaml:"advertise,omitempty"`
 	// Seeds are the peer addresses asked first for the other members.
 	Seeds    []string `yaml:"seeds"`
 	Platform Platform `yaml:"platform"`
@@ -34,6 +37,22 @@
 	Peers     string `yaml:"peers"`
 }
 
+// Advertise holds addresses as other daemons reach them, each IP:PORT; empty means that of Listen.
+type Advertise struct {
+	Callers string `yaml:"callers,omitempty"`
+	Peers   string `yaml:"peers,omitempty"`
+}
+
+// CallerAddress returns the address at which other daemons reach the callers' interface.
+func (d *Daemon) CallerAddress() string {
+	return cmp.Or(d.Advertise.Callers, d.Listen.Callers)
+}
+
+// PeerAddress returns the address at which other daemons reach this one.
+func (d *Daemon) PeerAddress() string {
+	return cmp.Or(d.Advertise.Peers, d.Listen.Peers)
+}
+
 // Platform holds the addresses of the platform's services, each IP:PORT.
 type Platform struct {
 	Table   string `yaml:"table"`
--- a/settings/load.go
+++ b/settings/load.go
@@ -41,6 +41,7 @@
 	file.Word("region", string(d.Region))
 	file.Word("failureDomain", string(d.FailureDomain))
 	checkListen(file, d.Listen)
+	checkAdvertise(file, d.Advertise)
 	checkSeeds(file, d.Seeds)
 	file.Address("platform.table", d.Platform.Table)
 	file.Address("platform.objects", d.Platform.Objects)
@@ -73,6 +74,15 @@
 	}
 }
 
+func checkAdvertise(file *strict.File, advertise Advertise) {
+	if advertise.Callers != "" {
+		file.Address("advertise.callers", advertise.Callers)
+	}
+	if advertise.Peers != "" {
+		file.Address("advertise.peers", advertise.Peers)
+	}
+}
+
 func checkSeeds(file *strict.File, seeds []string) {
 	seen := map[string]bool{}
 	for i, seed := range seeds {
