--- a/holder/finding_enumer.go
+++ b/holder/finding_enumer.go
@@ -25,10 +25,10 @@
 // Re-run the stringer command to generate them again.
 func _FindingNoOp() {
 	var x [1]struct{}
-	_ = x[FindingNone-0]
-	_ = x[FindingHere-1]
-	_ = x[FindingPending-2]
-	_ = x[FindingMoved-3]
+	_ = x[FindingNone-(0)]
+	_ = x[FindingHere-(1)]
+	_ = x[FindingPending-(2)]
+	_ = x[FindingMoved-(3)]
 }
 
 var _FindingValues = []Finding{FindingNone, FindingHere, FindingPending, FindingMoved}
--- a/holder/verdict_enumer.go
+++ b/holder/verdict_enumer.go
@@ -24,9 +24,9 @@
 // Re-run the stringer command to generate them again.
 func _VerdictNoOp() {
 	var x [1]struct{}
-	_ = x[VerdictTaken-0]
-	_ = x[VerdictReplaced-1]
-	_ = x[VerdictIncomplete-2]
+	_ = x[VerdictTaken-(0)]
+	_ = x[VerdictReplaced-(1)]
+	_ = x[VerdictIncomplete-(2)]
 }
 
 var _VerdictValues = []Verdict{VerdictTaken, VerdictReplaced, VerdictIncomplete}
