--- a/claim/batch.go
+++ b/claim/batch.go
@@ -44,7 +44,7 @@
 	case Release:
 		v.Released = true
 	}
-	return table.Change{Key: e.Key, Value: encode(v), IfVersion: e.Version}
+	return table.Change{Key: e.Key, Value: table.EncodeValue(v), IfVersion: e.Version}
 }
 
 // Verdict is what became of one Entry.
@@ -161,7 +161,7 @@
 	if row.Version == table.Absent {
 		return Verdict{Entry: e, Err: errors.Errorf("claim %s is gone from the table", e.Key)}, false
 	}
-	v, err := decode(row)
+	v, err := table.DecodeValue[value](row)
 	if err != nil {
 		return Verdict{Entry: e, Err: err}, false
 	}
@@ -188,7 +188,7 @@
 // release returns the entry that releases a claim whose call failed, from the row as it
 // was read; needed is false when the claim is not there.
 func release(entry Entry, row table.Row) (released Entry, needed bool) {
-	v, err := decode(row)
+	v, err := table.DecodeValue[value](row)
 	if err != nil || v.Owner != entry.Owner || v.Done || v.Released {
 		return Entry{}, false
 	}
--- a/claim/explore_test.go
+++ b/claim/explore_test.go
@@ -188,7 +188,7 @@
 }
 
 func released(row table.Row) bool {
-	v, err := decode(row)
+	v, err := table.DecodeValue[value](row)
 	return err == nil && v.Released
 }
 
--- a/claim/row.go
+++ b/claim/row.go
@@ -1,13 +1,9 @@
 package claim
 
 import (
-	"encoding/json"
 	"net/url"
 
-	"github.com/pkg/errors"
-
 	"chicoryhall.example/chicoryhall"
-	"chicoryhall.example/chicoryhall/table"
 )
 
 // keyPrefix begins the keys of claims in the table.
@@ -29,20 +25,6 @@
 	return keyPrefix + url.PathEscape(string(organisation)) + "/" + url.PathEscape(string(service)) + "/" + url.PathEscape(key)
 }
 
-func encode(v value) string {
-	text, err := json.Marshal(v)
-	if err != nil {
-		panic(err) // A value always encodes.
-	}
-	return string(text)
-}
-
-func decode(row table.Row) (value, error) {
-	var v value
-	err := json.Unmarshal([]byte(row.Value), &v)
-	return v, errors.Wrapf(err, "decode row %s of the table", row.Key)
-}
-
 // claimOf tells what a row that exists means to the owner of a claim.
 func claimOf(v value, owner string) chicoryhall.Claim {
 	claim := chicoryhall.Claim{State: chicoryhall.ClaimTaken, Fingerprint: v.Fingerprint}
--- a/cmd/chicorybench/layout/scenarios.go
+++ b/cmd/chicorybench/layout/scenarios.go
@@ -79,7 +79,9 @@
 	endpoints := service.document.Endpoints
 	perDomain := len(endpoints) / len(domains)
 	perRange := perDomain / rangesPerModel
-	victim := endpoints[n/2%len(domains)*perDomain+n/2%rangesPerModel*perRange]
+	domain := n / 2 % len(domains)
+	layers := (n/2 + n/(2*len(domains))) % rangesPerModel
+	victim := endpoints[domain*perDomain+layers*perRange]
 	return plan.Fault{
 		At:       at.Round(time.Millisecond),
 		Name:     fmt.Sprintf("engine %s %s", victim.ID, what),
--- a/cmd/chicoryctl/entry/daemon.go
+++ b/cmd/chicoryctl/entry/daemon.go
@@ -1,12 +1,15 @@
 package entry
 
 import (
+	"context"
 	"flag"
 	"os"
 	"strings"
 
 	"github.com/pkg/errors"
 
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/command"
 	"chicoryhall.example/chicoryhall/operator"
 )
 
@@ -57,3 +60,23 @@
 	text, err := os.ReadFile(*f.tokenFile)
 	return strings.TrimSpace(string(text)), errors.Wrap(err, "read token")
 }
+
+// showsService makes a verb of one SERVICE that asks a daemon and prints what show writes.
+func showsService(
+	show func(ctx context.Context, streams command.Streams, client *operator.Client, service chicoryhall.ServiceName) error,
+) func(flags *flag.FlagSet) command.Run {
+	return func(flags *flag.FlagSet) command.Run {
+		daemon := addDaemonFlags(flags)
+		return func(ctx context.Context, streams command.Streams, arguments []string) error {
+			service, err := oneArgument(arguments, "SERVICE")
+			if err != nil {
+				return err
+			}
+			client, err := daemon.client()
+			if err != nil {
+				return err
+			}
+			return show(ctx, streams, client, chicoryhall.ServiceName(service))
+		}
+	}
+}
--- a/cmd/chicoryctl/entry/status.go
+++ b/cmd/chicoryctl/entry/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 
 	"chicoryhall.example/chicoryhall"
@@ -16,28 +15,19 @@
 	Arguments: "SERVICE",
 	Summary:   "Shows which daemons have the newest version in force, and which cannot be reached.",
 	Detail:    daemonDetail,
-	New: func(flags *flag.FlagSet) command.Run {
-		daemon := addDaemonFlags(flags)
-		return func(ctx context.Context, streams command.Streams, arguments []string) error {
-			service, err := oneArgument(arguments, "SERVICE")
-			if err != nil {
-				return err
-			}
-			client, err := daemon.client()
-			if err != nil {
-				return err
-			}
-			status, err := client.Status(ctx, chicoryhall.ServiceName(service))
-			if err != nil {
-				return err
-			}
-			printStatus(streams, status)
-			return nil
-		}
-	},
+	New:       showsService(printStatus),
+}
+
+func printStatus(ctx context.Context, streams command.Streams, client *operator.Client, service chicoryhall.ServiceName) error {
+	status, err := client.Status(ctx, service)
+	if err != nil {
+		return err
+	}
+	writeStatus(streams, status)
+	return nil
 }
 
-func printStatus(streams command.Streams, status operator.Status) {
+func writeStatus(streams command.Streams, status operator.Status) {
 	current := 0
 	fmt.Fprintf(streams.Out, "%-24s %-16s %-8s %s\n", "daemon", "failure domain", "version", "state")
 	for _, daemon := range status.Daemons {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -1,11 +1,8 @@
 package lease
 
 import (
-	"encoding/json"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/table"
 )
@@ -62,7 +59,7 @@
 
 // Read takes the row as it was read at the given time; a row that does not exist has version 0.
 func (l *Lease) Read(row table.Row, received time.Time) error {
-	v, err := decode(row)
+	v, err := table.DecodeValue[value](row)
 	if err != nil {
 		return err
 	}
@@ -100,13 +97,13 @@
 	if l.held {
 		v.Fence, version = l.fence, l.version
 	}
-	return table.Transaction{Nonce: nonce, Changes: []table.Change{{Key: l.config.Key, Value: encode(v), IfVersion: version}}}
+	return table.Transaction{Nonce: nonce, Changes: []table.Change{{Key: l.config.Key, Value: table.EncodeValue(v), IfVersion: version}}}
 }
 
 // Wrote takes the confirmation of a write that was sent at the given time.
 func (l *Lease) Wrote(transaction table.Transaction, sent time.Time) error {
 	change := transaction.Changes[0]
-	v, err := decode(table.Row{Key: change.Key, Value: change.Value, Version: change.IfVersion + 1})
+	v, err := table.DecodeValue[value](table.Row{Key: change.Key, Value: change.Value, Version: change.IfVersion + 1})
 	if err != nil {
 		return err
 	}
@@ -157,20 +154,3 @@
 func elapsed(since, now time.Time) time.Duration {
 	return max(now.Sub(since), now.Round(0).Sub(since.Round(0)))
 }
-
-func encode(v value) string {
-	text, err := json.Marshal(v)
-	if err != nil {
-		panic(err) // A value always encodes.
-	}
-	return string(text)
-}
-
-func decode(row table.Row) (value, error) {
-	var v value
-	if row.Version == table.Absent {
-		return v, nil
-	}
-	err := json.Unmarshal([]byte(row.Value), &v)
-	return v, errors.Wrapf(err, "decode row %s of the table", row.Key)
-}
