Hold the cut-apart holds to the strict check; doc.go for the programs

Cause: at-most-once/daemons-cut judged callers of one key by a looser check of its own, which let a caller be told as not run while the other's try ran; no trace had shown that this is allowed. Ruled out: keeping it (the promise names the request, not the try). Change: the check that all other holds have, made once both callers have their end. The four programs tell their purpose in doc.go.

--- /dev/null
+++ b/cmd/chicorybench/doc.go
@@ -0,0 +1,2 @@
+// Command chicorybench is described by "chicorybench help".
+package main
--- a/cmd/chicorybench/main.go
+++ b/cmd/chicorybench/main.go
@@ -1,4 +1,3 @@
-// Command chicorybench is described by "chicorybench help".
 package main
 
 import "chicoryhall.example/chicoryhall/cmd/chicorybench/entry"
--- /dev/null
+++ b/cmd/chicoryctl/doc.go
@@ -0,0 +1,2 @@
+// Command chicoryctl is described by "chicoryctl help".
+package main
--- a/cmd/chicoryctl/main.go
+++ b/cmd/chicoryctl/main.go
@@ -1,4 +1,3 @@
-// Command chicoryctl is described by "chicoryctl help".
 package main
 
 import "chicoryhall.example/chicoryhall/cmd/chicoryctl/entry"
--- /dev/null
+++ b/cmd/chicoryhall/doc.go
@@ -0,0 +1,2 @@
+// Command chicoryhall is described by "chicoryhall help".
+package main
--- a/cmd/chicoryhall/main.go
+++ b/cmd/chicoryhall/main.go
@@ -1,4 +1,3 @@
-// Command chicoryhall is described by "chicoryhall help".
 package main
 
 import "chicoryhall.example/chicoryhall/cmd/chicoryhall/entry"
--- /dev/null
+++ b/cmd/chicorystand/doc.go
@@ -0,0 +1,2 @@
+// Command chicorystand is described by "chicorystand help".
+package main
--- a/cmd/chicorystand/main.go
+++ b/cmd/chicorystand/main.go
@@ -1,4 +1,3 @@
-// Command chicorystand is described by "chicorystand help".
 package main
 
 import "chicoryhall.example/chicoryhall/cmd/chicorystand/entry"
--- a/proof/partition_test.go
+++ b/proof/partition_test.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-
-	"chicoryhall.example/chicoryhall"
 )
 
 // cutLength is longer than it takes daemons to declare each other dead.
@@ -40,10 +38,13 @@
 		for _, d := range c.daemons {
 			sent = append(sent, c.hold(body, key).to(d).begin(t))
 		}
+		var replies []*reply
 		for _, g := range sent {
-			r := g.wait(t)
+			replies = append(replies, g.wait(t))
+		}
+		for _, r := range replies {
 			must.True(t, r.ended)
-			c.mustBeAtMostOnceOfMany(t, body, r)
+			c.mustBeAtMostOnce(t, body, r)
 		}
 	}
 	c.cutDaemons(t, false)
@@ -56,17 +57,6 @@
 	}
 }
 
-// mustBeAtMostOnceOfMany is mustBeAtMostOnce for one of several callers of the same key: one that
-// is told as not run says so of its own try, and the other's may have run.
-func (c *cluster) mustBeAtMostOnceOfMany(t *testing.T, body string, r *reply) {
-	t.Helper()
-	runs := c.executions(t, body)
-	must.LessEq(t, 1, runs, must.Sprintf("executions of hold %q", body))
-	if r.outcome == chicoryhall.Answered {
-		must.One(t, runs, must.Sprintf("hold %q was answered", body))
-	}
-}
-
 // proveDocumentCutApart accepts a change on one side of a cut; it is in force on both after it.
 func proveDocumentCutApart(t *testing.T, c *cluster) {
 	c.cutDaemons(t, true)
