Keep chains inside a failure domain; place engines once a domain is settled

The first engines were also planned while a third of a domain was listed, so that ranges left room for 4 requests. The estimate of other daemons' work as this one's times the number of daemons called engines full that were not.

Ruled out: processor (0.02 cores), admission's limit (14 of 269 refusals).

--- a/cmd/chicoryhall/platformdaemon/builder.go
+++ b/cmd/chicoryhall/platformdaemon/builder.go
@@ -25,6 +25,10 @@
 // listTick is how often the view of endpoints looks for those whose return is overdue.
 const listTick = 100 * time.Millisecond
 
+// crossingCost keeps chains inside a failure domain while one there has room: the links between
+// domains are shared by all prompts.
+const crossingCost = 3 * time.Second
+
 // orderTerms suit engines that refuse an order if another was accepted since they were read.
 var orderTerms = placement.Terms{
 	LeaseDuration: 4 * time.Second, LeaseMargin: time.Second, SeekPeriod: time.Second, MaxLoads: 64,
@@ -112,7 +116,7 @@
 func (b *builder) buildOrders(into *suture.Supervisor) {
 	into.Add(placement.NewHolder(placement.Parts{
 		Self: b.settings.ID, FailureDomain: b.settings.FailureDomain, Table: b.table,
-		Documents: placement.NewRanged(b.documents, b.listed), Engines: platform.NewEngines(b.client, b.listed),
+		Documents: placement.NewRanged(b.documents, b.listed, b.timer), Engines: platform.NewEngines(b.client, b.listed),
 		Timer: b.timer, Terms: orderTerms, Log: b.log,
 	}))
 }
@@ -122,7 +126,7 @@
 	b.server = passthrough.NewServer(passthrough.Parts{
 		Address: b.settings.Listen.Callers, FailureDomain: b.settings.FailureDomain, Timer: b.timer,
 		Rules: b.rules, Documents: b.documents, Endpoints: b.listed,
-		Router:    pipeline.New(b.listed, pipeline.Options{Seed: b.seed()}),
+		Router:    pipeline.New(b.listed, pipeline.Options{Policy: pipeline.PolicyShortest, Seed: b.seed(), Crossing: crossingCost}),
 		Admission: admission.New(b.timer, b.documents, b.listed, b.members),
 		Retries: retry.NewWindows(retry.Terms{
 			Window: b.settings.Retries.Window, Ratio: b.settings.Retries.Ratio, Slack: b.settings.Retries.Slack,
--- a/endpoints.go
+++ b/endpoints.go
@@ -59,6 +59,8 @@
 	ObservedSlow
 	// ObservedLeaving means that the endpoint refused work because it is leaving.
 	ObservedLeaving
+	// ObservedFull means that the endpoint refused work for want of room.
+	ObservedFull
 )
 
 // Endpoints is the daemon's live view of endpoints.
--- a/observation_enumer.go
+++ b/observation_enumer.go
@@ -8,11 +8,11 @@
 	"strings"
 )
 
-const _ObservationName = "progressrefused-connectionbroken-connectionsilenceslowleaving"
+const _ObservationName = "progressrefused-connectionbroken-connectionsilenceslowleavingfull"
 
-var _ObservationIndex = [...]uint8{0, 8, 26, 43, 50, 54, 61}
+var _ObservationIndex = [...]uint8{0, 8, 26, 43, 50, 54, 61, 65}
 
-const _ObservationLowerName = "progressrefused-connectionbroken-connectionsilenceslowleaving"
+const _ObservationLowerName = "progressrefused-connectionbroken-connectionsilenceslowleavingfull"
 
 func (i Observation) String() string {
 	if i < 0 || i >= Observation(len(_ObservationIndex)-1) {
@@ -31,9 +31,10 @@
 	_ = x[ObservedSilence-(3)]
 	_ = x[ObservedSlow-(4)]
 	_ = x[ObservedLeaving-(5)]
+	_ = x[ObservedFull-(6)]
 }
 
-var _ObservationValues = []Observation{ObservedProgress, ObservedRefusedConnection, ObservedBrokenConnection, ObservedSilence, ObservedSlow, ObservedLeaving}
+var _ObservationValues = []Observation{ObservedProgress, ObservedRefusedConnection, ObservedBrokenConnection, ObservedSilence, ObservedSlow, ObservedLeaving, ObservedFull}
 
 var _ObservationNameToValueMap = map[string]Observation{
 	_ObservationName[0:8]:   ObservedProgress,
@@ -42,6 +43,7 @@
 	_ObservationName[43:50]: ObservedSilence,
 	_ObservationName[50:54]: ObservedSlow,
 	_ObservationName[54:61]: ObservedLeaving,
+	_ObservationName[61:65]: ObservedFull,
 }
 
 var _ObservationLowerNameToValueMap = map[string]Observation{
@@ -51,6 +53,7 @@
 	_ObservationLowerName[43:50]: ObservedSilence,
 	_ObservationLowerName[50:54]: ObservedSlow,
 	_ObservationLowerName[54:61]: ObservedLeaving,
+	_ObservationLowerName[61:65]: ObservedFull,
 }
 
 var _ObservationNames = []string{
@@ -60,6 +63,7 @@
 	_ObservationName[43:50],
 	_ObservationName[50:54],
 	_ObservationName[54:61],
+	_ObservationName[61:65],
 }
 
 // ObservationString retrieves an enum value from the enum constants string name.
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -252,6 +252,9 @@
 func (a *attempt) takeHead(response *http.Response) {
 	a.response = response
 	a.terms = a.run.parts().Dialect.Answer(response)
+	if a.terms.Running >= 0 {
+		a.run.parts().Endpoints.Report(a.route.Hops[0].Engine, a.terms.Running)
+	}
 	a.noteProgress()
 	if response.StatusCode >= http.StatusMultipleChoices || a.terms.NotRun {
 		return
@@ -368,7 +371,7 @@
 	if a.terms.Misdirected {
 		x.parts().Endpoints.Observe(blamed, chicoryhall.ObservedSilence)
 	} else {
-		x.parts().Endpoints.Observe(blamed, chicoryhall.ObservedSlow)
+		x.parts().Endpoints.Observe(blamed, chicoryhall.ObservedFull)
 	}
 	a.fail(exchange.FailureRefused, errors.Errorf("endpoint %s refused with status %d", blamed, a.response.StatusCode))
 }
--- a/passthrough/parts.go
+++ b/passthrough/parts.go
@@ -21,6 +21,8 @@
 	chicoryhall.Endpoints
 	// Progressed returns when this daemon's traffic last showed progress at an endpoint.
 	Progressed(id chicoryhall.EngineID) time.Time
+	// Report takes the number of requests that an endpoint said are at it.
+	Report(id chicoryhall.EngineID, running int)
 	// ByAddress returns the endpoint that is listed at an address.
 	ByAddress(address string) (chicoryhall.EngineID, bool)
 }
--- a/pipeline/baseline.go
+++ b/pipeline/baseline.go
@@ -19,7 +19,7 @@
 }
 
 func newBaseline(endpoints chicoryhall.Endpoints, policy Policy) *baseline {
-	b := &baseline{policy: policy, planner: newPlanner(endpoints)}
+	b := &baseline{policy: policy, planner: newPlanner(endpoints, false)}
 	b.search.view = endpoints.View
 	return b
 }
--- a/pipeline/path.go
+++ b/pipeline/path.go
@@ -11,8 +11,10 @@
 	usable(group int) bool
 	// hop is the cost of a group that runs the layers between two cuts.
 	hop(group, from, to int) float64
-	// link is the cost of the way from one failure domain to another.
+	// link is the cost of the way from one engine's failure domain to another's.
 	link(from, to int) float64
+	// enter is the cost of the way from the daemon's failure domain to that of the first engine.
+	enter(from, to int) float64
 }
 
 // anyDomain stands for a way that may begin or end in every failure domain at no cost.
@@ -113,7 +115,11 @@
 		if math.IsInf(reached.cost, 1) {
 			continue
 		}
-		if total := reached.cost + c.link(before, domain); total < cost {
+		way := c.link(before, domain)
+		if cut == 0 {
+			way = c.enter(before, domain)
+		}
+		if total := reached.cost + way; total < cost {
 			best, cost = before, total
 		}
 	}
--- a/pipeline/planner.go
+++ b/pipeline/planner.go
@@ -15,6 +15,8 @@
 	endpoints chicoryhall.Endpoints
 	changes   atomic.Int64
 	plans     map[chicoryhall.ServiceName]*cachedPlan
+	// hasFlows tells that routes are drawn by the shares of the maximum flow.
+	hasFlows bool
 }
 
 // cachedPlan is a plan, the number of endpoint changes that it has seen and its flows.
@@ -24,8 +26,8 @@
 	flows   []flow
 }
 
-func newPlanner(endpoints chicoryhall.Endpoints) *planner {
-	p := &planner{endpoints: endpoints, plans: make(map[chicoryhall.ServiceName]*cachedPlan)}
+func newPlanner(endpoints chicoryhall.Endpoints, hasFlows bool) *planner {
+	p := &planner{endpoints: endpoints, plans: make(map[chicoryhall.ServiceName]*cachedPlan), hasFlows: hasFlows}
 	endpoints.Subscribe(func(chicoryhall.EngineID, chicoryhall.EndpointState) { p.changes.Add(1) })
 	return p
 }
@@ -39,9 +41,11 @@
 		return cached
 	}
 	next := &cachedPlan{plan: newPlan(query.Document, p.endpoints.View, query.Now), changes: changes}
-	if cached != nil && cached.sameCapacity(next.plan) {
+	switch {
+	case !p.hasFlows:
+	case cached != nil && cached.sameCapacity(next.plan):
 		next.flows = cached.flows
-	} else {
+	default:
 		next.flows, _ = maxFlow(next.plan, Mix{})
 	}
 	p.plans[query.Document.Service] = next
--- a/pipeline/policy.go
+++ b/pipeline/policy.go
@@ -1,16 +1,23 @@
 package pipeline
 
-import "chicoryhall.example/chicoryhall"
+import (
+	"time"
+
+	"chicoryhall.example/chicoryhall"
+)
 
 //go:generate go tool enumer -type=Policy -json -text -transform=title-lower -trimprefix=Policy -output=policy_enumer.go
 
 // Policy is a way to choose routes.
 type Policy int
 
-// The policies; all but PolicyFlow are baselines for comparison.
+// The policies; the last two are baselines for comparison.
 const (
 	// PolicyFlow follows the shares of the maximum flow and the expected completion time.
 	PolicyFlow Policy = iota
+	// PolicyShortest takes the shortest path by the expected completion time, so that fast chains
+	// fill up first.
+	PolicyShortest
 	// PolicyRoundRobin takes the engines that hold the next layer in turn.
 	PolicyRoundRobin
 	// PolicyLeastLoad takes the engine that reports the fewest streams.
@@ -23,11 +30,14 @@
 	Policy Policy
 	// Seed fixes the random draws.
 	Seed uint64
+	// Crossing is what a link between two engines of different failure domains costs on top of its
+	// own time, where all requests share such links.
+	Crossing time.Duration
 }
 
 // New returns a router over the daemon's view of endpoints.
 func New(endpoints chicoryhall.Endpoints, options Options) chicoryhall.Router {
-	if options.Policy == PolicyFlow {
+	if options.Policy == PolicyFlow || options.Policy == PolicyShortest {
 		return newRouter(endpoints, options)
 	}
 	return newBaseline(endpoints, options.Policy)
--- a/pipeline/policy_enumer.go
+++ b/pipeline/policy_enumer.go
@@ -8,11 +8,11 @@
 	"strings"
 )
 
-const _PolicyName = "flowroundRobinleastLoad"
+const _PolicyName = "flowshortestroundRobinleastLoad"
 
-var _PolicyIndex = [...]uint8{0, 4, 14, 23}
+var _PolicyIndex = [...]uint8{0, 4, 12, 22, 31}
 
-const _PolicyLowerName = "flowroundrobinleastload"
+const _PolicyLowerName = "flowshortestroundrobinleastload"
 
 func (i Policy) String() string {
 	if i < 0 || i >= Policy(len(_PolicyIndex)-1) {
@@ -26,28 +26,32 @@
 func _PolicyNoOp() {
 	var x [1]struct{}
 	_ = x[PolicyFlow-(0)]
-	_ = x[PolicyRoundRobin-(1)]
-	_ = x[PolicyLeastLoad-(2)]
+	_ = x[PolicyShortest-(1)]
+	_ = x[PolicyRoundRobin-(2)]
+	_ = x[PolicyLeastLoad-(3)]
 }
 
-var _PolicyValues = []Policy{PolicyFlow, PolicyRoundRobin, PolicyLeastLoad}
+var _PolicyValues = []Policy{PolicyFlow, PolicyShortest, PolicyRoundRobin, PolicyLeastLoad}
 
 var _PolicyNameToValueMap = map[string]Policy{
 	_PolicyName[0:4]:   PolicyFlow,
-	_PolicyName[4:14]:  PolicyRoundRobin,
-	_PolicyName[14:23]: PolicyLeastLoad,
+	_PolicyName[4:12]:  PolicyShortest,
+	_PolicyName[12:22]: PolicyRoundRobin,
+	_PolicyName[22:31]: PolicyLeastLoad,
 }
 
 var _PolicyLowerNameToValueMap = map[string]Policy{
 	_PolicyLowerName[0:4]:   PolicyFlow,
-	_PolicyLowerName[4:14]:  PolicyRoundRobin,
-	_PolicyLowerName[14:23]: PolicyLeastLoad,
+	_PolicyLowerName[4:12]:  PolicyShortest,
+	_PolicyLowerName[12:22]: PolicyRoundRobin,
+	_PolicyLowerName[22:31]: PolicyLeastLoad,
 }
 
 var _PolicyNames = []string{
 	_PolicyName[0:4],
-	_PolicyName[4:14],
-	_PolicyName[14:23],
+	_PolicyName[4:12],
+	_PolicyName[12:22],
+	_PolicyName[22:31],
 }
 
 // PolicyString retrieves an enum value from the enum constants string name.
--- a/pipeline/router.go
+++ b/pipeline/router.go
@@ -18,7 +18,8 @@
 
 // newRouter returns a Router over the daemon's view of endpoints.
 func newRouter(endpoints chicoryhall.Endpoints, options Options) *Router {
-	r := &Router{planner: newPlanner(endpoints)}
+	r := &Router{planner: newPlanner(endpoints, options.Policy == PolicyFlow)}
+	r.search.crossing = float64(options.Crossing)
 	r.search.random = rand.New(rand.NewPCG(options.Seed, options.Seed))
 	r.search.view = endpoints.View
 	return r
--- a/pipeline/search.go
+++ b/pipeline/search.go
@@ -29,6 +29,8 @@
 	// positions and tokens are the work that the costs are for.
 	positions int
 	tokens    float64
+	// crossing is the cost of a link between failure domains on top of its time, in nanoseconds.
+	crossing float64
 	// activation is the size of one token's activation in bytes.
 	activation float64
 }
@@ -122,9 +124,18 @@
 // link is the expected time that a link adds to the whole request.
 func (s *search) link(from, to int) float64 {
 	way := s.plan.links[from][to]
+	if from != to {
+		return s.crossing + s.tokens*way.send(s.activation) + way.send(s.activation*float64(s.positions))
+	}
 	return s.tokens*way.send(s.activation) + way.send(s.activation*float64(s.positions))
 }
 
+// enter is the expected time that requests and answers spend between the daemon and the first
+// engine: they are texts, not activations.
+func (s *search) enter(from, to int) float64 {
+	return s.tokens * s.plan.links[from][to].delay
+}
+
 // tokenTime is the expected time of one token at an engine.
 func (s *search) tokenTime(v speed, l load, layers int) float64 {
 	others := l.streams * float64(layers) / float64(s.plan.layers)
--- a/pipeline/shares.go
+++ b/pipeline/shares.go
@@ -147,6 +147,8 @@
 	return m.prices[m.linkResource(from, to)] * m.linkUse(from, to)
 }
 
+func (m *market) enter(from, to int) float64 { return m.link(from, to) }
+
 // usage returns the share of each resource that one token per second on a way takes.
 func (m *market) usage(way []placed) []float64 {
 	use := make([]float64, len(m.capacities))
--- a/watch/entry.go
+++ b/watch/entry.go
@@ -215,7 +215,7 @@
 		e.fail(false, now)
 	case chicoryhall.ObservedLeaving:
 		e.leaving = true
-	case chicoryhall.ObservedBrokenConnection, chicoryhall.ObservedSlow:
+	case chicoryhall.ObservedBrokenConnection, chicoryhall.ObservedSlow, chicoryhall.ObservedFull:
 		// A new connection or the load reports decide; the router shifts load by itself.
 	}
 }
--- a/watch/listed.go
+++ b/watch/listed.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -23,6 +24,10 @@
 	// make an endpoint suspect.
 	strikeLifetime   = 2 * time.Second
 	strikesToSuspect = 3
+	// reportLifetime is how long an endpoint's word on what is at it counts.
+	reportLifetime = time.Second
+	// fullPause is how long an endpoint that refused for want of room gets no new work.
+	fullPause = 150 * time.Millisecond
 )
 
 // ListedConfig is what a Listed needs.
@@ -158,17 +163,37 @@
 	if !known {
 		return chicoryhall.EndpointView{State: chicoryhall.EndpointDead}
 	}
-	others := max(0, l.config.Daemons()-1)
+	present := l.presentAt(e, now)
 	return chicoryhall.EndpointView{
-		State: e.state(now), Load: e.load(others), InFlight: e.inFlight, Full: l.isFull(e, others+1),
+		State: e.state(now), Load: e.load(present), InFlight: e.inFlight,
+		Full: now.Before(e.fullUntil) || l.isFull(e, present),
 	}
 }
 
-// isFull tells whether the endpoint's memory or its places are taken, with the work of the other
-// daemons taken to be like this one's.
-func (l *Listed) isFull(e *listedEntry, daemons int) bool {
-	expected := float64(e.inFlight * daemons)
-	if e.listing.Places > 0 && expected >= float64(e.listing.Places) {
+// presentAt returns the number of requests that are expected at an endpoint, from all daemons.
+func (l *Listed) presentAt(e *listedEntry, now time.Time) float64 {
+	if e.isReported(now) {
+		return math.Max(float64(e.inFlight), float64(e.reported+e.inFlight-e.inFlightThen))
+	}
+	return float64(e.inFlight) * l.scaleOf(e.listing.FailureDomain, e.listing.Service, now)
+}
+
+// scaleOf returns how many times this daemon's own work the endpoints of a failure domain have,
+// by those which reported lately: the first ones of chains. It is at most the number of daemons.
+func (l *Listed) scaleOf(domain chicoryhall.FailureDomain, service chicoryhall.ServiceName, now time.Time) float64 {
+	own, all := 1.0, 1.0
+	for _, e := range l.entries {
+		if e.listing.FailureDomain == domain && e.listing.Service == service && e.isReported(now) {
+			own += float64(e.inFlight)
+			all += math.Max(float64(e.inFlight), float64(e.reported+e.inFlight-e.inFlightThen))
+		}
+	}
+	return math.Min(all/own, float64(l.config.Daemons()))
+}
+
+// isFull tells whether the endpoint's memory or its places are taken.
+func (l *Listed) isFull(e *listedEntry, present float64) bool {
+	if e.listing.Places > 0 && present >= float64(e.listing.Places) {
 		return true
 	}
 	document, known := l.config.Document(e.listing.Service)
@@ -177,7 +202,17 @@
 	}
 	held := e.listing.Holdings[0]
 	places, bounded := document.MemoryPlaces(e.listing.Accelerator, held.To-held.From)
-	return bounded && expected >= places
+	return bounded && present >= places
+}
+
+// Report takes the number of requests that an endpoint said are at it.
+func (l *Listed) Report(id chicoryhall.EngineID, running int) {
+	now := l.config.Timer.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e, known := l.entries[id]; known {
+		e.reported, e.reportedAt, e.inFlightThen = running, now, e.inFlight
+	}
 }
 
 // Observe reports what this daemon's traffic showed.
--- a/watch/listedentry.go
+++ b/watch/listedentry.go
@@ -20,9 +20,15 @@
 	failures     int
 	suspectUntil time.Time
 	// strikes are the times of ambiguous failures.
-	strikes    []time.Time
+	strikes []time.Time
+	// fullUntil is until when the endpoint's own word that it has no room counts.
+	fullUntil  time.Time
 	progressAt time.Time
 	inFlight   int
+	// reported is what the endpoint said is at it, when this daemon had inFlightThen there.
+	reported     int
+	reportedAt   time.Time
+	inFlightThen int
 }
 
 // take takes a listing over; an endpoint that has started again loses what was believed of it.
@@ -53,14 +59,20 @@
 	}
 }
 
-// load returns the endpoint's load with the work of the other daemons taken to be like this one's.
-func (e *listedEntry) load(otherDaemons int) chicoryhall.Load {
+// load returns the endpoint's load where so many requests are expected at it, with this daemon's
+// own among them.
+func (e *listedEntry) load(present float64) chicoryhall.Load {
 	return chicoryhall.Load{
 		Engine: e.listing.ID, Incarnation: e.listing.Incarnation, Accelerator: e.listing.Accelerator,
-		Holdings: e.listing.Holdings, Running: e.inFlight * otherDaemons,
+		Holdings: e.listing.Holdings, Running: max(0, int(present)-e.inFlight),
 	}
 }
 
+// isReported tells whether the endpoint told lately what is at it.
+func (e *listedEntry) isReported(now time.Time) bool {
+	return !e.reportedAt.IsZero() && now.Sub(e.reportedAt) <= reportLifetime
+}
+
 func (e *listedEntry) hasFailed() bool { return e.failures > 0 || len(e.strikes) > 0 }
 
 // observe takes what this daemon's traffic showed at now.
@@ -75,6 +87,8 @@
 		e.strike(now)
 	case chicoryhall.ObservedLeaving:
 		e.left = true
+	case chicoryhall.ObservedFull:
+		e.fullUntil = now.Add(fullPause)
 	}
 }
 
