Keep a connection whose answer's head promised it through SIGTERM

And a request taken in the moment between the last look of a drain and the process's end was dropped.

Change: whether an answer ends its connection is fixed with its head; behind the end of a drain every request is refused at once.

Ruled out: the platform's rotation (both requests came on kept connections).

--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -284,8 +284,9 @@
 func (a *attempt) beginAnswer() {
 	x := a.run
 	x.machine.Answering()
+	x.last = x.isLast()
 	header := http1.EndToEnd(a.response.Header)
-	x.conn.write(http1.AppendResponseHead(nil, a.response.StatusCode, header, x.framing(), 0, x.isLast()))
+	x.conn.write(http1.AppendResponseHead(nil, a.response.StatusCode, header, x.framing(), 0, x.last))
 }
 
 func (a *attempt) takeBody(piece []byte) {
@@ -380,18 +381,17 @@
 	x := a.run
 	a.end(false)
 	x.current = nil
-	last := x.isLast()
 	if x.framing() == http1.FramingChunked {
 		x.conn.write(http1.AppendLastChunk(nil))
 	}
-	x.ended(status, last, routeText(a.route))
+	x.ended(status, routeText(a.route))
 }
 
 // passOn hands an endpoint's whole answer on as it is.
 func (x *exchangeRun) passOn(a *attempt) {
-	last := x.isLast()
-	x.conn.writeWhole(a.response.StatusCode, http1.EndToEnd(a.response.Header), a.whole, last)
-	x.ended(a.response.StatusCode, last, routeText(a.route))
+	x.last = x.isLast()
+	x.conn.writeWhole(a.response.StatusCode, http1.EndToEnd(a.response.Header), a.whole, x.last)
+	x.ended(a.response.StatusCode, routeText(a.route))
 }
 
 // takeFailure handles the end of the connection before a whole answer.
--- a/passthrough/run.go
+++ b/passthrough/run.go
@@ -20,6 +20,8 @@
 	retryAfterRefused = 400 * time.Millisecond
 	// retryAfterUnknown is the time to come back while this daemon knows no rules yet.
 	retryAfterUnknown = 500 * time.Millisecond
+	// retryAfterStopped is the time to come back, at another daemon, when this one has stopped.
+	retryAfterStopped = 50 * time.Millisecond
 	// retryAfterUncovered is the time to come back while no endpoints cover the model.
 	retryAfterUncovered = time.Second
 )
@@ -53,6 +55,8 @@
 	// lastCause tells why the last attempt failed.
 	lastCause error
 	finished  bool
+	// last tells that the connection ends behind the answer; it is fixed with the answer's head.
+	last bool
 
 	// due is when the exchange wants to be looked at, in Unix nanoseconds by the timer, or 0.
 	due atomic.Int64
@@ -72,6 +76,10 @@
 		x.refuse(http.StatusBadRequest, 0, err.Error())
 		return
 	}
+	if x.server.stopped.Load() {
+		x.refuse(http.StatusServiceUnavailable, retryAfterStopped, "the daemon has stopped")
+		return
+	}
 	table, known := x.parts().Rules.Table()
 	if !known {
 		x.refuse(http.StatusServiceUnavailable, retryAfterUnknown, "no rules are known yet")
@@ -225,10 +233,10 @@
 }
 
 func (x *exchangeRun) answerWith(status int, header http.Header, kind *event.Event, reason string) {
-	last := x.isLast()
-	x.conn.writeWhole(status, header, []byte(reason+"\n"), last)
+	x.last = x.isLast()
+	x.conn.writeWhole(status, header, []byte(reason+"\n"), x.last)
 	x.finish(kind, status, reason)
-	x.conn.ended(last)
+	x.conn.ended(x.last)
 }
 
 // cut ends the caller's connection in the middle of the answer, so that it does not look whole.
@@ -238,7 +246,7 @@
 	x.conn.close()
 }
 
-// isLast tells whether the connection ends behind the answer.
+// isLast tells whether an answer whose head is written now shall end the connection.
 func (x *exchangeRun) isLast() bool {
 	return x.head.Close || x.server.Stopping() || !x.head.ProtoAtLeast(1, 1)
 }
@@ -266,9 +274,9 @@
 }
 
 // ended ends an exchange whose whole answer has been written.
-func (x *exchangeRun) ended(status int, last bool, detail string) {
+func (x *exchangeRun) ended(status int, detail string) {
 	x.finish(event.ExchangeAnswered, status, detail)
-	x.conn.ended(last)
+	x.conn.ended(x.last)
 }
 
 // framing returns how an answer of unknown length is written to the caller.
--- a/passthrough/server.go
+++ b/passthrough/server.go
@@ -45,6 +45,8 @@
 	pool  *pool
 
 	stopping atomic.Bool
+	// stopped tells that no request is taken any more.
+	stopped atomic.Bool
 
 	mu          sync.Mutex
 	connections map[*nbio.Conn]*connection
@@ -109,6 +111,7 @@
 			return
 		case <-ticks:
 			if s.parts.Timer.Now().Sub(begun) >= rotationTime && s.closeIdle() {
+				s.stopped.Store(true)
 				return
 			}
 		}
