Tell a reset from an orderly close; refuse late requests while stopping

Change: the server reads to the end of the socket itself, which shows the reset; 2.5 s after SIGTERM, when the platform has taken the daemon out of its rotation, requests are refused at once with a short time to come back.

--- a/passthrough/server.go
+++ b/passthrough/server.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -47,6 +49,8 @@
 	stopping atomic.Bool
 	// stopped tells that no request is taken any more.
 	stopped atomic.Bool
+	// buffer is where the event loop reads; it has one goroutine.
+	buffer []byte
 
 	mu          sync.Mutex
 	connections map[*nbio.Conn]*connection
@@ -61,6 +65,7 @@
 		connections: make(map[*nbio.Conn]*connection),
 		exchanges:   make(map[*exchangeRun]struct{}),
 		random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		buffer:      make([]byte, readBuffer),
 	}
 	logging.SetLevel(logging.LevelNone)
 	nbio.MaxOpenFiles = maxConnections
@@ -70,7 +75,7 @@
 	})
 	s.pool = newPool(&s.parts, s.loop)
 	s.loop.OnOpen(s.opened)
-	s.loop.OnData(s.received)
+	s.loop.OnRead(s.read)
 	s.loop.OnClose(s.closed)
 	return s
 }
@@ -110,8 +115,12 @@
 		case <-ctx.Done():
 			return
 		case <-ticks:
-			if s.parts.Timer.Now().Sub(begun) >= rotationTime && s.closeIdle() {
-				s.stopped.Store(true)
+			if s.parts.Timer.Now().Sub(begun) < rotationTime {
+				continue
+			}
+			// The platform knows by now; what is taken later might not end in time.
+			s.stopped.Store(true)
+			if s.closeIdle() {
 				return
 			}
 		}
@@ -213,9 +222,26 @@
 	onClose(err error)
 }
 
-func (s *Server) received(socket *nbio.Conn, data []byte) {
-	if p, ok := socket.Session().(peer); ok {
-		p.onData(data)
+// read takes what has arrived. It reads up to the end, as the event loop by itself does not tell a
+// connection that was reset from one that was closed in order.
+func (s *Server) read(socket *nbio.Conn) {
+	for {
+		n, err := socket.Read(s.buffer)
+		switch {
+		case errors.Is(err, syscall.EINTR):
+		case errors.Is(err, syscall.EAGAIN):
+			return
+		case err != nil:
+			_ = socket.CloseWithError(err)
+			return
+		case n == 0:
+			_ = socket.CloseWithError(io.EOF)
+			return
+		default:
+			if p, ok := socket.Session().(peer); ok {
+				p.onData(s.buffer[:n])
+			}
+		}
 	}
 }
 
