Ask the platform's store less often

Change: feeds wait 8 s and gather changes for 250 ms, tables are verified every 20 s, members' rows have a period of 10 s, a lease's holder renews without a read, and only the first two live daemons of a domain seek it often.

--- a/cmd/chicoryhall/platformdaemon/builder.go
+++ b/cmd/chicoryhall/platformdaemon/builder.go
@@ -29,9 +29,27 @@
 // domains are shared by all prompts.
 const crossingCost = 3 * time.Second
 
+// candidates is the number of daemons of a failure domain that seek its lease.
+const candidates = 2
+
 // orderTerms suit engines that refuse an order if another was accepted since they were read.
-var orderTerms = placement.Terms{
-	LeaseDuration: 4 * time.Second, LeaseMargin: time.Second, SeekPeriod: time.Second, MaxLoads: 64,
+func (b *builder) orderTerms() placement.Terms {
+	return placement.Terms{
+		LeaseDuration: 6 * time.Second, LeaseMargin: 1500 * time.Millisecond, SeekPeriod: 2 * time.Second, MaxLoads: 64,
+		IsCandidate: b.isCandidate,
+	}
+}
+
+// isCandidate tells whether this daemon is among the first live ones of its failure domain.
+func (b *builder) isCandidate() bool {
+	before := 0
+	for _, member := range b.members.All() {
+		isNeighbour := member.FailureDomain == b.settings.FailureDomain && member.State == chicoryhall.MemberAlive
+		if isNeighbour && member.ID < b.settings.ID {
+			before++
+		}
+	}
+	return before < candidates
 }
 
 // builder holds the parts of one daemon while it is built and while it runs.
@@ -117,7 +135,7 @@
 	into.Add(placement.NewHolder(placement.Parts{
 		Self: b.settings.ID, FailureDomain: b.settings.FailureDomain, Table: b.table,
 		Documents: placement.NewRanged(b.documents, b.listed, b.timer), Engines: platform.NewEngines(b.client, b.listed),
-		Timer: b.timer, Terms: orderTerms, Log: b.log,
+		Timer: b.timer, Terms: b.orderTerms(), Log: b.log,
 	}))
 }
 
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -15,14 +15,16 @@
 
 const (
 	// feedWait is how long the store may hold a feed without changes; it bounds how long a deaf
-	// feed goes unnoticed.
-	feedWait = 2 * time.Second
+	// feed goes unnoticed. Connections that are silent are found by their own probes before.
+	feedWait = 8 * time.Second
 	// answerTimeout bounds an answer beyond that.
 	answerTimeout = 700 * time.Millisecond
 	// listTimeout bounds the read of the whole table.
 	listTimeout = 2 * time.Second
 	// verifyPeriod lies between two reads of the whole table without trouble.
-	verifyPeriod = 6 * time.Second
+	verifyPeriod = 20 * time.Second
+	// gatherTime is the pause behind changes, in which more of them gather for the next answer.
+	gatherTime = 250 * time.Millisecond
 	// firstPause and longestPause bound the pause after a failure; it doubles with each in a row.
 	firstPause   = 50 * time.Millisecond
 	longestPause = 400 * time.Millisecond
@@ -124,10 +126,11 @@
 		return errors.WithMessage(err, "wait for changes")
 	}
 	f.failures = 0
+	f.version = max(f.version, version)
 	if len(changes) > 0 {
 		f.config.Sink.Update(changes)
+		f.pause(ctx, gatherTime)
 	}
-	f.version = max(f.version, version)
 	return nil
 }
 
@@ -149,6 +152,10 @@
 	}
 	pause := min(longestPause, firstPause<<min(f.failures, 8))
 	f.failures++
+	f.pause(ctx, pause)
+}
+
+func (f *Follower[T]) pause(ctx context.Context, pause time.Duration) {
 	over := make(chan struct{})
 	waiting := f.config.Timer.After(pause, func(time.Time) { close(over) })
 	defer waiting.Cancel()
--- a/membership/listed.go
+++ b/membership/listed.go
@@ -18,7 +18,10 @@
 	// listedPrefix begins the keys of the daemons' rows in the table.
 	listedPrefix = "daemons/"
 	// rowPeriod lies between two writes of a daemon's own row and two reads of all rows.
-	rowPeriod = 4 * time.Second
+	rowPeriod = 10 * time.Second
+	// secondRead is when the rows are read again after the start: daemons that start together do
+	// not see each other's rows in the first read.
+	secondRead = 3 * time.Second
 	// rowLifetime is how long a row that does not change stands for a live daemon.
 	rowLifetime = 3*rowPeriod + rowPeriod/2
 	// rowTimeout bounds one call to the table.
@@ -107,7 +110,11 @@
 // Serve writes this daemon's row and reads the others' until ctx ends.
 func (l *Listed) Serve(ctx context.Context) error {
 	due := make(chan struct{}, 1)
-	due <- struct{}{}
+	l.write(ctx)
+	l.read(ctx)
+	again := make(chan struct{}, 1)
+	second := l.timer.After(secondRead, func(time.Time) { again <- struct{}{} })
+	defer second.Cancel()
 	ticks := l.timer.Every(rowPeriod, func(time.Time) {
 		select {
 		case due <- struct{}{}:
@@ -119,6 +126,8 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-again:
+			l.read(ctx)
 		case <-due:
 			l.write(ctx)
 			l.read(ctx)
--- a/placement/holder.go
+++ b/placement/holder.go
@@ -33,8 +33,11 @@
 	LeaseMargin   time.Duration
 	// LongestPause bounds the time from a look at the lease to the arrival of an order.
 	LongestPause time.Duration
-	// SeekPeriod lies between two looks at the lease's row.
+	// SeekPeriod lies between two looks at the lease's row, or between two renewals.
 	SeekPeriod time.Duration
+	// IsCandidate tells whether this daemon seeks the lease now, or is nil where every daemon does;
+	// a daemon that is none looks at the row once in idleSeeks periods.
+	IsCandidate func() bool
 	// MaxLoads is how many engines of the failure domain load weights at once.
 	MaxLoads int
 }
@@ -104,7 +107,7 @@
 		case <-due:
 		}
 		now := h.parts.Timer.Now()
-		if now.Sub(lastRead) >= h.parts.Terms.SeekPeriod {
+		if now.Sub(lastRead) >= h.seekPeriod() {
 			lastRead = now
 			h.seek(ctx)
 		}
@@ -114,15 +117,34 @@
 	}
 }
 
-// seek reads the lease's row and writes it when that is due.
+// idleSeeks is how many times as rarely a daemon that is no candidate looks at the lease's row.
+const idleSeeks = 10
+
+// seekPeriod is the time between two looks at the lease's row.
+func (h *Holder) seekPeriod() time.Duration {
+	period := h.parts.Terms.SeekPeriod
+	if !h.lease.Valid(h.parts.Timer.Now()) && h.parts.Terms.IsCandidate != nil && !h.parts.Terms.IsCandidate() {
+		period *= idleSeeks
+	}
+	return period
+}
+
+// seek reads the lease's row and writes it when that is due; a holder writes without a read, as
+// the write's condition shows whether the row is still its own.
 func (h *Holder) seek(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
-	row, _, err := h.parts.Table.Row(ctx, leasePrefix+string(h.parts.FailureDomain))
-	if err == nil {
-		err = h.lease.Read(row, h.parts.Timer.Now())
+	if !h.lease.Valid(h.parts.Timer.Now()) {
+		row, _, err := h.parts.Table.Row(ctx, leasePrefix+string(h.parts.FailureDomain))
+		if err == nil {
+			err = h.lease.Read(row, h.parts.Timer.Now())
+		}
+		if err != nil {
+			h.parts.Log.Log(event.RowsFailed, "step", "read the lease", "error", err)
+			return
+		}
 	}
-	if err != nil || !h.lease.Wants(h.parts.Timer.Now()) {
+	if !h.lease.Wants(h.parts.Timer.Now()) {
 		return
 	}
 	sent := h.parts.Timer.Now()
