Test the new packages; refuse names of header fields with spaces

Cause: found by the new table of requests that must be refused: a field "Content-Length : 1" passed net/http and hid the body's length, so that the reader and an endpoint behind could have seen other ends of the message. Failing first: TestRequestsThatAreRefused/space_before_the_colon.

--- /dev/null
+++ b/exchange/machine_test.go
@@ -0,0 +1,103 @@
+package exchange_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/exchange"
+)
+
+func always() bool { return true }
+
+func never() bool { return false }
+
+func TestVerdicts(t *testing.T) {
+	cases := []struct {
+		name      string
+		kind      chicoryhall.ExchangeKind
+		resumable bool
+		answering bool
+		failure   exchange.Failure
+		allowed   func() bool
+		want      exchange.Verdict
+	}{
+		{"unsafe, not sent", chicoryhall.ExchangeUnsafe, false, false, exchange.FailureUnsent, always, exchange.VerdictAgain},
+		{"unsafe, refused", chicoryhall.ExchangeUnsafe, false, false, exchange.FailureRefused, always, exchange.VerdictAgain},
+		{"unsafe, refused without budget", chicoryhall.ExchangeUnsafe, false, false, exchange.FailureRefused, never, exchange.VerdictNotRun},
+		{"unsafe, lost", chicoryhall.ExchangeUnsafe, false, false, exchange.FailureLost, always, exchange.VerdictUnknown},
+		{"unsafe, failed there", chicoryhall.ExchangeUnsafe, false, false, exchange.FailureAnswered, always, exchange.VerdictPassOn},
+		{"safe, lost", chicoryhall.ExchangeSafe, false, false, exchange.FailureLost, always, exchange.VerdictAgain},
+		{"safe, lost without budget", chicoryhall.ExchangeSafe, false, false, exchange.FailureLost, never, exchange.VerdictUnknown},
+		{"safe, failed there", chicoryhall.ExchangeSafe, false, false, exchange.FailureAnswered, always, exchange.VerdictAgain},
+		{"safe, failed there without budget", chicoryhall.ExchangeSafe, false, false, exchange.FailureAnswered, never, exchange.VerdictPassOn},
+		{"stream, lost", chicoryhall.ExchangeStream, false, false, exchange.FailureLost, always, exchange.VerdictUnknown},
+		{"stream, lost midway", chicoryhall.ExchangeStream, false, true, exchange.FailureLost, always, exchange.VerdictCut},
+		{"resumable, lost midway", chicoryhall.ExchangeStream, true, true, exchange.FailureLost, always, exchange.VerdictAgain},
+		{"resumable, lost midway without budget", chicoryhall.ExchangeStream, true, true, exchange.FailureLost, never, exchange.VerdictCut},
+		{"resumable, failed while it goes on", chicoryhall.ExchangeStream, true, true, exchange.FailureAnswered, never, exchange.VerdictCut},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			m := exchange.New(exchange.Config{Kind: c.kind, Resumable: c.resumable, MaxAttempts: 2})
+			if c.answering {
+				m.Answering()
+			}
+			must.Eq(t, c.want, m.After(c.failure, c.allowed))
+		})
+	}
+}
+
+func TestGiveUp(t *testing.T) {
+	fresh := exchange.New(exchange.Config{Kind: chicoryhall.ExchangeSafe, MaxAttempts: 2})
+	must.Eq(t, exchange.VerdictNotRun, fresh.GiveUp(false))
+	must.Eq(t, exchange.VerdictUnknown, fresh.GiveUp(true))
+	must.False(t, fresh.MayHaveRun())
+	must.Eq(t, exchange.VerdictAgain, fresh.After(exchange.FailureLost, always))
+	must.True(t, fresh.MayHaveRun())
+	must.Eq(t, 1, fresh.Attempts())
+	must.Eq(t, exchange.VerdictUnknown, fresh.GiveUp(false))
+	must.False(t, fresh.IsAnswering())
+	fresh.Answering()
+	must.True(t, fresh.IsAnswering())
+	must.Eq(t, exchange.VerdictCut, fresh.GiveUp(false))
+}
+
+// TestPromisesHoldOverEveryOrderOfFailures draws requests and failures. Mutations that it catches:
+// sending again a request that is not repeatable, one run too many, "not run" after a run.
+func TestPromisesHoldOverEveryOrderOfFailures(t *testing.T) {
+	kinds := chicoryhall.ExchangeKindValues()
+	failures := exchange.FailureValues()
+	rapid.Check(t, func(t *rapid.T) {
+		config := exchange.Config{
+			Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), Resumable: rapid.Bool().Draw(t, "resumable"),
+			MaxAttempts: rapid.IntRange(0, 4).Draw(t, "attempts"),
+		}
+		m := exchange.New(config)
+		runs, refused, answering := 0, 0, false
+		for {
+			if !answering && rapid.Bool().Draw(t, "answering") {
+				m.Answering()
+				answering = true
+			}
+			failure := rapid.SampledFrom(failures).Draw(t, "failure")
+			hasRun := failure == exchange.FailureLost || failure == exchange.FailureAnswered
+			if hasRun {
+				runs++
+			} else {
+				refused++
+			}
+			verdict := m.After(failure, func() bool { return rapid.Bool().Draw(t, "budget") })
+			if verdict != exchange.VerdictAgain {
+				must.Eq(t, verdict == exchange.VerdictNotRun, runs == 0 && !answering)
+				must.Eq(t, answering, verdict == exchange.VerdictCut)
+				return
+			}
+			must.True(t, runs == 0 || m.Repeatable())
+			must.LessEq(t, max(1, config.MaxAttempts), runs+1)
+			must.Less(t, 3, refused)
+		}
+	})
+}
--- a/http1/head.go
+++ b/http1/head.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // parseRequest reads a request's head and where its body ends.
@@ -58,10 +59,13 @@
 		if strings.ContainsAny(field, "\r\n") {
 			return errors.New("a field of the head contains a bare end of line")
 		}
-		if field != "" && (field[0] == ' ' || field[0] == '\t') {
-			return errors.New("a field of the head is folded over lines")
+		if field == "" {
+			continue
 		}
 		name, _, _ := strings.Cut(field, ":")
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Errorf("%q is no name of a header field", name)
+		}
 		switch {
 		case strings.EqualFold(name, "Content-Length"):
 			lengths++
--- /dev/null
+++ b/http1/reader_test.go
@@ -0,0 +1,204 @@
+package http1_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"chicoryhall.example/chicoryhall/http1"
+)
+
+// collector notes what a reader tells.
+type collector struct {
+	reader  *http1.Reader[*http.Request]
+	pause   bool
+	targets []string
+	bodies  []string
+	body    string
+}
+
+func (c *collector) OnHead(head *http.Request) error {
+	c.targets = append(c.targets, head.Method+" "+head.RequestURI)
+	c.body = ""
+	return nil
+}
+
+func (c *collector) OnBody(piece []byte) error {
+	c.body += string(piece)
+	return nil
+}
+
+func (c *collector) OnEnd() error {
+	c.bodies = append(c.bodies, c.body)
+	if c.pause {
+		c.reader.Pause()
+	}
+	return nil
+}
+
+func newCollector(limits http1.Limits) *collector {
+	c := &collector{}
+	c.reader = http1.NewRequestReader(c, limits)
+	return c
+}
+
+const twoRequests = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello" +
+	"POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: v\r\n\r\n"
+
+// TestEverySplitReadsTheSame cuts the bytes of two requests anywhere.
+func TestEverySplitReadsTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCollector(http1.Limits{Head: 1024, Body: 1024})
+		left := twoRequests
+		for left != "" {
+			n := rapid.IntRange(1, len(left)).Draw(t, "bytes")
+			must.NoError(t, c.reader.Feed([]byte(left[:n])))
+			left = left[n:]
+		}
+		must.Eq(t, []string{"POST /a", "POST /b"}, c.targets)
+		must.Eq(t, []string{"hello", "abcde"}, c.bodies)
+		must.True(t, c.reader.Between())
+	})
+}
+
+func TestRequestsThatAreRefused(t *testing.T) {
+	const head = "POST /a HTTP/1.1\r\nHost: h\r\n"
+	cases := []struct {
+		name  string
+		bytes string
+		want  error
+	}{
+		{"two lengths", head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab", nil},
+		{"two equal lengths", head + "Content-Length: 1\r\nContent-Length: 1\r\n\r\na", nil},
+		{"length and chunks", head + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", nil},
+		{"unknown encoding", head + "Transfer-Encoding: gzip\r\n\r\n", nil},
+		{"space before the colon", head + "Content-Length : 1\r\n\r\na", nil},
+		{"folded field", head + "A: b\r\n c\r\n\r\n", nil},
+		{"bare line feed", head + "A: b\nContent-Length: 1\r\n\r\na", nil},
+		{"negative length", head + "Content-Length: -1\r\n\r\n", nil},
+		{"signed chunk size", head + "Transfer-Encoding: chunked\r\n\r\n+1\r\na\r\n0\r\n\r\n", nil},
+		{"chunk without its end", head + "Transfer-Encoding: chunked\r\n\r\n1\r\nab\r\n0\r\n\r\n", nil},
+		{"empty chunk size", head + "Transfer-Encoding: chunked\r\n\r\n\r\n", nil},
+		{"long chunk line", head + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("0", 4096), nil},
+		{"no request", "\x16\x03\x01\r\n\r\n", nil},
+		{"large head", "GET /" + strings.Repeat("a", 300) + " HTTP/1.1\r\nHost: h\r\n\r\n", http1.ErrHeadTooLarge},
+		{"large head without its end", "GET /" + strings.Repeat("a", 300), http1.ErrHeadTooLarge},
+		{"large body", head + "Content-Length: 65\r\n\r\n", http1.ErrBodyTooLarge},
+		{"large chunked body", head + "Transfer-Encoding: chunked\r\n\r\n41\r\n" + strings.Repeat("a", 65), http1.ErrBodyTooLarge},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			collected := newCollector(http1.Limits{Head: 200, Body: 64})
+			err := collected.reader.Feed([]byte(c.bytes))
+			must.Error(t, err)
+			if c.want != nil {
+				must.True(t, errors.Is(err, c.want))
+			}
+			must.SliceEmpty(t, collected.bodies)
+		})
+	}
+}
+
+func TestPauseKeepsLaterRequests(t *testing.T) {
+	c := newCollector(http1.Limits{Head: 1024, Body: 1024})
+	c.pause = true
+	must.NoError(t, c.reader.Feed([]byte(twoRequests)))
+	must.Eq(t, []string{"POST /a"}, c.targets)
+	must.False(t, c.reader.Between())
+	must.NoError(t, c.reader.Resume())
+	must.Eq(t, []string{"POST /a", "POST /b"}, c.targets)
+	must.Eq(t, 0, c.reader.Kept())
+}
+
+// answers notes the answers of an endpoint.
+type answers struct {
+	statuses []int
+	body     string
+	whole    int
+}
+
+func (a *answers) OnHead(head *http.Response) error {
+	a.statuses = append(a.statuses, head.StatusCode)
+	return nil
+}
+
+func (a *answers) OnBody(piece []byte) error {
+	a.body += string(piece)
+	return nil
+}
+
+func (a *answers) OnEnd() error {
+	a.whole++
+	return nil
+}
+
+func TestAnswers(t *testing.T) {
+	cases := []struct {
+		name   string
+		method string
+		bytes  string
+		body   string
+		whole  int
+		// afterEnd is the number of whole answers once the connection has ended in order.
+		afterEnd int
+		cut      bool
+	}{
+		{"length", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", "ab", 1, 1, false},
+		{"cut", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", "ab", 0, 0, true},
+		{"cut chunks", "GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", "ab", 0, 0, true},
+		{"until the end", "GET", "HTTP/1.1 200 OK\r\n\r\nab", "ab", 0, 1, false},
+		{"no body for HEAD", "HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", "", 1, 1, false},
+		{"no content", "GET", "HTTP/1.1 204 No Content\r\n\r\n", "", 1, 1, false},
+		{"cut head", "GET", "HTTP/1.1 200 OK\r\nConte", "", 0, 0, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got := &answers{}
+			reader := http1.NewResponseReader(got, func() string { return c.method }, http1.Limits{Head: 1024})
+			must.NoError(t, reader.Feed([]byte(c.bytes)))
+			must.Eq(t, c.body, got.body)
+			must.Eq(t, c.whole, got.whole)
+			err := reader.End()
+			must.Eq(t, c.cut, errors.Is(err, http1.ErrCut))
+			must.Eq(t, c.afterEnd, got.whole)
+		})
+	}
+}
+
+func TestHeadsThatAreWritten(t *testing.T) {
+	header := http.Header{
+		"Connection": {"close, X-Hop"}, "X-Hop": {"1"}, "Keep-Alive": {"timeout=5"}, "Transfer-Encoding": {"chunked"},
+		"Content-Length": {"9"}, "A": {"b"}, "Bad": {"c\r\nd: e"},
+	}
+	kept := http1.EndToEnd(header)
+	must.Eq(t, http.Header{"A": {"b"}, "Bad": {"c\r\nd: e"}}, kept)
+	must.Eq(t, "POST /x?y HTTP/1.1\r\nHost: h\r\nA: b\r\nContent-Length: 0\r\n\r\n",
+		string(http1.AppendRequestHead(nil, "POST", "/x?y", "h", kept, 0)))
+	must.Eq(t, "HTTP/1.1 200 OK\r\nA: b\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n",
+		string(http1.AppendResponseHead(nil, 200, kept, http1.FramingChunked, 0, true)))
+	must.Eq(t, "2\r\nab\r\n0\r\n\r\n", string(http1.AppendLastChunk(http1.AppendChunk(http1.AppendChunk(nil, []byte("ab")), nil))))
+}
+
+// FuzzRequests feeds any bytes in two pieces: it must not panic, and what is whole in one piece must
+// be whole in two.
+func FuzzRequests(f *testing.F) {
+	f.Add([]byte(twoRequests), 7)
+	f.Add([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), 3)
+	f.Fuzz(func(t *testing.T, data []byte, cut int) {
+		limits := http1.Limits{Head: 512, Body: 512}
+		one, two := newCollector(limits), newCollector(limits)
+		errOne := one.reader.Feed(data)
+		cut = max(0, min(len(data), cut))
+		errTwo := two.reader.Feed(data[:cut])
+		if errTwo == nil {
+			errTwo = two.reader.Feed(data[cut:])
+		}
+		if errOne == nil && errTwo == nil {
+			must.Eq(t, one.bodies, two.bodies)
+		}
+	})
+}
--- /dev/null
+++ b/membership/listed_test.go
@@ -0,0 +1,73 @@
+package membership_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/shoenig/test/must"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/event"
+	"chicoryhall.example/chicoryhall/membership"
+	"chicoryhall.example/chicoryhall/table"
+	"chicoryhall.example/chicoryhall/table/tabletest"
+	"chicoryhall.example/chicoryhall/timer"
+)
+
+// rowWriter writes daemons' rows as they stand in a table.
+func writeRow(t *testing.T, store *tabletest.Store, id, value string) {
+	t.Helper()
+	_, err := store.Transact(context.Background(), table.Transaction{
+		Nonce: "n", Changes: []table.Change{{Key: "daemons/" + id, Value: value, IfVersion: table.AnyVersion}},
+	})
+	must.NoError(t, err)
+}
+
+func TestListedMembersFindEachOther(t *testing.T) {
+	store := &tabletest.Store{}
+	clock := timer.NewManual(time.Unix(1000, 0))
+	logger := event.NewLogger(io.Discard, "test", log.InfoLevel)
+	members := membership.NewListed(chicoryhall.Member{ID: "a", FailureDomain: "f"}, store, clock, logger)
+	told := make(chan chicoryhall.Member, 16)
+	members.Subscribe(func(member chicoryhall.Member) { told <- member })
+	writeRow(t, store, "b", `{"failureDomain":"g","run":7}`)
+	writeRow(t, store, "damaged", `{"run":"x"}`)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ended := make(chan error, 1)
+	serveMembers(ended, func() error { return members.Serve(ctx) })
+
+	first := <-told
+	must.Eq(t, "b", first.ID)
+	must.Eq(t, "g", first.FailureDomain)
+	must.Eq(t, chicoryhall.MemberAlive, first.State)
+	must.Eq(t, 2, members.Alive())
+	must.Eq(t, "a", members.Self().ID)
+	row, found, err := store.Row(ctx, "daemons/a")
+	must.NoError(t, err)
+	must.True(t, found)
+	must.StrContains(t, row.Value, `"failureDomain":"f"`)
+
+	// The row of b does not change any more.
+	deadline := time.Now().Add(10 * time.Second)
+	for members.Alive() > 1 && time.Now().Before(deadline) {
+		clock.Advance(time.Second)
+		time.Sleep(time.Millisecond)
+	}
+	must.Eq(t, 1, members.Alive())
+	must.Eq(t, chicoryhall.MemberDead, members.All()[0].State)
+
+	cancel()
+	<-ended
+	members.Leave(context.Background())
+	_, found, err = store.Row(context.Background(), "daemons/a")
+	must.NoError(t, err)
+	must.False(t, found)
+}
+
+func serveMembers(ended chan<- error, function func() error) {
+	go func() { ended <- function() }()
+}
--- /dev/null
+++ b/retry/window_test.go
@@ -0,0 +1,71 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"chicoryhall.example/chicoryhall/retry"
+)
+
+// TestWindowsKeepTheBoundInEverySpan draws requests and retries of several daemons and looks at
+// every span. Mutations that it catches: a window that forgets too early, the whole slack for each
+// daemon, requests that count too long.
+func TestWindowsKeepTheBoundInEverySpan(t *testing.T) {
+	const daemons = 3
+	terms := retry.Terms{Window: 2 * time.Second, Ratio: 0.2, Slack: 12}
+	type happening struct {
+		at    time.Time
+		retry bool
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		var all []*retry.Windows
+		for range daemons {
+			all = append(all, retry.NewWindows(terms, func() int { return daemons }))
+		}
+		now := time.Unix(1000, 0)
+		var happened []happening
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "pause")) * time.Millisecond)
+			daemon := all[rapid.IntRange(0, daemons-1).Draw(t, "daemon")]
+			if rapid.Bool().Draw(t, "request") {
+				daemon.Requested("s", now)
+				happened = append(happened, happening{at: now})
+			} else if daemon.Take("s", now) {
+				happened = append(happened, happening{at: now, retry: true})
+			}
+		}
+		for _, last := range happened {
+			requests, retries := 0.0, 0.0
+			for _, one := range happened {
+				if age := last.at.Sub(one.at); age < 0 || age > terms.Window {
+					continue
+				}
+				if one.retry {
+					retries++
+				} else {
+					requests++
+				}
+			}
+			must.LessEq(t, terms.Ratio*requests+terms.Slack, retries)
+		}
+	})
+}
+
+func TestWindowsSpendAgainLater(t *testing.T) {
+	windows := retry.NewWindows(retry.Terms{Window: time.Second, Slack: 5}, func() int { return 0 })
+	now := time.Unix(1000, 0)
+	for range 4 {
+		must.True(t, windows.Take("s", now))
+	}
+	must.False(t, windows.Take("s", now))
+	must.True(t, windows.Take("other", now))
+	must.False(t, windows.Take("s", now.Add(-time.Hour)))
+	must.True(t, windows.Take("s", now.Add(2*time.Second)))
+	for range 10 {
+		windows.Requested("s", now.Add(time.Hour))
+	}
+	must.True(t, windows.Take("s", now.Add(time.Hour)))
+}
--- /dev/null
+++ b/routing/routing_test.go
@@ -0,0 +1,132 @@
+package routing_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/routing"
+)
+
+func ruleSet(version int64) *chicoryhall.RuleSet {
+	rule := func(name, host, prefix string) chicoryhall.Rule {
+		return chicoryhall.Rule{
+			Name: name, Host: host, Prefix: prefix, Priority: 1, Kind: chicoryhall.ExchangeSafe,
+			Targets: []chicoryhall.RuleTarget{{Service: "s", Weight: 3}, {Service: "other", Weight: 1}},
+		}
+	}
+	return &chicoryhall.RuleSet{
+		Version: version,
+		Rules:   []chicoryhall.Rule{rule("short", "a.example", "/x/"), rule("long", "a.example", "/x/y/"), rule("else", "b.example", "/")},
+		Organisations: []chicoryhall.RuleOrganisation{
+			{Name: "first", Credentials: []string{"k1", "k2"}, Priority: 0, HasPriority: true},
+			{Name: "second", Credentials: []string{"k3"}},
+		},
+		Documents: []*chicoryhall.Document{{Service: "s", Kind: chicoryhall.ServicePlain}},
+	}
+}
+
+func TestMatch(t *testing.T) {
+	cases := []struct {
+		host, path string
+		want       string
+	}{
+		{"a.example", "/x/1", "short"},
+		{"a.example", "/x/y/1", "long"},
+		{"A.Example", "/x/y/", "long"},
+		{"a.example:80", "/x/y/1", "long"},
+		{"a.example", "/x", ""},
+		{"a.example", "/z/", ""},
+		{"b.example", "/x/y/1", "else"},
+		{"c.example", "/x/1", ""},
+	}
+	table := routing.NewTable(ruleSet(1))
+	for _, c := range cases {
+		rule, found := table.Match(c.host, c.path)
+		must.Eq(t, c.want != "", found)
+		if found {
+			must.Eq(t, c.want, rule.Name)
+		}
+	}
+}
+
+func TestIdentify(t *testing.T) {
+	table := routing.NewTable(ruleSet(1))
+	must.True(t, table.AsksForCredentials())
+	must.False(t, routing.NewTable(&chicoryhall.RuleSet{}).AsksForCredentials())
+	identity, known := table.Identify("k2")
+	must.True(t, known)
+	must.Eq(t, routing.Identity{Organisation: "first", HasPriority: true}, identity)
+	_, known = table.Identify("")
+	must.False(t, known)
+}
+
+func TestTargetFollowsTheWeights(t *testing.T) {
+	rule := &ruleSet(1).Rules[0]
+	for _, c := range []struct {
+		draw float64
+		want chicoryhall.ServiceName
+	}{{0, "s"}, {0.74, "s"}, {0.76, "other"}, {0.999, "other"}} {
+		must.Eq(t, c.want, routing.Target(rule, c.draw))
+	}
+	must.Eq(t, "s", routing.Target(&chicoryhall.Rule{Targets: []chicoryhall.RuleTarget{{Service: "s"}}}, 0.5))
+}
+
+func TestCurrentNeverGoesBack(t *testing.T) {
+	current := routing.NewCurrent()
+	_, known := current.Table()
+	must.False(t, known)
+	var told []int64
+	current.Subscribe(func(table *routing.Table) { told = append(told, table.Version()) })
+	for _, c := range []struct {
+		version int64
+		want    bool
+	}{{3, true}, {2, false}, {3, false}, {7, true}, {5, false}} {
+		must.Eq(t, c.want, current.Apply(ruleSet(c.version)))
+	}
+	table, known := current.Table()
+	must.True(t, known)
+	must.Eq(t, 7, table.Version())
+	must.Eq(t, []int64{3, 7}, told)
+}
+
+// listed gives the same endpoints for each service.
+type listed struct {
+	endpoints []chicoryhall.DocumentEndpoint
+	changed   func(chicoryhall.ServiceName)
+}
+
+func (l *listed) Endpoints(chicoryhall.ServiceName) []chicoryhall.DocumentEndpoint { return l.endpoints }
+
+func (l *listed) SubscribeList(changed func(chicoryhall.ServiceName)) { l.changed = changed }
+
+func TestDocumentsJoinRulesAndList(t *testing.T) {
+	current, list := routing.NewCurrent(), &listed{}
+	documents := routing.NewDocuments(current, list)
+	var told int
+	documents.Subscribe(func(chicoryhall.InForce) { told++ })
+	list.changed("s")
+	_, known := documents.InForce("s")
+	must.False(t, known)
+	must.Eq(t, 0, told)
+
+	current.Apply(ruleSet(4))
+	inForce, known := documents.InForce("s")
+	must.True(t, known)
+	must.Eq(t, 4, inForce.Version)
+	must.SliceEmpty(t, inForce.Document.Endpoints)
+	must.Eq(t, []chicoryhall.ClassName{"safe-1", "safe-0"}, []chicoryhall.ClassName{
+		inForce.Document.Classes[0].Name, inForce.Document.Classes[1].Name,
+	})
+	must.Len(t, 2, inForce.Document.Classes)
+
+	list.endpoints = []chicoryhall.DocumentEndpoint{{ID: "e"}}
+	list.changed("s")
+	list.changed("unknown")
+	renewed, _ := documents.InForce("s")
+	must.Eq(t, list.endpoints, renewed.Document.Endpoints)
+	must.SliceEmpty(t, inForce.Document.Endpoints)
+	must.Len(t, 1, documents.All())
+	must.Eq(t, 2, told)
+}
--- /dev/null
+++ b/watch/listed_test.go
@@ -0,0 +1,219 @@
+package watch_test
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/shoenig/test/must"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/event"
+	"chicoryhall.example/chicoryhall/timer"
+	"chicoryhall.example/chicoryhall/watch"
+)
+
+// listedWorld is a Listed on a clock that the test moves.
+type listedWorld struct {
+	*watch.Listed
+	clock   *timer.Manual
+	daemons int
+}
+
+func newListedWorld() *listedWorld {
+	w := &listedWorld{clock: timer.NewManual(time.Unix(1000, 0)), daemons: 4}
+	document := &chicoryhall.Document{
+		Service: "draft", Kind: chicoryhall.ServicePipeline,
+		Model:        chicoryhall.DocumentModel{Layers: 10, LayerBytes: 10, KVBytes: 1, UsualPrompt: 1, UsualAnswer: 1},
+		Accelerators: []chicoryhall.DocumentAccelerator{{Kind: "a", MemoryBytes: 200, Batch: 100}},
+	}
+	w.Listed = watch.NewListed(watch.ListedConfig{
+		Timer: w.clock, Daemons: func() int { return w.daemons },
+		Document: func(service chicoryhall.ServiceName) (*chicoryhall.Document, bool) { return document, service == "draft" },
+		Log:      event.NewLogger(io.Discard, "test", log.InfoLevel),
+	})
+	w.clock.Every(100*time.Millisecond, w.Tick)
+	return w
+}
+
+func listing(id chicoryhall.EngineID) chicoryhall.Listing {
+	return chicoryhall.Listing{ID: id, Service: "draft", Address: "10.0.0.1:1", FailureDomain: "f", Accelerator: "a", Incarnation: 1, Places: 50}
+}
+
+func (w *listedWorld) state(id chicoryhall.EngineID) chicoryhall.EndpointState { return w.View(id).State }
+
+func removed(id chicoryhall.EngineID) []chicoryhall.ListingChange {
+	return []chicoryhall.ListingChange{{Listing: chicoryhall.Listing{ID: id}, Removed: true}}
+}
+
+func listed(one chicoryhall.Listing) []chicoryhall.ListingChange {
+	return []chicoryhall.ListingChange{{Listing: one}}
+}
+
+func TestListedFollowsTheList(t *testing.T) {
+	w := newListedWorld()
+	var states []chicoryhall.EndpointState
+	lists := 0
+	w.Subscribe(func(_ chicoryhall.EngineID, state chicoryhall.EndpointState) { states = append(states, state) })
+	w.SubscribeList(func(chicoryhall.ServiceName) { lists++ })
+	must.Eq(t, chicoryhall.EndpointDead, w.state("e"))
+	w.Replace([]chicoryhall.Listing{listing("e")})
+	must.Eq(t, chicoryhall.EndpointReady, w.state("e"))
+	w.Replace([]chicoryhall.Listing{listing("e")})
+	must.Eq(t, 1, lists)
+
+	leaving := listing("e")
+	leaving.Leaving = true
+	w.Update(listed(leaving))
+	must.Eq(t, chicoryhall.EndpointLeaving, w.state("e"))
+	w.Update(removed("e"))
+	must.Eq(t, chicoryhall.EndpointDead, w.state("e"))
+	must.SliceEmpty(t, w.Endpoints("draft"))
+	must.Eq(t, 3, lists)
+	must.Eq(t, []chicoryhall.EndpointState{
+		chicoryhall.EndpointReady, chicoryhall.EndpointLeaving, chicoryhall.EndpointDead,
+	}, states)
+}
+
+func TestListedNewRunForgetsWhatWasBelieved(t *testing.T) {
+	w := newListedWorld()
+	held := listing("e")
+	held.Holdings = []chicoryhall.Holding{{From: 2, To: 5}}
+	w.Replace([]chicoryhall.Listing{held})
+	must.Eq(t, 2, w.Endpoints("draft")[0].From)
+	must.Eq(t, 5, w.Endpoints("draft")[0].To)
+	w.Observe("e", chicoryhall.ObservedLeaving)
+	must.Eq(t, chicoryhall.EndpointLeaving, w.state("e"))
+	w.Update(listed(held))
+	must.Eq(t, chicoryhall.EndpointLeaving, w.state("e"))
+	again := listing("e")
+	again.Incarnation = 2
+	w.Update(listed(again))
+	must.Eq(t, chicoryhall.EndpointReady, w.state("e"))
+	must.Eq(t, 0, w.Endpoints("draft")[0].To)
+}
+
+func TestListedKeepsEndpointsThroughAnOutage(t *testing.T) {
+	w := newListedWorld()
+	w.Replace([]chicoryhall.Listing{listing("back"), listing("lost")})
+	w.Away()
+	w.Update(removed("back"))
+	w.clock.Advance(time.Minute)
+	must.Eq(t, chicoryhall.EndpointReady, w.state("back"))
+	w.Back()
+	w.Replace(nil)
+	w.clock.Advance(1500 * time.Millisecond)
+	must.Eq(t, chicoryhall.EndpointReady, w.state("lost"))
+	w.Update(listed(listing("back")))
+	w.clock.Advance(time.Second)
+	must.Eq(t, chicoryhall.EndpointReady, w.state("back"))
+	must.Eq(t, chicoryhall.EndpointDead, w.state("lost"))
+	w.Update(removed("back"))
+	must.Eq(t, chicoryhall.EndpointDead, w.state("back"))
+}
+
+func TestListedSuspicionGrowsAndEnds(t *testing.T) {
+	w := newListedWorld()
+	w.Replace([]chicoryhall.Listing{listing("e")})
+	for _, pause := range []time.Duration{500, 1000, 2000, 4000, 4000} {
+		w.Observe("e", chicoryhall.ObservedSilence)
+		w.Observe("e", chicoryhall.ObservedRefusedConnection)
+		w.clock.Advance(pause*time.Millisecond - time.Millisecond)
+		must.Eq(t, chicoryhall.EndpointSuspect, w.state("e"))
+		w.clock.Advance(time.Millisecond)
+		must.Eq(t, chicoryhall.EndpointReady, w.state("e"))
+	}
+	w.Observe("e", chicoryhall.ObservedSilence)
+	w.Observe("e", chicoryhall.ObservedProgress)
+	must.Eq(t, chicoryhall.EndpointReady, w.state("e"))
+	must.Eq(t, w.clock.Now(), w.Progressed("e"))
+	w.Observe("e", chicoryhall.ObservedSilence)
+	w.clock.Advance(500 * time.Millisecond)
+	must.Eq(t, chicoryhall.EndpointReady, w.state("e"))
+}
+
+func TestListedCountsAmbiguousFailures(t *testing.T) {
+	cases := []struct {
+		name  string
+		pause time.Duration
+		want  chicoryhall.EndpointState
+	}{
+		{"three soon", 500 * time.Millisecond, chicoryhall.EndpointSuspect},
+		{"three slowly", 1100 * time.Millisecond, chicoryhall.EndpointReady},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newListedWorld()
+			w.Replace([]chicoryhall.Listing{listing("e")})
+			for range 2 {
+				w.Observe("e", chicoryhall.ObservedBrokenConnection)
+				must.Eq(t, chicoryhall.EndpointReady, w.state("e"))
+				w.clock.Advance(c.pause)
+			}
+			w.Observe("e", chicoryhall.ObservedSlow)
+			must.Eq(t, c.want, w.state("e"))
+		})
+	}
+}
+
+func TestListedKnowsWhenAnEndpointIsFull(t *testing.T) {
+	w := newListedWorld()
+	held := listing("e")
+	held.Holdings = []chicoryhall.Holding{{From: 0, To: 10}}
+	w.Replace([]chicoryhall.Listing{held})
+	// The memory beside ten layers holds five requests; four daemons are taken to send alike.
+	w.Begin("e")
+	must.False(t, w.View("e").Full)
+	must.Eq(t, 0, w.View("e").Load.Running)
+	w.Report("e", 4)
+	must.Eq(t, 3, w.View("e").Load.Running)
+	must.False(t, w.View("e").Full)
+	w.Begin("e")
+	must.True(t, w.View("e").Full)
+	w.End("e")
+	must.False(t, w.View("e").Full)
+	w.clock.Advance(2 * time.Second)
+	must.Eq(t, 0, w.View("e").Load.Running)
+
+	w.Observe("e", chicoryhall.ObservedFull)
+	must.True(t, w.View("e").Full)
+	must.Eq(t, chicoryhall.EndpointReady, w.state("e"))
+	w.clock.Advance(200 * time.Millisecond)
+	must.False(t, w.View("e").Full)
+}
+
+func TestListedScalesBySeenLoad(t *testing.T) {
+	w := newListedWorld()
+	first, second := listing("first"), listing("second")
+	w.Replace([]chicoryhall.Listing{first, second})
+	for _, id := range []chicoryhall.EngineID{"first", "second"} {
+		for range 4 {
+			w.Begin(id)
+		}
+	}
+	must.Eq(t, 0, w.View("second").Load.Running)
+	w.Report("first", 9)
+	must.Eq(t, 5, w.View("first").Load.Running)
+	must.Eq(t, 4, w.View("second").Load.Running) // Twice this daemon's own work.
+	w.Report("first", 100)
+	must.Eq(t, 12, w.View("second").Load.Running) // No more than the daemons there are.
+}
+
+func TestListedFindsByAddressAndForgets(t *testing.T) {
+	w := newListedWorld()
+	w.Replace([]chicoryhall.Listing{listing("e")})
+	id, known := w.ByAddress("10.0.0.1:1")
+	must.True(t, known)
+	must.Eq(t, "e", id)
+	w.Begin("e")
+	w.Update(removed("e"))
+	_, known = w.ByAddress("10.0.0.1:1")
+	must.False(t, known)
+	w.Observe("e", chicoryhall.ObservedProgress)
+	must.Eq(t, chicoryhall.EndpointDead, w.state("e"))
+	w.End("e")
+	must.True(t, w.Progressed("e").IsZero())
+	w.End("e")
+	w.Begin("e")
+}
