Send a failed request elsewhere than to the endpoint that failed it

Cause: found by the new tests of passthrough over real connections: a safe request that an endpoint answered with a failure, and a stream that ended inside an event, were sent to the same endpoint again, as only lost connections excluded it.

--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -150,6 +150,12 @@
 	}
 }
 
+// avoidFirst keeps further attempts away from the endpoint that answered: a part of a pipeline that
+// fails further on shows as a stall, so the fault is its own.
+func (a *attempt) avoidFirst() {
+	a.run.tried = append(a.run.tried, a.route.Hops[0].Engine)
+}
+
 // end gives back what the attempt holds; abandon closes its connection.
 func (a *attempt) end(abandon bool) {
 	if a.ended {
@@ -260,6 +266,7 @@
 		return
 	}
 	if a.terms.Unsigned {
+		a.avoidFirst()
 		a.fail(exchange.FailureLost, errors.New("the success carries no signature"))
 		return
 	}
@@ -307,6 +314,7 @@
 		var err error
 		if out, err = x.events.Feed(nil, piece); err != nil {
 			x.parts().Endpoints.Observe(a.route.Hops[0].Engine, chicoryhall.ObservedBrokenConnection)
+			a.avoidFirst()
 			a.fail(exchange.FailureLost, err)
 			return
 		}
@@ -345,10 +353,12 @@
 	case a.terms.NotRun:
 		a.refused()
 	case a.streaming && x.events != nil && !x.events.IsBetween():
+		a.avoidFirst()
 		a.fail(exchange.FailureLost, errors.New("the stream ended inside an event"))
 	case a.streaming:
 		a.finishStream(status)
 	case status >= http.StatusInternalServerError:
+		a.avoidFirst()
 		a.fail(exchange.FailureAnswered, errors.Errorf("the endpoint answered with status %d", status))
 	case x.machine.IsAnswering():
 		a.fail(exchange.FailureLost, errors.Errorf("the stream goes on with status %d", status))
@@ -398,7 +408,7 @@
 func (a *attempt) takeFailure(err error, sent bool) {
 	x := a.run
 	first := a.route.Hops[0].Engine
-	x.tried = append(x.tried, first)
+	a.avoidFirst()
 	if sent {
 		x.parts().Endpoints.Observe(first, chicoryhall.ObservedBrokenConnection)
 		a.fail(exchange.FailureLost, err)
--- /dev/null
+++ b/passthrough/world_test.go
@@ -0,0 +1,359 @@
+package passthrough_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/event"
+	"chicoryhall.example/chicoryhall/passthrough"
+	"chicoryhall.example/chicoryhall/routing"
+	"chicoryhall.example/chicoryhall/timer"
+)
+
+// plainDialect is a dialect with one header for each term.
+type plainDialect struct{}
+
+func (plainDialect) Caller(header http.Header) (chicoryhall.CallerTerms, error) {
+	terms := chicoryhall.CallerTerms{
+		ID: chicoryhall.RequestID(header.Get("Id")), Credential: header.Get("Key"), LastEvent: header.Get("Last"),
+	}
+	if text := header.Get("Wait"); text != "" {
+		wait, err := time.ParseDuration(text)
+		if err != nil {
+			return terms, err
+		}
+		terms.Patience = wait
+	}
+	return terms, nil
+}
+
+func (plainDialect) Forward(header http.Header, terms chicoryhall.EndpointTerms) http.Header {
+	out := header.Clone()
+	out.Del("Key")
+	out.Set("Wait", terms.Remaining.String())
+	out.Set("Endpoint", string(terms.Endpoint))
+	out.Set("Organisation", string(terms.Organisation))
+	if terms.LastEvent != "" {
+		out.Set("Last", terms.LastEvent)
+	}
+	return out
+}
+
+func (plainDialect) Answer(response *http.Response) chicoryhall.AnswerTerms {
+	return chicoryhall.AnswerTerms{
+		NotRun: response.Header.Get("Not-Run") != "", RequestID: chicoryhall.RequestID(response.Header.Get("Id")),
+		Unsigned: response.StatusCode == http.StatusOK && response.Header.Get("Signature") == "", Running: -1,
+	}
+}
+
+// endpoint is a stand-in whose behaviour a test writes: it gets each request and its connection.
+type endpoint struct {
+	listener net.Listener
+	mu       sync.Mutex
+	seen     []*http.Request
+	bodies   []string
+}
+
+// behaviour answers one request on a connection; false closes the connection.
+type behaviour func(conn net.Conn, number int, request *http.Request) bool
+
+func newEndpoint(t *testing.T, behave behaviour) *endpoint {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	e := &endpoint{listener: listener}
+	var serving sync.WaitGroup
+	serving.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			serving.Go(func() { e.serve(conn, behave) })
+		}
+	})
+	t.Cleanup(func() { _ = listener.Close() })
+	return e
+}
+
+func (e *endpoint) serve(conn net.Conn, behave behaviour) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		e.mu.Lock()
+		e.seen = append(e.seen, request)
+		e.bodies = append(e.bodies, string(body))
+		number := len(e.seen)
+		e.mu.Unlock()
+		if !behave(conn, number, request) {
+			return
+		}
+	}
+}
+
+func (e *endpoint) requests() []*http.Request {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]*http.Request(nil), e.seen...)
+}
+
+// say writes text to a connection and keeps it open.
+func say(conn net.Conn, text string) bool {
+	_, err := io.WriteString(conn, text)
+	return err == nil
+}
+
+// reset closes a connection so that the other side sees a reset.
+func reset(conn net.Conn) bool {
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	return false
+}
+
+func whole(request *http.Request, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nContent-Length: %d\r\n\r\n%s", request.Header.Get("Id"), len(body), body)
+}
+
+func streamHead(request *http.Request) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSignature: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		request.Header.Get("Id"), request.Header.Get("Endpoint"))
+}
+
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+func eventText(id int) string { return fmt.Sprintf("id: %d\ndata: d%d\n\n", id, id) }
+
+// world is a server with endpoints that are tried in turn.
+type world struct {
+	address   string
+	server    *passthrough.Server
+	endpoints *views
+	mu        sync.Mutex
+	retries   int
+	refuse    bool
+}
+
+// views are endpoints that are always ready; they note what is observed.
+type views struct {
+	mu       sync.Mutex
+	inFlight map[chicoryhall.EngineID]int
+	observed []string
+}
+
+func (v *views) View(chicoryhall.EngineID) chicoryhall.EndpointView {
+	return chicoryhall.EndpointView{}
+}
+
+func (v *views) Observe(id chicoryhall.EngineID, observed chicoryhall.Observation) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if observed != chicoryhall.ObservedProgress {
+		v.observed = append(v.observed, string(id)+" "+observed.String())
+	}
+}
+
+func (v *views) Begin(id chicoryhall.EngineID) { v.count(id, 1) }
+
+func (v *views) End(id chicoryhall.EngineID) { v.count(id, -1) }
+
+func (v *views) count(id chicoryhall.EngineID, change int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.inFlight[id] += change
+}
+
+func (v *views) Subscribe(func(chicoryhall.EngineID, chicoryhall.EndpointState)) {}
+
+func (v *views) Progressed(chicoryhall.EngineID) time.Time { return time.Time{} }
+
+func (v *views) ByAddress(string) (chicoryhall.EngineID, bool) { return "", false }
+
+func (v *views) Report(chicoryhall.EngineID, int) {}
+
+// InForce describes every service alike.
+func (w *world) InForce(service chicoryhall.ServiceName) (chicoryhall.InForce, bool) {
+	return chicoryhall.InForce{Document: &chicoryhall.Document{Service: service}}, true
+}
+
+func (w *world) All() []chicoryhall.InForce { return nil }
+
+func (w *world) Subscribe(func(chicoryhall.InForce)) {}
+
+func (w *world) Enter(_ chicoryhall.AdmissionQuery, start func(chicoryhall.Permit), refuse func(time.Duration, string)) {
+	if w.refuse {
+		refuse(250*time.Millisecond, "no place")
+		return
+	}
+	start(w)
+}
+
+// Release makes the world its own permit.
+func (w *world) Release() {}
+
+func (w *world) Requested(chicoryhall.ServiceName, time.Time) {}
+
+func (w *world) Take(chicoryhall.ServiceName, time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.retries--
+	return w.retries >= 0
+}
+
+// inTurn routes to the first endpoint that is not excluded.
+type inTurn struct{ addresses []string }
+
+func (r inTurn) Choose(query chicoryhall.RouteQuery) (chicoryhall.Route, error) {
+	for i, address := range r.addresses {
+		id := chicoryhall.EngineID("e" + strconv.Itoa(i))
+		excluded := false
+		for _, other := range query.Exclude {
+			excluded = excluded || other == id
+		}
+		if !excluded {
+			return chicoryhall.Route{Hops: []chicoryhall.Hop{{Engine: id, Address: address}}}, nil
+		}
+	}
+	return chicoryhall.Route{}, errors.New("no endpoint is left")
+}
+
+func rules() *chicoryhall.RuleSet {
+	rule := func(prefix string, kind chicoryhall.ExchangeKind, resumable bool) chicoryhall.Rule {
+		return chicoryhall.Rule{
+			Name: prefix, Host: "h", Prefix: prefix, Kind: kind, Resumable: resumable, Timeout: 2 * time.Second,
+			TargetLatency: 200 * time.Millisecond, TargetGap: 150 * time.Millisecond, MaxAttempts: 2,
+			Targets: []chicoryhall.RuleTarget{{Service: "s", Weight: 1}},
+		}
+	}
+	return &chicoryhall.RuleSet{
+		Version: 1,
+		Rules: []chicoryhall.Rule{
+			rule("/safe/", chicoryhall.ExchangeSafe, false), rule("/unsafe/", chicoryhall.ExchangeUnsafe, false),
+			rule("/stream/", chicoryhall.ExchangeStream, true), rule("/once/", chicoryhall.ExchangeStream, false),
+		},
+		Organisations: []chicoryhall.RuleOrganisation{{Name: "o", Credentials: []string{"k"}}},
+		Limits:        chicoryhall.MessageLimits{HeadBytes: 2048, BodyBytes: 1024, HeadTimeout: 300 * time.Millisecond, IdleTimeout: time.Second},
+	}
+}
+
+// newWorld starts a server; the endpoints are tried in their order.
+func newWorld(t *testing.T, set *chicoryhall.RuleSet, endpoints ...*endpoint) *world {
+	t.Helper()
+	var router inTurn
+	for _, e := range endpoints {
+		router.addresses = append(router.addresses, e.listener.Addr().String())
+	}
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	w := &world{address: free.Addr().String(), retries: 10, endpoints: &views{inFlight: make(map[chicoryhall.EngineID]int)}}
+	must.NoError(t, free.Close())
+	clock := timer.New()
+	current := routing.NewCurrent()
+	if set != nil {
+		current.Apply(set)
+	}
+	w.server = passthrough.NewServer(passthrough.Parts{
+		Address: w.address, Timer: clock, Rules: current, Documents: w, Endpoints: w.endpoints, Router: router, Admission: w,
+		Retries: w, Dialect: plainDialect{}, Metrics: passthrough.NewMetrics(), Log: event.NewLogger(io.Discard, "test", log.InfoLevel),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var serving sync.WaitGroup
+	serving.Go(func() { _ = clock.Serve(ctx) })
+	serving.Go(func() { _ = w.server.Serve(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		serving.Wait()
+	})
+	for {
+		conn, err := net.Dial("tcp", w.address)
+		if err == nil {
+			must.NoError(t, conn.Close())
+			return w
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// dial opens a caller's connection.
+func (w *world) dial(t *testing.T) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, err := net.Dial("tcp", w.address)
+	must.NoError(t, err)
+	must.NoError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn, bufio.NewReader(conn)
+}
+
+func requestText(method, target, id, body string) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nId: %s\r\nKey: k\r\nContent-Length: %d\r\n\r\n%s", method, target, id, len(body), body)
+}
+
+// answer is one whole or broken answer as a caller sees it.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	// last tells that the answer ends its connection.
+	last bool
+	err  error
+}
+
+func readAnswer(reader *bufio.Reader) answer {
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return answer{err: err}
+	}
+	body, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, header: response.Header, body: string(body), last: response.Close, err: err}
+}
+
+// ask sends one request on a new connection.
+func (w *world) ask(t *testing.T, text string) answer {
+	t.Helper()
+	conn, reader := w.dial(t)
+	must.True(t, say(conn, text))
+	return readAnswer(reader)
+}
+
+// idle fails unless no endpoint counts work any more.
+func (w *world) idle(t *testing.T) {
+	t.Helper()
+	deadline := time.Now().Add(2 * time.Second)
+	for {
+		w.endpoints.mu.Lock()
+		busy := 0
+		for _, count := range w.endpoints.inFlight {
+			busy += count
+		}
+		w.endpoints.mu.Unlock()
+		if busy == 0 {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%d pieces of work are counted at endpoints", busy)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func lines(text string) string { return strings.ReplaceAll(text, "\n", "|") }
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -97,7 +97,9 @@
 	changed   func(chicoryhall.ServiceName)
 }
 
-func (l *listed) Endpoints(chicoryhall.ServiceName) []chicoryhall.DocumentEndpoint { return l.endpoints }
+func (l *listed) Endpoints(chicoryhall.ServiceName) []chicoryhall.DocumentEndpoint {
+	return l.endpoints
+}
 
 func (l *listed) SubscribeList(changed func(chicoryhall.ServiceName)) { l.changed = changed }
 
--- a/watch/listed_test.go
+++ b/watch/listed_test.go
@@ -30,8 +30,10 @@
 	}
 	w.Listed = watch.NewListed(watch.ListedConfig{
 		Timer: w.clock, Daemons: func() int { return w.daemons },
-		Document: func(service chicoryhall.ServiceName) (*chicoryhall.Document, bool) { return document, service == "draft" },
-		Log:      event.NewLogger(io.Discard, "test", log.InfoLevel),
+		Document: func(service chicoryhall.ServiceName) (*chicoryhall.Document, bool) {
+			return document, service == "draft"
+		},
+		Log: event.NewLogger(io.Discard, "test", log.InfoLevel),
 	})
 	w.clock.Every(100*time.Millisecond, w.Tick)
 	return w
@@ -41,7 +43,9 @@
 	return chicoryhall.Listing{ID: id, Service: "draft", Address: "10.0.0.1:1", FailureDomain: "f", Accelerator: "a", Incarnation: 1, Places: 50}
 }
 
-func (w *listedWorld) state(id chicoryhall.EngineID) chicoryhall.EndpointState { return w.View(id).State }
+func (w *listedWorld) state(id chicoryhall.EngineID) chicoryhall.EndpointState {
+	return w.View(id).State
+}
 
 func removed(id chicoryhall.EngineID) []chicoryhall.ListingChange {
 	return []chicoryhall.ListingChange{{Listing: chicoryhall.Listing{ID: id}, Removed: true}}
