Repair gaps by moving redundant engines; admit by the room that is left

The rest of the refusals came from admission, which split a fixed number among all daemons, dead ones counted for 35 s.

A drawn test (TestReplacementTakesWhatWasLost, rapid) found that a replacement took the first of two gaps and left the second open: ranges are now chosen by how many of the least held layers they contain.

Ruled out: processor (0.03 cores), the store's outage (the gaps began before).

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -147,13 +147,19 @@
 		a.services[name] = s
 	}
 	changes := a.changes.Load()
-	if s.document != inForce.Document || s.changes != changes {
-		s.apply(inForce.Document, concurrencyLimit(inForce.Document, a.endpoints.View, a.daemons()))
+	if s.document != inForce.Document || s.changes != changes || isBoundByMemory(inForce.Document) {
+		s.apply(inForce.Document, concurrencyLimit(inForce.Document, a.endpoints.View, a.daemons(), s.running))
 		s.changes = changes
 	}
 	return s, nil
 }
 
+// isBoundByMemory tells whether a service's limit follows the room in its engines' memory, which
+// changes with every request.
+func isBoundByMemory(document *chicoryhall.Document) bool {
+	return document.Model.UsualPrompt+document.Model.UsualAnswer > 0
+}
+
 // daemons returns the number of daemons that share the endpoints, this one included.
 func (a *Admission) daemons() int {
 	alive := 1
--- a/admission/capacity.go
+++ b/admission/capacity.go
@@ -17,15 +17,19 @@
 // random choice of engines leaves places empty while streams queue elsewhere.
 const streamsPerPlace = 2
 
+// roomShares is how many times its equal share of the free room a daemon may take at once: the
+// others rarely want theirs at the same moment, and engines refuse what does not fit.
+const roomShares = 2
+
 // concurrencyLimit is this daemon's share of the requests that the live endpoints can batch; it
-// is at least one.
+// is at least one. Where memory bounds them, it is what runs and a share of the room that is left.
 func concurrencyLimit(document *chicoryhall.Document, view func(chicoryhall.EngineID) chicoryhall.EndpointView,
-	daemons int,
+	daemons, running int,
 ) int {
-	total := pipelineCapacity(document, view)
-	if held, bounded := memoryCapacity(document, view); bounded {
-		total = held
+	if room, bounded := memoryRoom(document, view); bounded {
+		return running + int(math.Ceil(roomShares*room/float64(max(1, daemons))))
 	}
+	total := pipelineCapacity(document, view)
 	if document.Kind == chicoryhall.ServicePlain {
 		total = plainCapacity(document, view)
 	}
@@ -62,26 +66,28 @@
 	return streamsPerPlace * least * float64(len(places))
 }
 
-// memoryCapacity is the number of usual requests for which the engines' memory has room at every
-// layer; false means that the document does not bound memory.
-func memoryCapacity(document *chicoryhall.Document, view func(chicoryhall.EngineID) chicoryhall.EndpointView) (float64, bool) {
-	places := make([]float64, max(1, document.Model.Layers))
+// memoryRoom is the number of usual requests for which the engines' memory has room at every layer
+// beside what is expected to be there; false means that the document does not bound memory.
+func memoryRoom(document *chicoryhall.Document, view func(chicoryhall.EngineID) chicoryhall.EndpointView) (float64, bool) {
+	room := make([]float64, max(1, document.Model.Layers))
 	isBounded := false
 	for _, endpoint := range document.Endpoints {
-		held, bounded := document.MemoryPlaces(endpoint.Accelerator, endpoint.To-endpoint.From)
+		places, bounded := document.MemoryPlaces(endpoint.Accelerator, endpoint.To-endpoint.From)
 		if !bounded {
 			continue
 		}
 		isBounded = true
-		if view(endpoint.ID).State != chicoryhall.EndpointReady {
+		seen := view(endpoint.ID)
+		if seen.State != chicoryhall.EndpointReady || seen.Full {
 			continue
 		}
-		held = math.Min(held, float64(batchOf(document, endpoint.Accelerator)))
-		for layer := max(0, endpoint.From); layer < min(len(places), endpoint.To); layer++ {
-			places[layer] += held
+		places = math.Min(places, float64(batchOf(document, endpoint.Accelerator)))
+		free := math.Max(0, places-float64(seen.Load.Running+seen.InFlight))
+		for layer := max(0, endpoint.From); layer < min(len(room), endpoint.To); layer++ {
+			room[layer] += free
 		}
 	}
-	return slices.Min(places), isBounded
+	return slices.Min(room), isBounded
 }
 
 func batchOf(document *chicoryhall.Document, kind chicoryhall.AcceleratorKind) int {
--- a/cmd/chicoryhall/platformdaemon/builder.go
+++ b/cmd/chicoryhall/platformdaemon/builder.go
@@ -30,12 +30,13 @@
 const crossingCost = 3 * time.Second
 
 // candidates is the number of daemons of a failure domain that seek its lease.
-const candidates = 2
+const candidates = 3
 
 // orderTerms suit engines that refuse an order if another was accepted since they were read.
 func (b *builder) orderTerms() placement.Terms {
 	return placement.Terms{
 		LeaseDuration: 6 * time.Second, LeaseMargin: 1500 * time.Millisecond, SeekPeriod: 2 * time.Second, MaxLoads: 64,
+		SingleRange: true,
 		IsCandidate: b.isCandidate,
 	}
 }
--- a/placement/holder.go
+++ b/placement/holder.go
@@ -40,6 +40,8 @@
 	IsCandidate func() bool
 	// MaxLoads is how many engines of the failure domain load weights at once.
 	MaxLoads int
+	// SingleRange tells that an engine holds one range only.
+	SingleRange bool
 }
 
 // DefaultTerms suit engines that ignore fencing numbers and a weight store with a low rate.
@@ -118,7 +120,7 @@
 }
 
 // idleSeeks is how many times as rarely a daemon that is no candidate looks at the lease's row.
-const idleSeeks = 10
+const idleSeeks = 5
 
 // seekPeriod is the time between two looks at the lease's row.
 func (h *Holder) seekPeriod() time.Duration {
@@ -163,7 +165,10 @@
 // begin starts a new term with a planner that has seen nothing.
 func (h *Holder) begin() {
 	h.fence = h.lease.Fence()
-	h.planner = NewPlanner(Config{FailureDomain: h.parts.FailureDomain, MaxLoads: h.parts.Terms.MaxLoads})
+	h.planner = NewPlanner(Config{
+		FailureDomain: h.parts.FailureDomain, MaxLoads: h.parts.Terms.MaxLoads,
+		SingleRange: h.parts.Terms.SingleRange,
+	})
 	h.parts.Log.Log(event.LeaseTaken, "failureDomain", h.parts.FailureDomain, "fence", h.fence)
 }
 
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -20,6 +20,8 @@
 	FailureDomain chicoryhall.FailureDomain
 	// MaxLoads is how many engines of the failure domain load weights at once.
 	MaxLoads int
+	// SingleRange tells that an engine holds one range only, so that a new one replaces the old.
+	SingleRange bool
 }
 
 // Report is what one engine said of itself.
@@ -136,6 +138,9 @@
 // target returns what the engine shall hold: what documents want, and what may not be dropped yet.
 func (p *Planner) target(e wantedEngine, documents []*chicoryhall.Document, held []chicoryhall.Holding, now time.Time) []chicoryhall.Holding {
 	target := slices.Clone(e.wanted)
+	if p.config.SingleRange {
+		return target
+	}
 	for _, holding := range held {
 		if !slices.Contains(target, holding) && !p.mayDrop(holding, e, documents, held, now) {
 			target = append(target, holding)
--- a/placement/ranged.go
+++ b/placement/ranged.go
@@ -8,16 +8,27 @@
 	"chicoryhall.example/chicoryhall"
 )
 
-// Ranged is a chicoryhall.Documents whose endpoints without layers get those that PlanRanges
-// wants of them, for engines that start empty.
+const (
+	// settleTime is how long a domain without a whole copy of the model must not have grown before
+	// its engines are placed: engines that start together are listed one after another.
+	settleTime = 1300 * time.Millisecond
+	// gapTime is how long layers must have been missing before engines move for them: an engine
+	// that crashed may be back by then.
+	gapTime = 1500 * time.Millisecond
+	// assignedTime is how long an engine that was assigned a range counts as holding it.
+	assignedTime = 20 * time.Second
+)
+
+// Ranged is a chicoryhall.Documents whose endpoints get the layers that PlanRanges and
+// RepairRanges want of them, for engines that start empty.
 type Ranged struct {
 	documents chicoryhall.Documents
 	endpoints chicoryhall.Endpoints
 	timer     chicoryhall.Timer
 
-	mu sync.Mutex
-	// grown is when each failure domain of a service last got an engine.
-	grown map[domainKey]growth
+	mu       sync.Mutex
+	domains  map[domainKey]domainState
+	assigned map[chicoryhall.EngineID]assignment
 }
 
 // domainKey names one failure domain of one service.
@@ -26,19 +37,26 @@
 	domain  chicoryhall.FailureDomain
 }
 
-// growth is the number of engines of a domain and since when it has not grown.
-type growth struct {
+// domainState is since when a domain has not grown, and since when it has lacked layers.
+type domainState struct {
 	engines int
 	since   time.Time
+	lacking time.Time
 }
 
-// settleTime is how long a domain without a whole copy of the model must not have grown before
-// its engines are placed: engines that start together are listed one after another.
-const settleTime = 1300 * time.Millisecond
+// assignment is a range that an engine was assigned in one of its runs.
+type assignment struct {
+	layers      LayerRange
+	incarnation int64
+	at          time.Time
+}
 
 // NewRanged returns the documents with planned ranges.
 func NewRanged(documents chicoryhall.Documents, endpoints chicoryhall.Endpoints, timer chicoryhall.Timer) *Ranged {
-	return &Ranged{documents: documents, endpoints: endpoints, timer: timer, grown: make(map[domainKey]growth)}
+	return &Ranged{
+		documents: documents, endpoints: endpoints, timer: timer,
+		domains: make(map[domainKey]domainState), assigned: make(map[chicoryhall.EngineID]assignment),
+	}
 }
 
 // InForce returns the document of one service with planned ranges.
@@ -69,51 +87,81 @@
 	if inForce.Document.Kind != chicoryhall.ServicePipeline {
 		return inForce
 	}
-	byDomain := make(map[chicoryhall.FailureDomain][]RangeEngine)
-	for _, endpoint := range inForce.Document.Endpoints {
-		if state := r.endpoints.View(endpoint.ID).State; state == chicoryhall.EndpointLeaving || state == chicoryhall.EndpointDead {
-			continue
-		}
-		engine := RangeEngine{
-			ID: endpoint.ID, Accelerator: endpoint.Accelerator, Held: LayerRange{From: endpoint.From, To: endpoint.To},
-		}
-		byDomain[endpoint.FailureDomain] = append(byDomain[endpoint.FailureDomain], engine)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.timer.Now()
+	wanted := make(map[chicoryhall.EngineID]LayerRange)
+	for domain, engines := range r.byDomain(inForce.Document, now) {
+		r.plan(inForce.Document, domain, engines, now, wanted)
 	}
 	planned := *inForce.Document
 	planned.Endpoints = slices.Clone(planned.Endpoints)
-	for domain, engines := range byDomain {
-		if !r.isSettled(inForce.Document, domain, engines) {
-			continue
+	for i := range planned.Endpoints {
+		if layers, ok := wanted[planned.Endpoints[i].ID]; ok {
+			planned.Endpoints[i].From, planned.Endpoints[i].To = layers.From, layers.To
 		}
-		fill(planned.Endpoints, domain, PlanRanges(&planned, engines))
 	}
 	inForce.Document = &planned
 	return inForce
 }
 
-// isSettled tells whether the engines of a domain may be placed now.
-func (r *Ranged) isSettled(document *chicoryhall.Document, domain chicoryhall.FailureDomain, engines []RangeEngine) bool {
-	var held []chicoryhall.Holding
+// byDomain returns the engines that stay, with what they hold or were assigned lately.
+func (r *Ranged) byDomain(document *chicoryhall.Document, now time.Time) map[chicoryhall.FailureDomain][]RangeEngine {
+	byDomain := make(map[chicoryhall.FailureDomain][]RangeEngine)
+	for _, endpoint := range document.Endpoints {
+		view := r.endpoints.View(endpoint.ID)
+		if view.State == chicoryhall.EndpointLeaving || view.State == chicoryhall.EndpointDead {
+			continue
+		}
+		held := LayerRange{From: endpoint.From, To: endpoint.To}
+		if given, ok := r.assigned[endpoint.ID]; ok && given.incarnation == view.Load.Incarnation && now.Sub(given.at) < assignedTime {
+			held = given.layers
+		}
+		byDomain[endpoint.FailureDomain] = append(byDomain[endpoint.FailureDomain], RangeEngine{
+			ID: endpoint.ID, Accelerator: endpoint.Accelerator, Held: held, Incarnation: view.Load.Incarnation,
+		})
+	}
+	return byDomain
+}
+
+// plan adds the ranges that the engines of one domain shall hold to wanted.
+func (r *Ranged) plan(document *chicoryhall.Document, domain chicoryhall.FailureDomain, engines []RangeEngine, now time.Time,
+	wanted map[chicoryhall.EngineID]LayerRange,
+) {
 	for _, engine := range engines {
-		held = append(held, chicoryhall.Holding{From: engine.Held.From, To: engine.Held.To})
+		wanted[engine.ID] = engine.Held
 	}
-	now := r.timer.Now()
-	key := domainKey{service: document.Service, domain: domain}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if before, known := r.grown[key]; !known || before.engines < len(engines) {
-		r.grown[key] = growth{engines: len(engines), since: now}
-	} else {
-		r.grown[key] = growth{engines: len(engines), since: before.since}
+	state := r.observe(document, domain, engines, now)
+	isWhole := state.lacking.IsZero()
+	if !isWhole && now.Sub(state.since) < settleTime {
+		return
+	}
+	planned := PlanRanges(document, engines)
+	if len(planned) == 0 && !isWhole && now.Sub(state.lacking) >= gapTime {
+		planned = RepairRanges(document, engines)
+	}
+	for _, engine := range engines {
+		if layers, ok := planned[engine.ID]; ok {
+			wanted[engine.ID] = layers
+			r.assigned[engine.ID] = assignment{layers: layers, incarnation: engine.Incarnation, at: now}
+		}
 	}
-	return covers(held, document.Model.Layers) || now.Sub(r.grown[key].since) >= settleTime
 }
 
-// fill gives the endpoints of one domain the ranges that were planned for them.
-func fill(endpoints []chicoryhall.DocumentEndpoint, domain chicoryhall.FailureDomain, planned map[chicoryhall.EngineID]LayerRange) {
-	for i := range endpoints {
-		if wanted, ok := planned[endpoints[i].ID]; ok && endpoints[i].FailureDomain == domain {
-			endpoints[i].From, endpoints[i].To = wanted.From, wanted.To
-		}
+// observe notes whether a domain has grown and whether it lacks layers.
+func (r *Ranged) observe(document *chicoryhall.Document, domain chicoryhall.FailureDomain, engines []RangeEngine, now time.Time) domainState {
+	key := domainKey{service: document.Service, domain: domain}
+	state, known := r.domains[key]
+	if !known || state.engines < len(engines) {
+		state.since = now
+	}
+	state.engines = len(engines)
+	switch isWhole := newRangePlan(document, engines).gap().Len() == 0; {
+	case isWhole:
+		state.lacking = time.Time{}
+	case state.lacking.IsZero():
+		state.lacking = now
 	}
+	r.domains[key] = state
+	return state
 }
--- a/placement/ranges.go
+++ b/placement/ranges.go
@@ -11,6 +11,9 @@
 	// minPlaces is the number of usual requests that the memory of each copy of the model must
 	// hold; more copies are planned only if that is left.
 	minPlaces = 32
+	// enoughPlaces is the room for requests beyond which memory is better spent on layers that
+	// other engines hold too.
+	enoughPlaces = 64
 	// maxCopies bounds the copies of a model in one failure domain.
 	maxCopies = 3
 	// placesSteps is the number of halvings that find the room for requests: one in a million.
@@ -20,6 +23,9 @@
 	// shortGap is the part of an engine's layers below which a gap is filled together with layers
 	// beside it, as the engine would else be left nearly empty.
 	shortGap = 3
+	// repairPlaces is the room for requests that an engine must keep when it takes over the layers
+	// of a lost neighbour.
+	repairPlaces = 8
 )
 
 // LayerRange is the layers [From,To).
@@ -37,6 +43,8 @@
 	Accelerator chicoryhall.AcceleratorKind
 	// Held is what the engine holds; it is empty after a start.
 	Held LayerRange
+	// Incarnation tells the runs of an engine apart.
+	Incarnation int64
 }
 
 // PlanRanges returns the layers that each engine without any shall load. Engines keep what they
@@ -44,19 +52,16 @@
 // each engine goes where the fewest others hold the layers. Ranges are as long as they can be
 // while every copy of the model keeps room for the same number of requests.
 func PlanRanges(document *chicoryhall.Document, engines []RangeEngine) map[chicoryhall.EngineID]LayerRange {
-	p := rangePlan{document: document, layers: document.Model.Layers, covers: make([]int, document.Model.Layers)}
+	p := newRangePlan(document, engines)
 	ordered := p.fastestFirst(engines)
 	places := p.placesFor(ordered)
-	for _, engine := range ordered {
-		p.cover(engine.Held)
-	}
 	planned := make(map[chicoryhall.EngineID]LayerRange)
 	for _, engine := range ordered {
 		if engine.Held.Len() > 0 {
 			continue
 		}
 		if chosen := p.choose(p.longest(engine.Accelerator, places)); chosen.Len() > 0 {
-			p.cover(chosen)
+			p.cover(chosen, 1)
 			planned[engine.ID] = chosen
 		}
 	}
@@ -71,6 +76,14 @@
 	covers []int
 }
 
+func newRangePlan(document *chicoryhall.Document, engines []RangeEngine) *rangePlan {
+	p := &rangePlan{document: document, layers: document.Model.Layers, covers: make([]int, document.Model.Layers)}
+	for _, engine := range engines {
+		p.cover(engine.Held, 1)
+	}
+	return p
+}
+
 // fastestFirst orders engines by the time of a step, then by ID.
 func (p *rangePlan) fastestFirst(engines []RangeEngine) []RangeEngine {
 	ordered := slices.Clone(engines)
@@ -95,7 +108,7 @@
 		}
 		places = with
 	}
-	return places
+	return min(places, enoughPlaces)
 }
 
 // mostPlacesWith returns the greatest room for requests with which the engines hold so many
@@ -144,27 +157,53 @@
 	return min(p.layers, int(float64(accelerator.MemoryBytes)/perLayer))
 }
 
-func (p *rangePlan) cover(r LayerRange) {
+// cover adds a number of engines to the layers of a range.
+func (p *rangePlan) cover(r LayerRange, engines int) {
 	for layer := max(0, r.From); layer < min(p.layers, r.To); layer++ {
-		p.covers[layer]++
+		p.covers[layer] += engines
 	}
 }
 
-// choose returns the range of up to length layers that begins at the first of the layers which
-// the fewest engines hold.
+// choose returns the range of up to length layers with the most layers that the fewest engines hold,
+// the first of equal ones.
 func (p *rangePlan) choose(length int) LayerRange {
 	if length == 0 {
 		return LayerRange{}
 	}
 	least := slices.Min(p.covers)
-	from := slices.Index(p.covers, least)
-	to := from
-	for to < p.layers && to-from < length && p.covers[to] == least {
-		to++
+	best, most := LayerRange{}, 0
+	for from := 0; from+length <= p.layers; from++ {
+		window := LayerRange{From: from, To: from + length}
+		if count := p.countOf(window, least); count > most {
+			best, most = window, count
+		}
+	}
+	return p.trim(best, least)
+}
+
+// countOf counts the layers of a range that so many engines hold.
+func (p *rangePlan) countOf(window LayerRange, engines int) int {
+	count := 0
+	for _, cover := range p.covers[window.From:window.To] {
+		if cover == engines {
+			count++
+		}
+	}
+	return count
+}
+
+// trim cuts the ends off a range that more than the given number of engines hold, unless little is
+// left of it.
+func (p *rangePlan) trim(window LayerRange, engines int) LayerRange {
+	trimmed := window
+	for trimmed.Len() > 0 && p.covers[trimmed.From] != engines {
+		trimmed.From++
+	}
+	for trimmed.Len() > 0 && p.covers[trimmed.To-1] != engines {
+		trimmed.To--
 	}
-	if to-from > length/shortGap {
-		return LayerRange{From: from, To: to}
+	if trimmed.Len() <= window.Len()/shortGap {
+		return window
 	}
-	to = min(p.layers, from+length)
-	return LayerRange{From: max(0, to-length), To: to}
+	return trimmed
 }
--- /dev/null
+++ b/placement/repair.go
@@ -0,0 +1,93 @@
+package placement
+
+import (
+	"slices"
+
+	"chicoryhall.example/chicoryhall"
+)
+
+// RepairRanges returns the ranges of engines that shall hold other layers than they do, so that
+// layers which no engine holds are served again. An engine moves whose own layers others hold too;
+// where there is none, a neighbour of the gap takes layers on if its memory keeps room for requests.
+func RepairRanges(document *chicoryhall.Document, engines []RangeEngine) map[chicoryhall.EngineID]LayerRange {
+	p := newRangePlan(document, engines)
+	ordered := p.fastestFirst(engines)
+	moved := make(map[chicoryhall.EngineID]LayerRange)
+	for range ordered {
+		gap := p.gap()
+		if gap.Len() == 0 || !p.repair(ordered, moved, gap) {
+			break
+		}
+	}
+	return moved
+}
+
+// gap returns the first layers that no engine holds.
+func (p *rangePlan) gap() LayerRange {
+	from := slices.Index(p.covers, 0)
+	if from < 0 {
+		return LayerRange{}
+	}
+	to := from
+	for to < p.layers && p.covers[to] == 0 {
+		to++
+	}
+	return LayerRange{From: from, To: to}
+}
+
+// repair makes one engine fill a gap or a part of it; false means that none can.
+func (p *rangePlan) repair(ordered []RangeEngine, moved map[chicoryhall.EngineID]LayerRange, gap LayerRange) bool {
+	best, target := -1, LayerRange{}
+	for i, engine := range ordered {
+		if _, done := moved[engine.ID]; done || engine.Held.Len() == 0 || !p.isSpare(engine.Held) {
+			continue
+		}
+		length := min(gap.Len(), p.longest(engine.Accelerator, repairPlaces))
+		if length > target.Len() {
+			best, target = i, LayerRange{From: gap.From, To: gap.From + length}
+		}
+	}
+	if best < 0 {
+		best, target = p.widest(ordered, moved, gap)
+	}
+	if best < 0 {
+		return false
+	}
+	p.cover(ordered[best].Held, -1)
+	p.cover(target, 1)
+	moved[ordered[best].ID] = target
+	return true
+}
+
+// isSpare tells whether other engines hold every layer of a range too.
+func (p *rangePlan) isSpare(held LayerRange) bool {
+	for layer := max(0, held.From); layer < min(p.layers, held.To); layer++ {
+		if p.covers[layer] < 2 {
+			return false
+		}
+	}
+	return true
+}
+
+// widest returns the neighbour of a gap that can take the most of its layers on, of equal ones the
+// one that holds the fewest.
+func (p *rangePlan) widest(ordered []RangeEngine, moved map[chicoryhall.EngineID]LayerRange, gap LayerRange) (int, LayerRange) {
+	best, most, target := -1, 0, LayerRange{}
+	for i, engine := range ordered {
+		held := engine.Held
+		if _, done := moved[engine.ID]; done || held.Len() == 0 {
+			continue
+		}
+		more := min(gap.Len(), p.longest(engine.Accelerator, repairPlaces)-held.Len())
+		if more <= 0 || more < most || more == most && held.Len()+more >= target.Len() {
+			continue
+		}
+		switch {
+		case held.To == gap.From:
+			best, most, target = i, more, LayerRange{From: held.From, To: held.To + more}
+		case held.From == gap.To:
+			best, most, target = i, more, LayerRange{From: held.From - more, To: held.To}
+		}
+	}
+	return best, target
+}
