Log without blocking; explain a request from daemons' logs; check entry settings

Each sending of a request is a line with what decided it (2046). "chicoryctl explain ID FILE..." prints the chain of decisions from daemons' logs; "chicoryhall check -entry" lists every mistake of the settings of "pass". Metrics tell of endpoints, admission, rules and dropped lines.

--- a/cmd/chicoryctl/entry/explain.go
+++ b/cmd/chicoryctl/entry/explain.go
@@ -11,16 +11,21 @@
 	"chicoryhall.example/chicoryhall/command"
 )
 
-// explainVerb tells in words what a document means.
+// explainVerb tells in words what a document means, or from logs what became of a request.
 var explainVerb = command.Verb{
 	Name:      "explain",
-	Arguments: "FILE",
-	Summary:   "Tells in words what a document does: its classes, limits and which engines hold what.",
-	Detail:    "No daemon is asked.",
-	New:       func(*flag.FlagSet) command.Run { return explain },
+	Arguments: "FILE | ID FILE...",
+	Summary:   "Tells in words what a document does, or from daemons' logs what became of a request.",
+	Detail: "With one FILE: the document's classes, limits and which engines hold what.\n" +
+		"With an ID and the daemons' logs: each decision on the request (marked *) with its inputs, and what the\n" +
+		"daemons came to believe meanwhile of its endpoints, the rules and the store. No daemon is asked.",
+	New: func(*flag.FlagSet) command.Run { return explain },
 }
 
 func explain(_ context.Context, streams command.Streams, arguments []string) error {
+	if len(arguments) > 1 {
+		return explainRequest(streams, arguments[0], arguments[1:])
+	}
 	path, err := oneArgument(arguments, "FILE")
 	if err != nil {
 		return err
--- a/cmd/chicoryhall/entry/check.go
+++ b/cmd/chicoryhall/entry/check.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 
+	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/command"
 	"chicoryhall.example/chicoryhall/settings"
 )
@@ -14,19 +15,40 @@
 	Name:      "check",
 	Arguments: "FILE",
 	Summary:   "Checks a settings file and lists every mistake in it.",
-	Detail: "Each mistake is one line: file:line:column, the field's path, and what to write instead.\n" +
+	Detail: "With -entry the file is one of \"chicoryhall pass\", else one of \"chicoryhall serve\". Each mistake is one line: file:line:column, the field's path, and what to write instead.\n" +
 		"The exit status is 1 when there is a mistake. Documents of services are checked by \"chicoryctl check\".",
-	New: func(*flag.FlagSet) command.Run { return check },
+	New: func(flags *flag.FlagSet) command.Run {
+		entry := flags.Bool("entry", false, "the file is one of \"chicoryhall pass\"")
+		return func(_ context.Context, streams command.Streams, arguments []string) error {
+			if len(arguments) != 1 {
+				return command.UsageError("one FILE is needed, %d are given", len(arguments))
+			}
+			return check(streams, arguments[0], *entry)
+		}
+	},
 }
 
-func check(_ context.Context, streams command.Streams, arguments []string) error {
-	if len(arguments) != 1 {
-		return command.UsageError("one FILE is needed, %d are given", len(arguments))
-	}
-	own, err := settings.Load(arguments[0])
+func check(streams command.Streams, path string, entry bool) error {
+	id, err := daemonOf(path, entry)
 	if err != nil {
 		return command.Listed(err)
 	}
-	fmt.Fprintf(streams.Out, "%s: settings of daemon %s are good\n", arguments[0], own.ID)
+	fmt.Fprintf(streams.Out, "%s: settings of daemon %s are good\n", path, id)
 	return nil
 }
+
+// daemonOf reads a settings file and returns whose it is.
+func daemonOf(path string, entry bool) (chicoryhall.DaemonID, error) {
+	if entry {
+		own, err := settings.LoadEntry(path)
+		if err != nil {
+			return "", err
+		}
+		return own.ID, nil
+	}
+	own, err := settings.Load(path)
+	if err != nil {
+		return "", err
+	}
+	return own.ID, nil
+}
--- a/cmd/chicoryhall/entry/pass.go
+++ b/cmd/chicoryhall/entry/pass.go
@@ -11,7 +11,6 @@
 
 	"chicoryhall.example/chicoryhall/cmd/chicoryhall/platformdaemon"
 	"chicoryhall.example/chicoryhall/command"
-	"chicoryhall.example/chicoryhall/event"
 	"chicoryhall.example/chicoryhall/settings"
 )
 
@@ -47,7 +46,7 @@
 	if err != nil {
 		level = log.InfoLevel
 	}
-	daemon := platformdaemon.New(*own, event.NewLogger(streams.Out, "chicoryhall", level))
+	daemon := platformdaemon.New(*own, streams.Out, level)
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
--- a/cmd/chicoryhall/platformdaemon/builder.go
+++ b/cmd/chicoryhall/platformdaemon/builder.go
@@ -2,8 +2,10 @@
 
 import (
 	"hash/fnv"
+	"io"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/thejerf/suture/v4"
 
 	"chicoryhall.example/chicoryhall"
@@ -56,6 +58,7 @@
 // builder holds the parts of one daemon while it is built and while it runs.
 type builder struct {
 	settings settings.Entry
+	lines    *event.Bounded
 	log      *event.Logger
 	root     *suture.Supervisor
 
@@ -67,13 +70,16 @@
 	rules     *routing.Current
 	listed    *watch.Listed
 	documents *routing.Documents
+	admission *admission.Admission
 	server    *passthrough.Server
 	metrics   *passthrough.Metrics
 }
 
 // build makes the parts in the order of their dependencies and puts them into the tree.
-func build(own settings.Entry, log *event.Logger) *builder {
-	b := &builder{settings: own, log: log}
+func build(own settings.Entry, out io.Writer, level log.Level) *builder {
+	b := &builder{settings: own, timer: timer.New()}
+	b.lines = event.NewBounded(out, b.timer)
+	b.log = event.NewLogger(b.lines, "chicoryhall", level)
 	b.root = b.newSupervisor("daemon")
 	base, knowledge := b.newSupervisor("base"), b.newSupervisor("knowledge")
 	decisions, interfaces := b.newSupervisor("decisions"), b.newSupervisor("interfaces")
@@ -88,8 +94,8 @@
 }
 
 func (b *builder) buildBase(into *suture.Supervisor) {
-	b.timer = timer.New()
 	into.Add(b.timer)
+	into.Add(b.lines)
 	b.client = platform.NewClient()
 	b.store = platform.NewStore(b.client, b.settings.Store.Address)
 	b.table = platform.NewTable(b.store)
@@ -142,11 +148,12 @@
 
 func (b *builder) buildInterfaces(into *suture.Supervisor) {
 	b.metrics = passthrough.NewMetrics()
+	b.admission = admission.New(b.timer, b.documents, b.listed, b.members)
 	b.server = passthrough.NewServer(passthrough.Parts{
 		Address: b.settings.Listen.Callers, FailureDomain: b.settings.FailureDomain, Timer: b.timer,
 		Rules: b.rules, Documents: b.documents, Endpoints: b.listed,
 		Router:    pipeline.New(b.listed, pipeline.Options{Policy: pipeline.PolicyShortest, Seed: b.seed(), Crossing: crossingCost}),
-		Admission: admission.New(b.timer, b.documents, b.listed, b.members),
+		Admission: b.admission,
 		Retries: retry.NewWindows(retry.Terms{
 			Window: b.settings.Retries.Window, Ratio: b.settings.Retries.Ratio, Slack: b.settings.Retries.Slack,
 		}, b.members.Alive),
--- a/cmd/chicoryhall/platformdaemon/daemon.go
+++ b/cmd/chicoryhall/platformdaemon/daemon.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
 	"github.com/thejerf/suture/v4"
 
@@ -26,9 +28,9 @@
 	parts *builder
 }
 
-// New builds a daemon; nothing runs before Serve.
-func New(own settings.Entry, log *event.Logger) *Daemon {
-	return &Daemon{parts: build(own, log)}
+// New builds a daemon that logs lines of a level and above to out; nothing runs before Serve.
+func New(own settings.Entry, out io.Writer, level log.Level) *Daemon {
+	return &Daemon{parts: build(own, out, level)}
 }
 
 // Serve runs the daemon until ctx ends, then shuts down gracefully. Each signal of reload makes it
@@ -54,6 +56,7 @@
 	stop()
 	<-ended
 	b.log.Log(event.ProcessStopped)
+	b.lines.Flush()
 	return nil
 }
 
--- a/cmd/chicoryhall/platformdaemon/status.go
+++ b/cmd/chicoryhall/platformdaemon/status.go
@@ -3,12 +3,16 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
 
+	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/event"
 )
 
@@ -62,10 +66,36 @@
 	return nil
 }
 
+// writeMetrics writes the figures of all parts.
+func (b *builder) writeMetrics(w io.Writer) {
+	b.metrics.Write(w)
+	metrics.WriteCounterUint64(w, "chicoryhall_log_lines_dropped_total", uint64(b.lines.Dropped()))
+	metrics.WriteGaugeUint64(w, "chicoryhall_daemons_alive", uint64(b.members.Alive()))
+	version := int64(0)
+	if table, known := b.rules.Table(); known {
+		version = table.Version()
+	}
+	metrics.WriteGaugeUint64(w, "chicoryhall_rules_version", uint64(version))
+	counts := make(map[chicoryhall.EndpointState]uint64)
+	for _, listing := range b.listed.Listings() {
+		counts[b.listed.View(listing.ID).State]++
+	}
+	for _, state := range chicoryhall.EndpointStateValues() {
+		metrics.WriteGaugeUint64(w, fmt.Sprintf("chicoryhall_endpoints{state=%q}", state), counts[state])
+	}
+	for _, stats := range b.admission.Stats() {
+		name := string(stats.Service)
+		metrics.WriteGaugeUint64(w, fmt.Sprintf("chicoryhall_admission_limit{service=%q}", name), uint64(stats.Limit))
+		metrics.WriteGaugeUint64(w, fmt.Sprintf("chicoryhall_admission_running{service=%q}", name), uint64(stats.Running))
+		metrics.WriteGaugeUint64(w, fmt.Sprintf("chicoryhall_admission_waiting{service=%q}", name), uint64(stats.Waiting))
+	}
+	metrics.WriteProcessMetrics(w)
+}
+
 func (b *builder) metricsHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		var page bytes.Buffer
-		b.metrics.Write(&page)
+		b.writeMetrics(&page)
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		w.Header().Set("Content-Length", strconv.Itoa(page.Len()))
 		if _, err := w.Write(page.Bytes()); err != nil {
--- /dev/null
+++ b/event/bounded_test.go
@@ -0,0 +1,77 @@
+package event_test
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/shoenig/test/must"
+
+	"chicoryhall.example/chicoryhall/event"
+	"chicoryhall.example/chicoryhall/timer"
+)
+
+// stuck is a reader of the log that does not read until it is released.
+type stuck struct {
+	release chan struct{}
+	mu      sync.Mutex
+	text    bytes.Buffer
+}
+
+func (s *stuck) Write(lines []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.text.Write(lines)
+}
+
+func TestBoundedNeverBlocksAndCountsWhatItDrops(t *testing.T) {
+	out := &stuck{release: make(chan struct{})}
+	bounded := event.NewBounded(out, timer.NewManual(time.Unix(1000, 0)))
+	logger := event.NewLogger(bounded, "test", log.InfoLevel)
+	const lines = 5000
+	for i := range lines {
+		logger.Log(event.ProcessStarted, "number", i)
+	}
+	must.Positive(t, bounded.Dropped())
+	must.Less(t, lines, bounded.Dropped())
+	close(out.release)
+	bounded.Flush()
+	bounded.Flush()
+	text := out.text.String()
+	must.Eq(t, lines-bounded.Dropped(), strings.Count(text, "process started"))
+	must.Eq(t, 1, strings.Count(text, "log lines dropped"))
+	must.StrContains(t, text, "number=0\n")
+	must.LessEq(t, 130<<10, len(text))
+}
+
+func TestBoundedWritesWhenTimePasses(t *testing.T) {
+	out := &stuck{release: make(chan struct{})}
+	close(out.release)
+	clock := timer.NewManual(time.Unix(1000, 0))
+	bounded := event.NewBounded(out, clock)
+	ctx, cancel := context.WithCancel(context.Background())
+	var serving sync.WaitGroup
+	serving.Go(func() { _ = bounded.Serve(ctx) })
+	_, err := bounded.Write([]byte("a line\n"))
+	must.NoError(t, err)
+	written := func() bool {
+		clock.Advance(time.Second)
+		out.mu.Lock()
+		defer out.mu.Unlock()
+		return out.text.String() == "a line\n"
+	}
+	for deadline := time.Now().Add(5 * time.Second); !written() && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	must.True(t, written())
+	_, err = bounded.Write([]byte("the last\n"))
+	must.NoError(t, err)
+	cancel()
+	serving.Wait()
+	must.Eq(t, "a line\nthe last\n", out.text.String())
+}
--- a/event/process.go
+++ b/event/process.go
@@ -19,4 +19,7 @@
 	SettingsKept = define(1005, log.ErrorLevel, "settings kept",
 		"The settings file cannot be read or has mistakes; those of the start stay in use.",
 		"Mend the file; \"chicoryhall check\" lists every mistake.")
+	LinesDropped = define(1006, log.WarnLevel, "log lines dropped",
+		"More was logged than the bound for one period; dropped tells how many lines are missing before this one.",
+		"Look at what repeats in the lines around; the requests that are missing are still in the metrics.")
 )
--- a/event/requests.go
+++ b/event/requests.go
@@ -40,6 +40,9 @@
 		"Look at the events 2045 of the same request.")
 	ExchangeAbandoned = define(2044, log.InfoLevel, "exchange abandoned",
 		"The caller closed its connection; the endpoint's work was cancelled.", "Nothing.")
+	ExchangeAdmitted = define(2046, log.InfoLevel, "exchange admitted",
+		"A request got a place and was sent; route, what is expected of it, and what was believed to be at its first endpoint.",
+		"Nothing.")
 	AttemptEnded = define(2045, log.InfoLevel, "attempt ended without an answer",
 		"One sending of a request to endpoints gave no whole answer of success; failure tells what that proves.",
 		"Look at the endpoints in route if the event repeats.")
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -78,11 +78,30 @@
 		x.parts().Endpoints.Begin(hop.Engine)
 	}
 	x.lookAt(a.nextLook())
+	a.logBegin(now)
 	x.server.pool.send(outgoing{
 		address: route.Hops[0].Address, method: x.head.Method, id: x.terms.ID, message: a.message(now), answer: a,
 	})
 }
 
+// logBegin logs the decision where the request runs, with what decided it.
+func (a *attempt) logBegin(now time.Time) {
+	x := a.run
+	first := x.parts().Endpoints.View(a.route.Hops[0].Engine)
+	x.parts().Log.Log(event.ExchangeAdmitted, "request", x.terms.ID, "attempt", a.number, "service", x.service, "class", x.class.Name,
+		"organisation", x.organisation, "rules", x.version, "waited", now.Sub(x.began), "left", x.deadline.Sub(now),
+		"route", routeText(a.route), "expectedFirst", a.route.FirstToken, "expectedGap", a.route.BetweenTokens,
+		"ownInFlight", first.InFlight, "othersBelieved", first.Load.Running, "resumeBehind", a.resumeBehind())
+}
+
+// resumeBehind returns the event behind which the attempt goes on, or an empty string.
+func (a *attempt) resumeBehind() string {
+	if a.run.events == nil {
+		return a.run.terms.LastEvent
+	}
+	return a.run.events.Last()
+}
+
 // onUnroutable ends an exchange that no endpoints can run.
 func (x *exchangeRun) onUnroutable(err error) {
 	switch {
@@ -100,10 +119,7 @@
 	x := a.run
 	terms := chicoryhall.EndpointTerms{
 		Remaining: x.deadline.Sub(now), Endpoint: a.route.Hops[0].Engine, Organisation: x.organisation,
-		Hops: a.route.Hops, LastEvent: x.terms.LastEvent,
-	}
-	if x.events != nil {
-		terms.LastEvent = x.events.Last()
+		Hops: a.route.Hops, LastEvent: a.resumeBehind(),
 	}
 	header := x.parts().Dialect.Forward(http1.EndToEnd(x.head.Header), terms)
 	out := make([]byte, 0, len(x.body)+1024)
