--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 	if [ -n "$$unformatted" ]; then echo "gofumpt would change:"; echo "$$unformatted"; exit 1; fi
 	go tool revive -config revive.toml $(PACKAGES)
 	go vet $(PACKAGES)
+	bash scripts/check-boundary
 	bash scripts/check-generated
 
 # generate writes the generated code and the pages that the programs print.
--- a/event/leases.go
+++ b/event/leases.go
@@ -2,7 +2,7 @@
 
 import "github.com/charmbracelet/log"
 
-// The events of leases and orders, 5000 to 5999.
+// The events of leases and orders, 5000 to 5099, and of listed endpoints, 5100 to 5999.
 var (
 	LeaseTaken = define(5000, log.InfoLevel, "lease taken",
 		"This daemon gives the orders to the engines of its failure domain.", "Nothing.")
@@ -14,9 +14,7 @@
 	VersionServed = define(5003, log.InfoLevel, "version served",
 		"Requests are routed by this version of the model; it is an older one than wanted until the engines hold the new one.",
 		"If the wanted version is not served after the weights' loading time, look at the engines' holdings and at the weight store.")
+	EndpointBelieved = define(5100, log.InfoLevel, "endpoint is believed otherwise",
+		"The list, an outage or this daemon's own traffic changed what is believed of an endpoint; cause tells which.",
+		"Nothing; look at the endpoint if it goes to and fro.")
 )
-
-// The events of the platform's list of endpoints, 5100 to 5199.
-var EndpointBelieved = define(5100, log.InfoLevel, "endpoint is believed otherwise",
-	"The list, an outage or this daemon's own traffic changed what is believed of an endpoint; cause tells which.",
-	"Nothing; look at the endpoint if it goes to and fro.")
--- a/passthrough/server_test.go
+++ b/passthrough/server_test.go
@@ -339,7 +339,7 @@
 	drained := make(chan struct{})
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	drainInBackground(w, ctx, drained)
+	drainInBackground(ctx, w, drained)
 
 	// What comes while the platform does not know yet is answered, as the last of its connection.
 	early := w.ask(t, requestText("GET", "/safe/a", "2", ""))
@@ -362,7 +362,7 @@
 	<-drained
 }
 
-func drainInBackground(w *world, ctx context.Context, drained chan<- struct{}) {
+func drainInBackground(ctx context.Context, w *world, drained chan<- struct{}) {
 	go func() {
 		w.server.Drain(ctx)
 		close(drained)
