Soak the entry daemon with faults from outside, against a stand-in of the platform

cmd/chicorystand/hall stands in for the users' platform: store with conditions, feed, 410, outages, lost answers; engines with layers, memory, orders, stalls and the published times; plain endpoints; a ledger of what truly ran. proof/soak* runs daemons, stand-in and fault proxy as processes, draws faults by a seed in series and overlapping, and checks the promises from what callers and endpoints saw.

--- a/cmd/chicorystand/entry/verbs.go
+++ b/cmd/chicorystand/entry/verbs.go
@@ -6,7 +6,7 @@
 var program = command.Program{
 	Name:    "chicorystand",
 	Summary: "stands in for engines, plain services, the platform, the balancer and faulty links",
-	Verbs:   []command.Verb{engineVerb, plainVerb, platformVerb, balancerVerb, proxyVerb},
+	Verbs:   []command.Verb{engineVerb, plainVerb, platformVerb, balancerVerb, proxyVerb, hallVerb},
 }
 
 // Main runs chicorystand and exits.
--- /dev/null
+++ b/proof/soak_caller_test.go
@@ -0,0 +1,149 @@
+package proof
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// soakKind is one kind of request that the soak sends.
+type soakKind struct {
+	name string
+	// tokens of the answer make events of three tokens each.
+	tokens  int
+	timeout time.Duration
+}
+
+var soakKinds = []soakKind{{"stream", 60, 8 * time.Second}, {"unsafe", 0, 2 * time.Second}, {"safe", 0, 2 * time.Second}}
+
+// soakResult is what a caller saw of one request.
+type soakResult struct {
+	id     string
+	kind   soakKind
+	sentAt time.Time
+	took   time.Duration
+	// status is 0 where no whole head came; err tells that the answer is not whole.
+	status int
+	body   string
+	err    error
+	// hasTime tells that a refusal said when to come back.
+	hasTime bool
+}
+
+// wanted is the whole text of the request's answer.
+func (r *soakResult) wanted() string {
+	if r.kind.name != "stream" {
+		return "answer to " + r.id
+	}
+	var text strings.Builder
+	for number := 1; number <= r.kind.tokens/3; number++ {
+		fmt.Fprintf(&text, "id: %d\ndata: %s/%d\n\n", number, r.id, number)
+	}
+	return text.String()
+}
+
+// soakCaller sends requests one after another and keeps its connection as long as it works.
+type soakCaller struct {
+	world   *soakWorld
+	name    string
+	random  *rand.Rand
+	conn    net.Conn
+	reader  *bufio.Reader
+	results []soakResult
+}
+
+// run sends requests until the end; each answer is awaited beyond the request's time.
+func (c *soakCaller) run(end <-chan struct{}) {
+	for number := 0; ; number++ {
+		select {
+		case <-end:
+			c.hangUp()
+			return
+		case <-time.After(time.Duration(c.random.IntN(60)) * time.Millisecond):
+		}
+		c.ask(fmt.Sprintf("%s-%d", c.name, number))
+	}
+}
+
+func (c *soakCaller) hangUp() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// ask sends one request on the open connection or on a new one.
+func (c *soakCaller) ask(id string) {
+	if c.conn == nil {
+		address := c.world.daemons[c.random.IntN(len(c.world.daemons))].callers
+		conn, err := net.DialTimeout("tcp", address, time.Second)
+		if err != nil {
+			return
+		}
+		c.conn, c.reader = conn, bufio.NewReader(conn)
+	}
+	kind := soakKinds[c.random.IntN(len(soakKinds))]
+	result := soakResult{id: id, kind: kind, sentAt: time.Now()}
+	text := fmt.Sprintf("POST /%s/a HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nApi-Key: k\r\nDeadline-Ms: %d\r\nToken-Count: 100,%d\r\nContent-Length: 4\r\n\r\nbody",
+		kind.name, id, kind.timeout.Milliseconds(), kind.tokens)
+	_ = c.conn.SetDeadline(time.Now().Add(kind.timeout + 4*time.Second)) // A closed connection shows in the write.
+	isLast := true
+	if _, err := io.WriteString(c.conn, text); err != nil {
+		result.err = err
+	} else {
+		isLast = c.read(&result)
+	}
+	result.took = time.Since(result.sentAt)
+	c.results = append(c.results, result)
+	if isLast || result.err != nil {
+		c.hangUp()
+	}
+}
+
+// read takes the answer and reports whether it ends its connection.
+func (c *soakCaller) read(result *soakResult) bool {
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodPost})
+	if err != nil {
+		result.err = err
+		return true
+	}
+	result.status = response.StatusCode
+	result.hasTime = response.Header.Get("Retry-After") != ""
+	body, err := io.ReadAll(response.Body)
+	result.body, result.err = string(body), err
+	return response.Close
+}
+
+// callers are all callers of a soak.
+type callers struct {
+	all  []*soakCaller
+	end  chan struct{}
+	done sync.WaitGroup
+}
+
+func startCallers(w *soakWorld, count int, seed uint64) *callers {
+	cs := &callers{end: make(chan struct{})}
+	for i := range count {
+		c := &soakCaller{world: w, name: fmt.Sprintf("c%d", i), random: rand.New(rand.NewPCG(seed, uint64(i)))}
+		cs.all = append(cs.all, c)
+		cs.done.Go(func() { c.run(cs.end) })
+	}
+	return cs
+}
+
+// stop ends the callers and returns what they saw.
+func (cs *callers) stop() []soakResult {
+	close(cs.end)
+	cs.done.Wait()
+	var results []soakResult
+	for _, c := range cs.all {
+		results = append(results, c.results...)
+	}
+	return results
+}
--- /dev/null
+++ b/proof/soak_world_test.go
@@ -0,0 +1,196 @@
+package proof
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// soakWorld is the users' platform with daemons in front of it, each a process of its own, and a
+// proxy in front of each daemon's callers, its store and each endpoint.
+type soakWorld struct {
+	control string
+	proxy   string
+	daemons []*soakDaemon
+	engines []string
+	links   []string
+	version atomic.Int64
+}
+
+// soakDaemon is one daemon that may be started again.
+type soakDaemon struct {
+	t        *testing.T
+	name     string
+	settings string
+	callers  string
+	ready    string
+	*process
+}
+
+func (d *soakDaemon) begin() {
+	d.process = start(d.t, d.name, "chicoryhall", "pass", "-settings", d.settings)
+}
+
+const soakDaemonSettings = `id: %s
+region: r
+failureDomain: %s
+listen:
+  callers: %s
+  ready: %s
+  metrics: %s
+store:
+  address: %s
+retries:
+  ratio: 0.2
+  slack: 200
+  window: 10s
+stopTimeout: 4s
+drainWithin: 2s
+`
+
+const soakRule = `{"name":"%s","host":"h","pathPrefix":"/%s/","kind":"%s","timeoutMs":%d,"targetLatencyMs":300,"priority":1,` +
+	`"service":"%s","maxAttempts":%d,"anonymous":false,"sticky":false,"resumable":%t,"gapAimMs":150}`
+
+// configuration is what the operator writes as a version.
+func configuration(version int64) string {
+	rule := func(name, kind, service string, timeout, attempts int, resumable bool) string {
+		return fmt.Sprintf(soakRule, name, name, kind, timeout, service, attempts, resumable)
+	}
+	return fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s],"services":[{"name":"model","engine":{"slots":64,"kvTokenBytes":8000,`+
+		`"models":[{"name":"m","loadS":1}],"step_ms":0.5,"per_seq_ms":0.01,"context_per_k":0.01,"read_per_s":100000,"layers":8,"layerMb":1,`+
+		`"actBytes":100,"pipeMbps":1000,"usual":{"prompt":100,"answer":60},"kinds":[{"name":"fast","mb":8,"pace":1,"readX":1},{"name":"slow","mb":6,"pace":2,"readX":2}]}},`+
+		`{"name":"plain"}],"limits":{"maxHeaderBytes":8192,"maxBodyBytes":65536,"headerTimeoutMs":2000,"idleTimeoutMs":10000},`+
+		`"tenants":[{"name":"t","apiKeys":["k"]}]}`, version,
+		rule("stream", "stream", "model", 8000, 2, true), rule("unsafe", "unsafe", "plain", 2000, 1, false), rule("safe", "safe", "plain", 2000, 2, false))
+}
+
+// newSoakWorld starts the stand-in, the proxy and the daemons.
+func newSoakWorld(t *testing.T, daemonsPerDomain, enginesPerDomain int) *soakWorld {
+	t.Helper()
+	folder := t.TempDir()
+	w := &soakWorld{control: freeAddress(t), proxy: freeAddress(t)}
+	w.version.Store(1)
+	store := freeAddress(t)
+	var links []string
+	link := func(target string) string {
+		front := freeAddress(t)
+		links = append(links, front+"="+target)
+		w.links = append(w.links, front)
+		return front
+	}
+	settings := map[string]any{
+		"store": store, "control": w.control, "configuration": configuration(1),
+		"model": map[string]any{
+			"name": "m", "layers": 8, "layerBytes": 1e6, "tokenBytes": 8000, "stepMillis": 0.5, "perRequestMillis": 0.01,
+			"readPerSecond": 1e5, "loadMillis": 300, "tokensPerEvent": 3, "stallMillis": 1000,
+		},
+	}
+	var engines []map[string]any
+	for _, domain := range []string{"x", "y"} {
+		for i := range enginesPerDomain {
+			engines = append(engines, soakEngine(fmt.Sprintf("%s-e%d", domain, i), domain, "model", freeAddress(t), i))
+		}
+		engines = append(engines, soakEngine(domain+"-p", domain, "plain", freeAddress(t), -1))
+	}
+	for _, engine := range engines {
+		w.engines = append(w.engines, engine["id"].(string))
+	}
+	settings["engines"] = engines
+	start(t, "hall", "chicorystand", "hall", writeJSON(t, folder, "hall.yaml", settings))
+	eventually(t, "the stand-in answers", startTimeout, func() bool { return answers(w.control, "/ledger") })
+	for _, domain := range []string{"x", "y"} {
+		for i := range daemonsPerDomain {
+			name := fmt.Sprintf("%s-d%d", domain, i)
+			callers := freeAddress(t)
+			d := &soakDaemon{t: t, name: name, callers: link(callers), ready: freeAddress(t)}
+			text := fmt.Sprintf(soakDaemonSettings, name, domain, callers, d.ready, freeAddress(t), link(store))
+			d.settings = filepath.Join(folder, name+".yaml")
+			must.NoError(t, os.WriteFile(d.settings, []byte(text), 0o600))
+			w.daemons = append(w.daemons, d)
+		}
+	}
+	start(t, "proxy", "chicorystand", append([]string{"proxy", "-control", w.proxy}, links...)...)
+	eventually(t, "the proxy answers", startTimeout, func() bool { return answers(w.proxy, "/ledger") })
+	for _, d := range w.daemons {
+		d.begin()
+	}
+	for _, d := range w.daemons {
+		eventually(t, d.name+" is ready", startTimeout, func() bool { return answers(d.ready, "/-/ready") })
+	}
+	return w
+}
+
+func soakEngine(id, domain, service, address string, number int) map[string]any {
+	engine := map[string]any{"id": id, "address": address, "service": service, "domain": domain, "slots": 64}
+	switch {
+	case number < 0:
+		engine["workMillis"], engine["slots"] = 10, 16
+	case number%2 == 0:
+		engine["kind"], engine["memoryBytes"], engine["pace"] = "fast", 8e6, 1
+	default:
+		engine["kind"], engine["memoryBytes"], engine["pace"] = "slow", 6e6, 2
+	}
+	return engine
+}
+
+// writeJSON writes a value as JSON, which is YAML too.
+func writeJSON(t *testing.T, folder, name string, value any) string {
+	t.Helper()
+	text, err := json.Marshal(value)
+	must.NoError(t, err)
+	path := filepath.Join(folder, name)
+	must.NoError(t, os.WriteFile(path, text, 0o600))
+	return path
+}
+
+// tell posts a value to a control endpoint; a failure shows in what follows.
+func tell(address, path string, value any) {
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // The values are this file's own.
+	}
+	response, err := probe.Post("http://"+address+path, "application/json", bytes.NewReader(text))
+	if err == nil {
+		_ = response.Body.Close()
+	}
+}
+
+// link sets the faults of one link of the proxy.
+func (w *soakWorld) link(front string, faults linkFaults) {
+	tell(w.proxy, "/faults", map[string]any{"links": map[string]linkFaults{front: faults}})
+}
+
+// soakRun is one run of a request by the stand-in's ledger.
+type soakRun struct {
+	Request string `json:"request"`
+	Engine  string `json:"engine"`
+	Behind  string `json:"behind"`
+	Wrong   string `json:"wrong"`
+}
+
+func (w *soakWorld) runs(t *testing.T) []soakRun {
+	t.Helper()
+	response, err := (&http.Client{}).Get("http://" + w.control + "/ledger")
+	must.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	var runs []soakRun
+	must.NoError(t, json.NewDecoder(response.Body).Decode(&runs))
+	return runs
+}
+
+// restart ends a daemon by a signal, waits until it is gone and starts it again.
+func (d *soakDaemon) restart(by syscall.Signal) {
+	d.signal(by)
+	if !d.wait(stopTimeout) {
+		d.kill()
+	}
+	d.begin()
+}
