Wake up only while something waits

Change: admission looks at waiting requests only while there are some, each exchange has a look of its own at its stall or deadline, missing endpoints and gathered log lines have one timer each.

Ruled out: traffic (a probe a second on an idle connection stays).

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -34,6 +34,8 @@
 	mu       sync.Mutex
 	random   *rand.Rand
 	services map[chicoryhall.ServiceName]*service
+	// checking tells that a look at waiting requests is due; there is none while nothing waits.
+	checking bool
 }
 
 // New returns an Admission whose limits follow the documents, the live endpoints and the
@@ -52,7 +54,6 @@
 	}
 	endpoints.Subscribe(func(chicoryhall.EngineID, chicoryhall.EndpointState) { a.changes.Add(1) })
 	members.Subscribe(func(chicoryhall.Member) { a.changes.Add(1) })
-	timer.Every(checkPeriod, a.check)
 	return a
 }
 
@@ -86,7 +87,17 @@
 		return []action{a.refusal(w, late)}
 	}
 	s.push(w)
-	return a.dispatch(s, now)
+	actions := a.dispatch(s, now)
+	a.scheduleCheck(s)
+	return actions
+}
+
+// scheduleCheck makes the waiting requests be looked at soon.
+func (a *Admission) scheduleCheck(s *service) {
+	if s.queued > 0 && !a.checking {
+		a.checking = true
+		a.timer.After(checkPeriod, a.check)
+	}
 }
 
 // dispatch starts waiting requests while places are free.
@@ -121,6 +132,7 @@
 // when a limit has grown.
 func (a *Admission) check(now time.Time) {
 	a.mu.Lock()
+	a.checking = false
 	var actions []action
 	for name, s := range a.services {
 		if current, err := a.serviceOf(name); err == nil {
@@ -130,6 +142,7 @@
 			actions = append(actions, a.refusal(w.waiting, w.late))
 		}
 		actions = append(actions, a.dispatch(s, now)...)
+		a.scheduleCheck(s)
 	}
 	a.mu.Unlock()
 	run(actions)
--- a/cmd/chicoryhall/platformdaemon/builder.go
+++ b/cmd/chicoryhall/platformdaemon/builder.go
@@ -24,9 +24,6 @@
 	"chicoryhall.example/chicoryhall/watch"
 )
 
-// listTick is how often the view of endpoints looks for those whose return is overdue.
-const listTick = 100 * time.Millisecond
-
 // crossingCost keeps chains inside a failure domain while one there has room: the links between
 // domains are shared by all prompts.
 const crossingCost = 3 * time.Second
@@ -113,7 +110,6 @@
 		Timer: b.timer, Daemons: b.members.Alive, Document: b.document, Log: b.log,
 	})
 	b.documents = routing.NewDocuments(b.rules, b.listed)
-	b.timer.Every(listTick, b.listed.Tick)
 	into.Add(follow.New(follow.Config[*chicoryhall.RuleSet]{
 		Name: "rules", Source: platform.Rules(b.store, b.log), Sink: platform.RuleSink{Current: b.rules, Log: b.log},
 		Timer: b.timer, Log: b.log,
--- a/event/bounded.go
+++ b/event/bounded.go
@@ -28,13 +28,15 @@
 	spare    []byte
 	dropped  int
 	total    int
+	// begun tells Serve that a line has gathered.
+	begun chan struct{}
 
 	writing sync.Mutex
 }
 
 // NewBounded returns a Bounded that writes to out while Serve runs, and when it is flushed.
 func NewBounded(out io.Writer, timer chicoryhall.Timer) *Bounded {
-	return &Bounded{out: out, timer: timer}
+	return &Bounded{out: out, timer: timer, begun: make(chan struct{}, 1)}
 }
 
 // String names the part in the supervisor's reports.
@@ -50,6 +52,10 @@
 		return len(line), nil
 	}
 	b.gathered = append(b.gathered, line...)
+	select {
+	case b.begun <- struct{}{}:
+	default:
+	}
 	return len(line), nil
 }
 
@@ -60,24 +66,28 @@
 	return b.total
 }
 
-// Serve writes the lines until ctx ends.
+// Serve writes the lines until ctx ends; it sleeps while there are none.
 func (b *Bounded) Serve(ctx context.Context) error {
-	due := make(chan struct{}, 1)
-	ticks := b.timer.Every(flushPeriod, func(time.Time) {
-		select {
-		case due <- struct{}{}:
-		default:
-		}
-	})
-	defer ticks.Cancel()
 	for {
 		select {
 		case <-ctx.Done():
 			b.Flush()
 			return ctx.Err()
-		case <-due:
-			b.Flush()
+		case <-b.begun:
 		}
+		b.gather(ctx)
+		b.Flush()
+	}
+}
+
+// gather waits for more lines to be written with the first one.
+func (b *Bounded) gather(ctx context.Context) {
+	over := make(chan struct{})
+	waiting := b.timer.After(flushPeriod, func(time.Time) { close(over) })
+	defer waiting.Cancel()
+	select {
+	case <-ctx.Done():
+	case <-over:
 	}
 }
 
--- a/passthrough/run.go
+++ b/passthrough/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"chicoryhall.example/chicoryhall"
@@ -27,7 +26,7 @@
 )
 
 // exchangeRun is one request of a caller on its way. Its fields are used by its connection's turn
-// alone, but for due.
+// alone.
 type exchangeRun struct {
 	conn   *connection
 	server *Server
@@ -58,8 +57,9 @@
 	// last tells that the connection ends behind the answer; it is fixed with the answer's head.
 	last bool
 
-	// due is when the exchange wants to be looked at, in Unix nanoseconds by the timer, or 0.
-	due atomic.Int64
+	// look is when the exchange is looked at next, or zero.
+	look    time.Time
+	looking chicoryhall.Subscription
 }
 
 func newExchangeRun(conn *connection, head *http.Request, body []byte) *exchangeRun {
@@ -183,11 +183,20 @@
 }
 
 // lookAt asks to be looked at no later than a time.
-func (x *exchangeRun) lookAt(at time.Time) { x.due.Store(at.UnixNano()) }
-
-func (x *exchangeRun) isDue(now time.Time) bool {
-	due := x.due.Load()
-	return due != 0 && now.UnixNano() >= due
+func (x *exchangeRun) lookAt(at time.Time) {
+	if !x.look.IsZero() && !at.Before(x.look) {
+		return // An earlier look comes first and asks again.
+	}
+	if x.looking != nil {
+		x.looking.Cancel()
+	}
+	x.look = at
+	x.looking = x.parts().Timer.After(max(0, at.Sub(x.parts().Timer.Now())), func(now time.Time) {
+		x.conn.call(func() {
+			x.look = time.Time{}
+			x.onDue(now)
+		})
+	})
 }
 
 // onDue gives up at the deadline, and looks at whether the attempt makes progress before.
@@ -262,7 +271,9 @@
 // finish gives back what the exchange holds and logs how it ended.
 func (x *exchangeRun) finish(kind *event.Event, status int, detail string) {
 	x.finished = true
-	x.due.Store(0)
+	if x.looking != nil {
+		x.looking.Cancel()
+	}
 	x.server.end(x)
 	if x.permit != nil {
 		x.permit.Release()
--- a/passthrough/server.go
+++ b/passthrough/server.go
@@ -26,8 +26,8 @@
 	readBuffer = 16 << 10
 	// maxUnsent bounds the bytes that wait for a peer that does not read.
 	maxUnsent = 8 << 20
-	// watchPeriod lies between two looks at deadlines and stalled streams.
-	watchPeriod = 50 * time.Millisecond
+	// idlePeriod lies between two looks at idle connections to endpoints.
+	idlePeriod = time.Second
 	// rotationTime is how long the platform may go on sending new connections to a daemon that
 	// says that it is not ready.
 	rotationTime = 2500 * time.Millisecond
@@ -89,7 +89,7 @@
 		return errors.WithMessagef(err, "listen for callers at %s", s.parts.Address)
 	}
 	s.parts.Log.Log(event.CallersListening, "address", s.parts.Address)
-	ticks := s.parts.Timer.Every(watchPeriod, s.watch)
+	ticks := s.parts.Timer.Every(idlePeriod, s.pool.closeIdle)
 	defer ticks.Cancel()
 	<-ctx.Done()
 	s.loop.Stop()
@@ -145,22 +145,6 @@
 	return busy == 0
 }
 
-// watch looks at the deadlines and the progress of all exchanges.
-func (s *Server) watch(now time.Time) {
-	s.mu.Lock()
-	due := make([]*exchangeRun, 0, len(s.exchanges))
-	for x := range s.exchanges {
-		if x.isDue(now) {
-			due = append(due, x)
-		}
-	}
-	s.mu.Unlock()
-	for _, x := range due {
-		x.conn.call(func() { x.onDue(now) })
-	}
-	s.pool.closeIdle(now)
-}
-
 func (s *Server) begin(x *exchangeRun) {
 	s.mu.Lock()
 	s.exchanges[x] = struct{}{}
--- a/watch/listed.go
+++ b/watch/listed.go
@@ -97,19 +97,24 @@
 	l.away = true
 }
 
-// Back notes that the platform answers again.
+// Back notes that the platform answers again; endpoints that are still missing when the time for
+// their return is over are dropped.
 func (l *Listed) Back() {
 	now := l.config.Timer.Now()
 	l.mu.Lock()
-	if l.away {
+	wasAway := l.away
+	if wasAway {
 		l.away = false
 		l.unsettled = now.Add(lapseGrace)
 	}
 	l.mu.Unlock()
+	if wasAway {
+		l.config.Timer.After(lapseGrace, l.dropMissing)
+	}
 }
 
-// Tick drops the endpoints that were still missing when the time for their return was over.
-func (l *Listed) Tick(now time.Time) {
+// dropMissing drops the endpoints that have not returned.
+func (l *Listed) dropMissing(now time.Time) {
 	l.mu.Lock()
 	var over []chicoryhall.EngineID
 	for id, e := range l.entries {
--- a/watch/listed_test.go
+++ b/watch/listed_test.go
@@ -35,7 +35,6 @@
 		},
 		Log: event.NewLogger(io.Discard, "test", log.InfoLevel),
 	})
-	w.clock.Every(100*time.Millisecond, w.Tick)
 	return w
 }
 
