Spread daemons over like engines; try suspects with one request

Change: each daemon has a stable taste of up to a quarter among engines, an engine that refused looks twice as slow for a second, four refusals instead of three; 300 ms for a connection to an endpoint; the first request after a suspicion is a trial that keeps others away; the log tells first event and longest gap.

--- a/cmd/chicoryhall/platformdaemon/builder.go
+++ b/cmd/chicoryhall/platformdaemon/builder.go
@@ -28,6 +28,9 @@
 // domains are shared by all prompts.
 const crossingCost = 3 * time.Second
 
+// routeSpread lets daemons that know the same choose otherwise among engines that are nearly as good.
+const routeSpread = 0.25
+
 // candidates is the number of daemons of a failure domain that seek its lease.
 const candidates = 3
 
@@ -148,7 +151,9 @@
 	b.server = passthrough.NewServer(passthrough.Parts{
 		Address: b.settings.Listen.Callers, FailureDomain: b.settings.FailureDomain, Timer: b.timer,
 		Rules: b.rules, Documents: b.documents, Endpoints: b.listed,
-		Router:    pipeline.New(b.listed, pipeline.Options{Policy: pipeline.PolicyShortest, Seed: b.seed(), Crossing: crossingCost}),
+		Router: pipeline.New(b.listed, pipeline.Options{
+			Policy: pipeline.PolicyShortest, Seed: b.seed(), Crossing: crossingCost, Spread: routeSpread,
+		}),
 		Admission: b.admission,
 		Retries: retry.NewWindows(retry.Terms{
 			Window: b.settings.Retries.Window, Ratio: b.settings.Retries.Ratio, Slack: b.settings.Retries.Slack,
--- a/endpoints.go
+++ b/endpoints.go
@@ -40,6 +40,8 @@
 	InFlight int
 	// Full tells that the endpoint has no room for one more request of usual size.
 	Full bool
+	// Crowding falls from 1 to 0 after the endpoint refused work for want of room.
+	Crowding float64
 }
 
 // Observation is what this daemon's own traffic showed of an endpoint.
--- a/exchange/machine.go
+++ b/exchange/machine.go
@@ -38,8 +38,8 @@
 )
 
 // maxRefusals is the number of refusals after which a request is given up: each one costs an
-// arrival of the retry budget, and where three endpoints refuse, a fourth rarely accepts.
-const maxRefusals = 3
+// arrival of the retry budget, and where four endpoints refuse, a fifth rarely accepts.
+const maxRefusals = 4
 
 // Config is what a Machine must know of the request.
 type Config struct {
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -191,7 +191,6 @@
 	x := a.run
 	a.end(true)
 	x.current = nil
-	x.lastCause = cause
 	x.parts().Log.Log(event.AttemptEnded, "request", x.terms.ID, "attempt", a.number, "failure", failure, "sent", a.sent,
 		"route", routeText(a.route), "took", x.parts().Timer.Now().Sub(a.began), "error", cause)
 	verdict := x.machine.After(failure, func() bool { return x.mayRetry() })
@@ -336,6 +335,7 @@
 		}
 	}
 	if len(out) > 0 {
+		x.notePiece()
 		x.conn.write(x.appendPiece(nil, out))
 	}
 }
@@ -416,6 +416,7 @@
 // passOn hands an endpoint's whole answer on as it is.
 func (x *exchangeRun) passOn(a *attempt) {
 	x.last = x.isLast()
+	x.notePiece()
 	x.conn.writeWhole(a.response.StatusCode, http1.EndToEnd(a.response.Header), a.whole, x.last)
 	x.ended(a.response.StatusCode, routeText(a.route))
 }
--- a/passthrough/pool.go
+++ b/passthrough/pool.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// dialTimeout bounds the wait for a new connection to an endpoint.
-	dialTimeout = time.Second
+	// dialTimeout bounds the wait for a new connection to an endpoint: all are within a region, and
+	// a request whose connection takes longer is better sent elsewhere.
+	dialTimeout = 300 * time.Millisecond
 	// idleTimeout ends an idle connection whose endpoint did not say how long it keeps it.
 	idleTimeout = 10 * time.Second
 	// idleMargin is how long before the end of the stated time a connection is given up.
--- a/passthrough/run.go
+++ b/passthrough/run.go
@@ -50,10 +50,13 @@
 	// tried are the endpoints that the request shall not meet again.
 	tried []chicoryhall.EngineID
 	// events splits the answer of a stream; nil for other answers.
-	events *exchange.Events
-	// lastCause tells why the last attempt failed.
-	lastCause error
-	finished  bool
+	events   *exchange.Events
+	finished bool
+	// first is the time to the first event or the whole answer, longestGap the longest pause between
+	// two pieces that went to the caller.
+	first      time.Duration
+	longestGap time.Duration
+	lastPiece  time.Time
 	// last tells that the connection ends behind the answer; it is fixed with the answer's head.
 	last bool
 
@@ -260,6 +263,17 @@
 	return x.head.Close || x.server.Stopping() || !x.head.ProtoAtLeast(1, 1)
 }
 
+// notePiece notes that a piece of the answer goes to the caller.
+func (x *exchangeRun) notePiece() {
+	now := x.parts().Timer.Now()
+	if x.lastPiece.IsZero() {
+		x.first = now.Sub(x.began)
+	} else {
+		x.longestGap = max(x.longestGap, now.Sub(x.lastPiece))
+	}
+	x.lastPiece = now
+}
+
 // abandon ends the attempt in progress.
 func (x *exchangeRun) abandon() {
 	if x.current != nil {
@@ -281,7 +295,8 @@
 	took := x.parts().Timer.Now().Sub(x.began)
 	x.parts().Metrics.ended(x.class.Name, status, took)
 	x.parts().Log.Log(kind, "request", x.terms.ID, "status", status, "service", x.service, "class", x.class.Name,
-		"organisation", x.organisation, "rules", x.version, "attempts", x.attempts, "took", took, "detail", detail)
+		"organisation", x.organisation, "rules", x.version, "attempts", x.attempts, "took", took,
+		"first", x.first, "longestGap", x.longestGap, "detail", detail)
 }
 
 // ended ends an exchange whose whole answer has been written.
--- a/pipeline/load.go
+++ b/pipeline/load.go
@@ -15,6 +15,8 @@
 	streams float64
 	// step is the reported mean step time in nanoseconds, or 0.
 	step float64
+	// crowding multiplies the times of an engine that refused work lately.
+	crowding float64
 }
 
 // loadOf joins the late report with the work that this daemon itself has in flight.
@@ -23,6 +25,8 @@
 	return load{
 		streams: float64(reported + view.InFlight),
 		step:    float64(view.Load.StepMicros) * float64(time.Microsecond),
+
+		crowding: 1 + view.Crowding,
 	}
 }
 
--- a/pipeline/router.go
+++ b/pipeline/router.go
@@ -20,6 +20,8 @@
 func newRouter(endpoints chicoryhall.Endpoints, options Options) *Router {
 	r := &Router{planner: newPlanner(endpoints, options.Policy == PolicyFlow)}
 	r.search.crossing = float64(options.Crossing)
+	r.search.spread = options.Spread
+	r.search.seed = options.Seed
 	r.search.random = rand.New(rand.NewPCG(options.Seed, options.Seed))
 	r.search.view = endpoints.View
 	return r
--- a/pipeline/search.go
+++ b/pipeline/search.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 
+	"github.com/cespare/xxhash/v2"
+
 	"chicoryhall.example/chicoryhall"
 )
 
@@ -31,6 +33,10 @@
 	tokens    float64
 	// crossing is the cost of a link between failure domains on top of its time, in nanoseconds.
 	crossing float64
+	// spread is the greatest part by which an engine looks slower to this daemon than to another one,
+	// so that daemons with the same late knowledge do not choose alike; seed tells daemons apart.
+	spread float64
+	seed   uint64
 	// activation is the size of one token's activation in bytes.
 	activation float64
 }
@@ -80,6 +86,7 @@
 			continue
 		}
 		candidate := offer{engine: index, load: loadOf(seen), usable: true}
+		candidate.load.crowding *= s.taste(s.plan.engines[index].id)
 		if time := s.tokenTime(g.speed, candidate.load, layers); !best.usable || time < least {
 			best, least = candidate, time
 		}
@@ -91,6 +98,19 @@
 	return best
 }
 
+// taste is by how much an engine looks slower to this daemon; it stays the same over time.
+func (s *search) taste(id chicoryhall.EngineID) float64 {
+	if s.spread == 0 {
+		return 1
+	}
+	const most = 1 << 16
+	drawn := (xxhash.Sum64String(string(id)) ^ s.seed) * tasteFactor >> (64 - 16)
+	return 1 + s.spread*float64(drawn)/most
+}
+
+// tasteFactor mixes the bits of an engine's hash and a daemon's seed.
+const tasteFactor = 0x9E3779B97F4A7C15
+
 // strideOf returns a random step that is coprime to size, so that a walk meets every index once.
 func (s *search) strideOf(size int) int {
 	if size <= 2 {
@@ -139,5 +159,5 @@
 // tokenTime is the expected time of one token at an engine.
 func (s *search) tokenTime(v speed, l load, layers int) float64 {
 	others := l.streams * float64(layers) / float64(s.plan.layers)
-	return v.token(layers, others) * l.slowdown(v, layers)
+	return v.token(layers, others) * l.slowdown(v, layers) * l.crowding
 }
--- a/watch/listed.go
+++ b/watch/listed.go
@@ -20,14 +20,20 @@
 	// failures; each failure in a row doubles the time.
 	firstSuspicion   = 500 * time.Millisecond
 	longestSuspicion = 4 * time.Second
+	// trialTime is how long an endpoint that was suspect gets no other work while one request tries it.
+	trialTime = 400 * time.Millisecond
 	// strikeLifetime is how long an ambiguous failure counts, strikesToSuspect how many of them
 	// make an endpoint suspect.
 	strikeLifetime   = 2 * time.Second
 	strikesToSuspect = 3
 	// reportLifetime is how long an endpoint's word on what is at it counts.
-	reportLifetime = time.Second
-	// fullPause is how long an endpoint that refused for want of room gets no new work.
-	fullPause = 150 * time.Millisecond
+	reportLifetime = 2 * time.Second
+	// refusalMemory is how long a refusal for want of room counts, less and less.
+	refusalMemory = time.Second
+	// refusalPause is how long an endpoint that refused for want of room gets no new work.
+	refusalPause = 150 * time.Millisecond
+	// estimateLifetime is how long an estimate of the load of all endpoints is used.
+	estimateLifetime = 50 * time.Millisecond
 )
 
 // ListedConfig is what a Listed needs.
@@ -50,6 +56,8 @@
 	// away tells that the platform cannot be reached, unsettled until when missing entries are kept.
 	away      bool
 	unsettled time.Time
+	// estimated is when the load of all endpoints was last estimated.
+	estimated time.Time
 
 	stateSubscribers []func(chicoryhall.EngineID, chicoryhall.EndpointState)
 	listSubscribers  []func(chicoryhall.ServiceName)
@@ -168,46 +176,30 @@
 	if !known {
 		return chicoryhall.EndpointView{State: chicoryhall.EndpointDead}
 	}
-	present := l.presentAt(e, now)
-	return chicoryhall.EndpointView{
-		State: e.state(now), Load: e.load(present), InFlight: e.inFlight,
-		Full: now.Before(e.fullUntil) || l.isFull(e, present),
-	}
-}
-
-// presentAt returns the number of requests that are expected at an endpoint, from all daemons.
-func (l *Listed) presentAt(e *listedEntry, now time.Time) float64 {
-	if e.isReported(now) {
-		return math.Max(float64(e.inFlight), float64(e.reported+e.inFlight-e.inFlightThen))
+	if now.Sub(l.estimated) >= estimateLifetime {
+		l.estimate(now)
+		l.estimated = now
 	}
-	return float64(e.inFlight) * l.scaleOf(e.listing.FailureDomain, e.listing.Service, now)
-}
-
-// scaleOf returns how many times this daemon's own work the endpoints of a failure domain have,
-// by those which reported lately: the first ones of chains. It is at most the number of daemons.
-func (l *Listed) scaleOf(domain chicoryhall.FailureDomain, service chicoryhall.ServiceName, now time.Time) float64 {
-	own, all := 1.0, 1.0
-	for _, e := range l.entries {
-		if e.listing.FailureDomain == domain && e.listing.Service == service && e.isReported(now) {
-			own += float64(e.inFlight)
-			all += math.Max(float64(e.inFlight), float64(e.reported+e.inFlight-e.inFlightThen))
-		}
+	present, places := e.present(), l.placesOf(e)
+	return chicoryhall.EndpointView{
+		State: e.state(now), Load: e.load(present), InFlight: e.inFlight, Crowding: e.refusedLevel(now),
+		Full: now.Sub(e.refusedAt) < refusalPause || places > 0 && present >= places,
 	}
-	return math.Min(all/own, float64(l.config.Daemons()))
 }
 
-// isFull tells whether the endpoint's memory or its places are taken.
-func (l *Listed) isFull(e *listedEntry, present float64) bool {
-	if e.listing.Places > 0 && present >= float64(e.listing.Places) {
-		return true
-	}
+// placesOf returns the number of requests that an endpoint has room for, or 0 if unknown.
+func (l *Listed) placesOf(e *listedEntry) float64 {
+	places := float64(e.listing.Places)
 	document, known := l.config.Document(e.listing.Service)
 	if !known || len(e.listing.Holdings) == 0 {
-		return false
+		return places
 	}
 	held := e.listing.Holdings[0]
-	places, bounded := document.MemoryPlaces(e.listing.Accelerator, held.To-held.From)
-	return bounded && present >= places
+	inMemory, bounded := document.MemoryPlaces(e.listing.Accelerator, held.To-held.From)
+	if !bounded {
+		return places
+	}
+	return math.Min(places, inMemory)
 }
 
 // Report takes the number of requests that an endpoint said are at it.
@@ -217,6 +209,7 @@
 	defer l.mu.Unlock()
 	if e, known := l.entries[id]; known {
 		e.reported, e.reportedAt, e.inFlightThen = running, now, e.inFlight
+		l.estimated = time.Time{}
 	}
 }
 
@@ -253,7 +246,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if e, known := l.entries[id]; known {
-		e.inFlight++
+		e.begin(l.config.Timer.Now())
 	}
 }
 
--- a/watch/listedentry.go
+++ b/watch/listedentry.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -18,11 +19,15 @@
 	left bool
 	// failures counts the failures in a row that made it suspect, until suspectUntil.
 	failures     int
+	failedAt     time.Time
 	suspectUntil time.Time
 	// strikes are the times of ambiguous failures.
 	strikes []time.Time
-	// fullUntil is until when the endpoint's own word that it has no room counts.
-	fullUntil  time.Time
+	// refusedAt is when the endpoint last refused for want of room.
+	refusedAt time.Time
+	// scale is how many times this daemon's own work all daemons are taken to have there, or 0 where
+	// the endpoint told it itself.
+	scale      float64
 	progressAt time.Time
 	inFlight   int
 	// reported is what the endpoint said is at it, when this daemon had inFlightThen there.
@@ -73,6 +78,30 @@
 	return !e.reportedAt.IsZero() && now.Sub(e.reportedAt) <= reportLifetime
 }
 
+// present returns the number of requests that are expected at the endpoint, from all daemons.
+func (e *listedEntry) present() float64 {
+	if e.scale == 0 {
+		return e.byReport()
+	}
+	return float64(e.inFlight) * e.scale
+}
+
+// refusedLevel falls from 1 to 0 after a refusal for want of room.
+func (e *listedEntry) refusedLevel(now time.Time) float64 {
+	if e.refusedAt.IsZero() {
+		return 0
+	}
+	return math.Max(0, 1-float64(now.Sub(e.refusedAt))/float64(refusalMemory))
+}
+
+// begin counts a piece of work; the first one after a suspicion is a trial.
+func (e *listedEntry) begin(now time.Time) {
+	e.inFlight++
+	if e.failures > 0 && !now.Before(e.suspectUntil) {
+		e.suspectUntil = now.Add(trialTime)
+	}
+}
+
 func (e *listedEntry) hasFailed() bool { return e.failures > 0 || len(e.strikes) > 0 }
 
 // observe takes what this daemon's traffic showed at now.
@@ -88,15 +117,17 @@
 	case chicoryhall.ObservedLeaving:
 		e.left = true
 	case chicoryhall.ObservedFull:
-		e.fullUntil = now.Add(fullPause)
+		e.refusedAt = now
 	}
 }
 
-// suspect keeps new work away for a time that doubles with each failure in a row.
+// suspect keeps new work away for a time that doubles with each failure in a row; failures that come
+// together count as one.
 func (e *listedEntry) suspect(now time.Time) {
-	if now.Before(e.suspectUntil) {
+	if now.Sub(e.failedAt) < trialTime/2 && now.Before(e.suspectUntil) {
 		return
 	}
+	e.failedAt = now
 	e.suspectUntil = now.Add(min(longestSuspicion, firstSuspicion<<min(e.failures, 8)))
 	e.failures++
 }
