--- a/cmd/chicoryhall/platformdaemon/builder.go
+++ b/cmd/chicoryhall/platformdaemon/builder.go
@@ -69,6 +69,7 @@
 	members   *membership.Listed
 	rules     *routing.Current
 	listed    *watch.Listed
+	entries   *follow.Follower[chicoryhall.Listing]
 	documents *routing.Documents
 	admission *admission.Admission
 	server    *passthrough.Server
@@ -117,10 +118,11 @@
 		Name: "rules", Source: platform.Rules(b.store, b.log), Sink: platform.RuleSink{Current: b.rules, Log: b.log},
 		Timer: b.timer, Log: b.log,
 	}))
-	into.Add(follow.New(follow.Config[chicoryhall.Listing]{
+	b.entries = follow.New(follow.Config[chicoryhall.Listing]{
 		Name: "endpoints", Source: platform.Entries(b.store, b.log), Sink: platform.ListSink{Listed: b.listed},
 		Timer: b.timer, Log: b.log,
-	}))
+	})
+	into.Add(b.entries)
 }
 
 // document returns a service's document without its endpoints.
@@ -158,7 +160,7 @@
 		Retries: retry.NewWindows(retry.Terms{
 			Window: b.settings.Retries.Window, Ratio: b.settings.Retries.Ratio, Slack: b.settings.Retries.Slack,
 		}, b.members.Alive),
-		Dialect: platform.Dialect{}, Metrics: b.metrics, Log: b.log,
+		Dialect: platform.Dialect{}, Doubt: b.entries.Verify, Metrics: b.metrics, Log: b.log,
 	})
 	into.Add(b.server)
 	into.Add(newStatusServer(b.settings.Listen.Ready, readyPath, passthrough.ReadyHandler(b.ready)))
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,6 +26,8 @@
 	verifyPeriod = 20 * time.Second
 	// gatherTime is the pause behind changes, in which more of them gather for the next answer.
 	gatherTime = 250 * time.Millisecond
+	// doubtPause is the least time between two reads that were asked for by Verify.
+	doubtPause = time.Second
 	// firstPause and longestPause bound the pause after a failure; it doubles with each in a row.
 	firstPause   = 50 * time.Millisecond
 	longestPause = 400 * time.Millisecond
@@ -70,9 +73,13 @@
 	config Config[T]
 	// version is that of the sink's content; verified is when the table was last read whole.
 	version  int64
-	verified time.Time
 	failures int
 	away     bool
+
+	mu       sync.Mutex
+	verified time.Time
+	// stop ends the wait for changes that is in progress.
+	stop context.CancelFunc
 }
 
 // New returns a Follower that has read nothing yet.
@@ -83,12 +90,25 @@
 // String names the part in the supervisor's reports.
 func (f *Follower[T]) String() string { return "follower of " + f.config.Name }
 
+// Verify asks for a read of the whole table now, as something shows that the copy may be old: a feed
+// that is deaf shows nothing itself.
+func (f *Follower[T]) Verify() {
+	now := f.config.Timer.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stop == nil || now.Sub(f.verified) < doubtPause {
+		return
+	}
+	f.verified = time.Time{}
+	f.stop()
+}
+
 // Serve follows the table until ctx ends.
 func (f *Follower[T]) Serve(ctx context.Context) error {
 	mustList := true
 	for ctx.Err() == nil {
 		var err error
-		if mustList || f.config.Timer.Now().Sub(f.verified) >= verifyPeriod {
+		if mustList || f.isUnverified() {
 			err = f.list(ctx)
 		} else {
 			err = f.wait(ctx)
@@ -101,6 +121,20 @@
 	return ctx.Err()
 }
 
+// isUnverified tells whether the whole table is to be read again.
+func (f *Follower[T]) isUnverified() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.config.Timer.Now().Sub(f.verified) >= verifyPeriod
+}
+
+// setStop sets what ends the wait in progress.
+func (f *Follower[T]) setStop(stop context.CancelFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stop = stop
+}
+
 // list reads the whole table.
 func (f *Follower[T]) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
@@ -113,15 +147,22 @@
 	f.regained()
 	f.config.Sink.Replace(values)
 	f.version = version
+	f.mu.Lock()
 	f.verified = f.config.Timer.Now()
+	f.mu.Unlock()
 	return nil
 }
 
 // wait takes the next changes.
 func (f *Follower[T]) wait(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, feedWait+answerTimeout)
+	waiting, cancel := context.WithTimeout(ctx, feedWait+answerTimeout)
 	defer cancel()
-	changes, version, err := f.config.Source.Changes(ctx, f.version, feedWait)
+	f.setStop(cancel)
+	changes, version, err := f.config.Source.Changes(waiting, f.version, feedWait)
+	f.setStop(nil)
+	if err != nil && f.isUnverified() {
+		return nil // The wait was ended by Verify.
+	}
 	if err != nil {
 		return errors.WithMessage(err, "wait for changes")
 	}
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -124,3 +124,48 @@
 		})
 	}
 }
+
+// deaf is a source whose feed never answers by itself.
+type deaf struct {
+	lists chan struct{}
+	waits chan struct{}
+}
+
+func (d *deaf) List(context.Context) ([]string, int64, error) {
+	d.lists <- struct{}{}
+	return []string{"a"}, 1, nil
+}
+
+func (d *deaf) Changes(ctx context.Context, _ int64, _ time.Duration) ([]follow.Change[string], int64, error) {
+	d.waits <- struct{}{}
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+// TestVerifyReadsAgainAtOnce plays a feed that is deaf: a doubt ends the wait, a second one soon after
+// does not, and the store does not count as lost.
+func TestVerifyReadsAgainAtOnce(t *testing.T) {
+	clock := timer.NewManual(time.Unix(1000, 0))
+	source, sink := &deaf{lists: make(chan struct{}), waits: make(chan struct{})}, &notes{}
+	follower := follow.New(follow.Config[string]{
+		Name: "t", Source: source, Sink: sink, Timer: clock, Log: event.NewLogger(io.Discard, "test", log.InfoLevel),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	serve(ended, func() error { return follower.Serve(ctx) })
+	<-source.lists
+	<-source.waits
+	follower.Verify()
+	select {
+	case <-source.lists:
+		t.Fatal("the table was read again at once")
+	case <-time.After(20 * time.Millisecond):
+	}
+	clock.Advance(2 * time.Second)
+	follower.Verify()
+	<-source.lists
+	<-source.waits
+	cancel()
+	<-ended
+	must.Eq(t, []string{"replace", "a", "replace", "a"}, sink.told)
+}
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -104,6 +104,7 @@
 
 // onUnroutable ends an exchange that no endpoints can run.
 func (x *exchangeRun) onUnroutable(err error) {
+	x.parts().Doubt()
 	switch {
 	case x.machine.IsAnswering():
 		x.cut("no endpoints to go on at: " + err.Error())
@@ -396,6 +397,7 @@
 	}
 	x.tried = append(x.tried, blamed)
 	if a.terms.Misdirected {
+		x.parts().Doubt()
 		x.parts().Endpoints.Observe(blamed, chicoryhall.ObservedSilence)
 	} else {
 		x.parts().Endpoints.Observe(blamed, chicoryhall.ObservedFull)
--- a/passthrough/parts.go
+++ b/passthrough/parts.go
@@ -40,6 +40,8 @@
 	Admission     chicoryhall.Admission
 	Retries       Retries
 	Dialect       chicoryhall.Dialect
-	Metrics       *Metrics
-	Log           *event.Logger
+	// Doubt is told that what is known of the endpoints seems to be old.
+	Doubt   func()
+	Metrics *Metrics
+	Log     *event.Logger
 }
--- a/passthrough/world_test.go
+++ b/passthrough/world_test.go
@@ -274,7 +274,7 @@
 	}
 	w.server = passthrough.NewServer(passthrough.Parts{
 		Address: w.address, Timer: clock, Rules: current, Documents: w, Endpoints: w.endpoints, Router: router, Admission: w,
-		Retries: w, Dialect: plainDialect{}, Metrics: passthrough.NewMetrics(), Log: event.NewLogger(io.Discard, "test", log.InfoLevel),
+		Retries: w, Dialect: plainDialect{}, Doubt: func() {}, Metrics: passthrough.NewMetrics(), Log: event.NewLogger(io.Discard, "test", log.InfoLevel),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var serving sync.WaitGroup
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -255,7 +255,9 @@
 var soakRegressions = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{7, "a store's feed that was silent behind a proxy kept a daemon's list of engines old for 9 s"},
+}
 
 func TestSoakRegressions(t *testing.T) {
 	for _, c := range soakRegressions {
