--- a/watch/listed.go
+++ b/watch/listed.go
@@ -30,8 +30,12 @@
 	reportLifetime = 2 * time.Second
 	// refusalMemory is how long a refusal for want of room counts, less and less.
 	refusalMemory = time.Second
-	// refusalPause is how long an endpoint that refused for want of room gets no new work.
-	refusalPause = 150 * time.Millisecond
+	// pauseForEach is how long an endpoint that refused for want of room gets no new work, for each
+	// daemon: the more there are, the more surely another one takes the next place. The pause lies
+	// between leastPause and longestPause.
+	pauseForEach = 20 * time.Millisecond
+	leastPause   = 100 * time.Millisecond
+	longestPause = time.Second
 	// estimateLifetime is how long an estimate of the load of all endpoints is used.
 	estimateLifetime = 50 * time.Millisecond
 )
@@ -183,10 +187,15 @@
 	present, places := e.present(), l.placesOf(e)
 	return chicoryhall.EndpointView{
 		State: e.state(now), Load: e.load(present), InFlight: e.inFlight, Crowding: e.refusedLevel(now),
-		Full: now.Sub(e.refusedAt) < refusalPause || places > 0 && present >= places,
+		Full: now.Sub(e.refusedAt) < l.refusalPause() || places > 0 && present >= places,
 	}
 }
 
+// refusalPause is how long an endpoint that refused for want of room gets no new work.
+func (l *Listed) refusalPause() time.Duration {
+	return min(longestPause, max(leastPause, pauseForEach*time.Duration(l.config.Daemons())))
+}
+
 // placesOf returns the number of requests that an endpoint has room for, or 0 if unknown.
 func (l *Listed) placesOf(e *listedEntry) float64 {
 	places := float64(e.listing.Places)
--- a/watch/listed_test.go
+++ b/watch/listed_test.go
@@ -221,6 +221,22 @@
 	must.Eq(t, 12, w.View("second").Load.Running) // No more than the daemons there are.
 }
 
+func TestListedPausesLongerWhereManyDaemonsAsk(t *testing.T) {
+	for _, c := range []struct {
+		daemons int
+		want    time.Duration
+	}{{1, 100 * time.Millisecond}, {10, 200 * time.Millisecond}, {360, time.Second}} {
+		w := newListedWorld()
+		w.daemons = c.daemons
+		w.Replace([]chicoryhall.Listing{listing("e")})
+		w.Observe("e", chicoryhall.ObservedFull)
+		w.clock.Advance(c.want - time.Millisecond)
+		must.True(t, w.View("e").Full)
+		w.clock.Advance(time.Millisecond)
+		must.False(t, w.View("e").Full)
+	}
+}
+
 func TestListedRemembersARefusal(t *testing.T) {
 	w := newListedWorld()
 	w.Replace([]chicoryhall.Listing{listing("e")})
