Price the time that engines spend on reading prompts; ask the store less

Change: an engine's time in a path grows as a queue's with the part of its time that reading takes: requests present, over the time that they stay (learnt by Little's law), times the reading time of a usual prompt. An engine that tells that requests wait counts as full for a pause. Feeds wait 15 s, gather for 500 ms, rows of members have a period of 15 s.

--- a/dialect.go
+++ b/dialect.go
@@ -39,8 +39,10 @@
 	RequestID RequestID
 	// Fault is the address of the endpoint that refused or failed, where another one tells, or empty.
 	Fault string
-	// Running is the number of requests at the endpoint, or -1 where it does not tell.
+	// Running is the number of requests at the endpoint, or -1 where it does not tell; Waiting is how
+	// many of them have not begun.
 	Running int
+	Waiting int
 	// Unsigned tells that a success lacks the signature that whole answers carry.
 	Unsigned bool
 	// Misdirected tells that another endpoint answers at the address, or that layers are missing there.
--- a/endpoints.go
+++ b/endpoints.go
@@ -40,7 +40,7 @@
 	InFlight int
 	// Full tells that the endpoint has no room for one more request of usual size.
 	Full bool
-	// Crowding falls from 1 to 0 after the endpoint refused work for want of room.
+	// Crowding is the part of the endpoint's time that new work is believed to wait for, from 0 to 1.
 	Crowding float64
 }
 
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -17,15 +17,15 @@
 const (
 	// feedWait is how long the store may hold a feed without changes; it bounds how long a deaf
 	// feed goes unnoticed. Connections that are silent are found by their own probes before.
-	feedWait = 8 * time.Second
+	feedWait = 15 * time.Second
 	// answerTimeout bounds an answer beyond that.
 	answerTimeout = 700 * time.Millisecond
 	// listTimeout bounds the read of the whole table.
 	listTimeout = 2 * time.Second
 	// verifyPeriod lies between two reads of the whole table without trouble.
-	verifyPeriod = 20 * time.Second
+	verifyPeriod = 30 * time.Second
 	// gatherTime is the pause behind changes, in which more of them gather for the next answer.
-	gatherTime = 250 * time.Millisecond
+	gatherTime = 500 * time.Millisecond
 	// doubtPause is the least time between two reads that were asked for by Verify.
 	doubtPause = time.Second
 	// firstPause and longestPause bound the pause after a failure; it doubles with each in a row.
--- a/membership/listed.go
+++ b/membership/listed.go
@@ -18,7 +18,7 @@
 	// listedPrefix begins the keys of the daemons' rows in the table.
 	listedPrefix = "daemons/"
 	// rowPeriod lies between two writes of a daemon's own row and two reads of all rows.
-	rowPeriod = 10 * time.Second
+	rowPeriod = 15 * time.Second
 	// secondRead is when the rows are read again after the start: daemons that start together do
 	// not see each other's rows in the first read.
 	secondRead = 3 * time.Second
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -277,6 +277,9 @@
 	if a.terms.Running >= 0 {
 		a.run.parts().Endpoints.Report(a.route.Hops[0].Engine, a.terms.Running)
 	}
+	if a.terms.Waiting > 0 {
+		a.run.parts().Endpoints.Observe(a.route.Hops[0].Engine, chicoryhall.ObservedFull)
+	}
 	a.noteProgress()
 	if response.StatusCode >= http.StatusMultipleChoices || a.terms.NotRun {
 		return
--- a/pipeline/load.go
+++ b/pipeline/load.go
@@ -15,10 +15,13 @@
 	streams float64
 	// step is the reported mean step time in nanoseconds, or 0.
 	step float64
-	// crowding multiplies the times of an engine that refused work lately.
+	// crowding multiplies the times of an engine whose time is taken in part, as in a queue.
 	crowding float64
 }
 
+// mostCrowded bounds the part of an engine's time that counts as taken.
+const mostCrowded = 0.8
+
 // loadOf joins the late report with the work that this daemon itself has in flight.
 func loadOf(view chicoryhall.EndpointView) load {
 	reported := view.Load.Running + view.Load.Waiting
@@ -26,7 +29,7 @@
 		streams: float64(reported + view.InFlight),
 		step:    float64(view.Load.StepMicros) * float64(time.Microsecond),
 
-		crowding: 1 + view.Crowding,
+		crowding: 1 / (1 - math.Min(mostCrowded, view.Crowding)),
 	}
 }
 
--- a/watch/listed.go
+++ b/watch/listed.go
@@ -57,6 +57,7 @@
 
 	mu      sync.Mutex
 	entries map[chicoryhall.EngineID]*listedEntry
+	stays   map[chicoryhall.ServiceName]*stay
 	// away tells that the platform cannot be reached, unsettled until when missing entries are kept.
 	away      bool
 	unsettled time.Time
@@ -69,7 +70,9 @@
 
 // NewListed returns a Listed that knows no endpoint yet.
 func NewListed(config ListedConfig) *Listed {
-	return &Listed{config: config, entries: make(map[chicoryhall.EngineID]*listedEntry)}
+	return &Listed{
+		config: config, entries: make(map[chicoryhall.EngineID]*listedEntry), stays: make(map[chicoryhall.ServiceName]*stay),
+	}
 }
 
 // Replace takes the whole list as read at one moment.
@@ -186,11 +189,36 @@
 	}
 	present, places := e.present(), l.placesOf(e)
 	return chicoryhall.EndpointView{
-		State: e.state(now), Load: e.load(present), InFlight: e.inFlight, Crowding: e.refusedLevel(now),
+		State: e.state(now), Load: e.load(present), InFlight: e.inFlight, Crowding: math.Max(e.refusedLevel(now)/2, l.readingAt(e, present)),
 		Full: now.Sub(e.refusedAt) < l.refusalPause() || places > 0 && present >= places,
 	}
 }
 
+// readingAt is the part of an endpoint's time that goes to reading prompts, where so many requests are
+// present: they are replaced by new ones as fast as they leave.
+func (l *Listed) readingAt(e *listedEntry, present float64) float64 {
+	document, known := l.config.Document(e.listing.Service)
+	if !known || len(e.listing.Holdings) == 0 {
+		return 0
+	}
+	accelerator, known := document.Accelerator(e.listing.Accelerator)
+	if !known {
+		return 0
+	}
+	held := e.listing.Holdings[0]
+	one := accelerator.PromptTime * time.Duration((held.To-held.From)*document.Model.UsualPrompt)
+	return math.Min(1, present*float64(one)/float64(l.stayOf(e.listing.Service).mean()))
+}
+
+func (l *Listed) stayOf(service chicoryhall.ServiceName) *stay {
+	known := l.stays[service]
+	if known == nil {
+		known = &stay{}
+		l.stays[service] = known
+	}
+	return known
+}
+
 // refusalPause is how long an endpoint that refused for want of room gets no new work.
 func (l *Listed) refusalPause() time.Duration {
 	return min(longestPause, max(leastPause, pauseForEach*time.Duration(l.config.Daemons())))
@@ -255,7 +283,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if e, known := l.entries[id]; known {
-		e.begin(l.config.Timer.Now())
+		now := l.config.Timer.Now()
+		e.begin(now)
+		l.stayOf(e.listing.Service).begin(now)
 	}
 }
 
@@ -268,6 +298,7 @@
 		return
 	}
 	e.inFlight = max(0, e.inFlight-1)
+	l.stayOf(e.listing.Service).end(l.config.Timer.Now())
 	if e.gone && e.inFlight == 0 {
 		delete(l.entries, id)
 	}
