--- a/cmd/chicoryctl/entry/explainrequest.go
+++ b/cmd/chicoryctl/entry/explainrequest.go
@@ -35,6 +35,9 @@
 // value returns the text of a key, or an empty one.
 func (l *logLine) value(key string) string { return l.values[key] }
 
+// writer tells the daemon that wrote the line, by its own word or else by the file.
+func (l *logLine) writer() string { return cmp.Or(l.values["daemon"], l.file) }
+
 // explainRequest prints, from daemons' logs, the decisions on one request and what the daemons came
 // to believe meanwhile of the endpoints that it met.
 func explainRequest(streams command.Streams, id string, files []string) error {
@@ -100,15 +103,15 @@
 	return slices.DeleteFunc(slices.Clone(all), func(line logLine) bool { return line.value("request") != id })
 }
 
-// around adds to a request's lines those of the same files that tell of its endpoints, of the rules
+// around adds to a request's lines those of the same daemons that tell of its endpoints, of the rules
 // and of the store while it was in progress.
 func around(all, own []logLine, id string) []logLine {
 	from, to := own[0].at.Add(-before), own[len(own)-1].at
 	var endpoints strings.Builder
-	files := make(map[string]bool)
+	writers := make(map[string]bool)
 	for _, line := range own {
 		endpoints.WriteString(line.value("route") + " " + line.value("detail") + " " + line.value("error") + " ")
-		files[line.file] = true
+		writers[line.writer()] = true
 	}
 	return slices.DeleteFunc(slices.Clone(all), func(line logLine) bool {
 		if line.value("request") != "" {
@@ -116,7 +119,7 @@
 		}
 		endpoint := line.value("endpoint")
 		isElsewhere := endpoint != "" && !strings.Contains(endpoints.String(), endpoint)
-		return line.at.Before(from) || line.at.After(to) || !files[line.file] || isElsewhere
+		return line.at.Before(from) || line.at.After(to) || !writers[line.writer()] || isElsewhere
 	})
 }
 
--- a/cmd/chicoryhall/platformdaemon/builder.go
+++ b/cmd/chicoryhall/platformdaemon/builder.go
@@ -80,7 +80,7 @@
 func build(own settings.Entry, out io.Writer, level log.Level) *builder {
 	b := &builder{settings: own, timer: timer.New()}
 	b.lines = event.NewBounded(out, b.timer)
-	b.log = event.NewLogger(b.lines, "chicoryhall", level)
+	b.log = event.NewLogger(b.lines, "chicoryhall", level).With("daemon", own.ID)
 	b.root = b.newSupervisor("daemon")
 	base, knowledge := b.newSupervisor("base"), b.newSupervisor("knowledge")
 	decisions, interfaces := b.newSupervisor("decisions"), b.newSupervisor("interfaces")
--- a/cmd/chicoryhall/platformdaemon/daemon.go
+++ b/cmd/chicoryhall/platformdaemon/daemon.go
@@ -37,7 +37,7 @@
 // read the settings file at path again.
 func (d *Daemon) Serve(ctx context.Context, path string, reload <-chan os.Signal) error {
 	b := d.parts
-	b.log.Log(event.ProcessStarted, "daemon", b.settings.ID, "callers", b.settings.Listen.Callers,
+	b.log.Log(event.ProcessStarted, "callers", b.settings.Listen.Callers,
 		"failureDomain", b.settings.FailureDomain, "store", b.settings.Store.Address)
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -201,7 +201,7 @@
 // mayRetry spends a retry if there is time for one.
 func (x *exchangeRun) mayRetry() bool {
 	now := x.parts().Timer.Now()
-	if !now.Before(x.deadline) {
+	if !now.Before(x.deadline) || x.server.ending.Load() {
 		return false
 	}
 	return x.parts().Retries.Take(x.service, now)
--- a/passthrough/server.go
+++ b/passthrough/server.go
@@ -49,6 +49,8 @@
 	stopping atomic.Bool
 	// stopped tells that no request is taken any more.
 	stopped atomic.Bool
+	// ending tells that connections are being closed at the end of the process.
+	ending atomic.Bool
 	// buffer is where the event loop reads; it has one goroutine.
 	buffer []byte
 
@@ -92,6 +94,7 @@
 	ticks := s.parts.Timer.Every(idlePeriod, s.pool.closeIdle)
 	defer ticks.Cancel()
 	<-ctx.Done()
+	s.ending.Store(true)
 	s.loop.Stop()
 	s.pool.stop()
 	return ctx.Err()
