--- a/cmd/chicoryhall/platformdaemon/builder.go
+++ b/cmd/chicoryhall/platformdaemon/builder.go
@@ -31,6 +31,14 @@
 // routeSpread lets daemons that know the same choose otherwise among engines that are nearly as good.
 const routeSpread = 0.25
 
+const (
+	// deafMargin is how long before the deaf timeout a hanging feed of rules is given up.
+	deafMargin = 500 * time.Millisecond
+	// entriesWait is how long a feed of endpoints may be held; when the feed of rules finds the store
+	// lost, it is given up too.
+	entriesWait = 15 * time.Second
+)
+
 // candidates is the number of daemons of a failure domain that seek its lease.
 const candidates = 3
 
@@ -114,15 +122,16 @@
 		Timer: b.timer, Daemons: b.members.Alive, Document: b.document, Log: b.log,
 	})
 	b.documents = routing.NewDocuments(b.rules, b.listed)
-	into.Add(follow.New(follow.Config[*chicoryhall.RuleSet]{
-		Name: "rules", Source: platform.Rules(b.store, b.log), Sink: platform.RuleSink{Current: b.rules, Log: b.log},
-		Timer: b.timer, Log: b.log,
-	}))
 	b.entries = follow.New(follow.Config[chicoryhall.Listing]{
 		Name: "endpoints", Source: platform.Entries(b.store, b.log), Sink: platform.ListSink{Listed: b.listed},
-		Timer: b.timer, Log: b.log,
+		Wait: entriesWait, Timer: b.timer, Log: b.log,
 	})
 	into.Add(b.entries)
+	into.Add(follow.New(follow.Config[*chicoryhall.RuleSet]{
+		Name: "rules", Source: platform.Rules(b.store, b.log), Sink: platform.RuleSink{Current: b.rules, Log: b.log},
+		Wait: b.settings.Store.DeafTimeout - deafMargin - follow.AnswerTimeout, OnLost: b.entries.Verify,
+		Timer: b.timer, Log: b.log,
+	}))
 }
 
 // document returns a service's document without its endpoints.
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -15,11 +15,8 @@
 var ErrHistoryGone = errors.New("the store has dropped the history of the table")
 
 const (
-	// feedWait is how long the store may hold a feed without changes; it bounds how long a deaf
-	// feed goes unnoticed. Connections that are silent are found by their own probes before.
-	feedWait = 15 * time.Second
-	// answerTimeout bounds an answer beyond that.
-	answerTimeout = 700 * time.Millisecond
+	// AnswerTimeout bounds an answer beyond the wait for changes.
+	AnswerTimeout = 600 * time.Millisecond
 	// listTimeout bounds the read of the whole table.
 	listTimeout = 2 * time.Second
 	// verifyPeriod lies between two reads of the whole table without trouble.
@@ -64,6 +61,11 @@
 	Name   string
 	Source Source[T]
 	Sink   Sink[T]
+	// Wait is how long the store may hold a feed without changes; with AnswerTimeout it bounds how
+	// long a feed that hangs goes unnoticed.
+	Wait time.Duration
+	// OnLost is called when the store is lost, or is nil.
+	OnLost func()
 	Timer  chicoryhall.Timer
 	Log    *event.Logger
 }
@@ -155,10 +157,10 @@
 
 // wait takes the next changes.
 func (f *Follower[T]) wait(ctx context.Context) error {
-	waiting, cancel := context.WithTimeout(ctx, feedWait+answerTimeout)
+	waiting, cancel := context.WithTimeout(ctx, f.config.Wait+AnswerTimeout)
 	defer cancel()
 	f.setStop(cancel)
-	changes, version, err := f.config.Source.Changes(waiting, f.version, feedWait)
+	changes, version, err := f.config.Source.Changes(waiting, f.version, f.config.Wait)
 	f.setStop(nil)
 	if err != nil && f.isUnverified() {
 		return nil // The wait was ended by Verify.
@@ -190,6 +192,9 @@
 		f.away = true
 		f.config.Log.Log(event.StoreLost, "table", f.config.Name, "version", f.version, "error", err)
 		f.config.Sink.Away()
+		if f.config.OnLost != nil {
+			f.config.OnLost()
+		}
 	}
 	pause := min(longestPause, firstPause<<min(f.failures, 8))
 	f.failures++
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -83,7 +83,7 @@
 	defer ready.Cancel()
 	source, sink := &script{steps: steps, end: cancel}, &notes{}
 	follower := follow.New(follow.Config[string]{
-		Name: "t", Source: source, Sink: sink, Timer: clock, Log: event.NewLogger(io.Discard, "test", log.InfoLevel),
+		Name: "t", Source: source, Sink: sink, Wait: time.Second, Timer: clock, Log: event.NewLogger(io.Discard, "test", log.InfoLevel),
 	})
 	serve(ended, func() error { return clock.Serve(ticking) })
 	must.ErrorIs(t, follower.Serve(ctx), context.Canceled)
@@ -148,7 +148,7 @@
 	clock := timer.NewManual(time.Unix(1000, 0))
 	source, sink := &deaf{lists: make(chan struct{}), waits: make(chan struct{})}, &notes{}
 	follower := follow.New(follow.Config[string]{
-		Name: "t", Source: source, Sink: sink, Timer: clock, Log: event.NewLogger(io.Discard, "test", log.InfoLevel),
+		Name: "t", Source: source, Sink: sink, Wait: time.Second, Timer: clock, Log: event.NewLogger(io.Discard, "test", log.InfoLevel),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -169,3 +169,31 @@
 	<-ended
 	must.Eq(t, []string{"replace", "a", "replace", "a"}, sink.told)
 }
+
+// TestLosingOneFeedVerifiesTheOther hangs a feed as a silent store does: it is given up after its wait, and
+// the follower of another table is told.
+func TestLosingOneFeedVerifiesTheOther(t *testing.T) {
+	clock := timer.New()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	lost := make(chan struct{}, 1)
+	source, sink := &deaf{lists: make(chan struct{}), waits: make(chan struct{})}, &notes{}
+	follower := follow.New(follow.Config[string]{
+		Name: "t", Source: source, Sink: sink, Wait: 50 * time.Millisecond, OnLost: func() { lost <- struct{}{} },
+		Timer: clock, Log: event.NewLogger(io.Discard, "test", log.InfoLevel),
+	})
+	ended := make(chan error, 2)
+	serve(ended, func() error { return clock.Serve(ctx) })
+	serve(ended, func() error { return follower.Serve(ctx) })
+	<-source.lists
+	<-source.waits
+	began := time.Now()
+	<-lost
+	must.Less(t, 2*follow.AnswerTimeout, time.Since(began))
+	<-source.lists
+	<-source.waits
+	cancel()
+	<-ended
+	<-ended
+	must.Eq(t, []string{"replace", "a", "away", "back", "replace", "a"}, sink.told[:6])
+}
--- a/proof/soak_world_test.go
+++ b/proof/soak_world_test.go
@@ -48,6 +48,7 @@
   metrics: %s
 store:
   address: %s
+  deafTimeout: 3s
 retries:
   ratio: 0.2
   slack: 200
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -17,6 +17,8 @@
 	maxWindow      = time.Hour
 	maxSlack       = 1 << 30
 	maxDrainWithin = time.Hour
+	minDeafTimeout = 1500 * time.Millisecond
+	maxDeafTimeout = time.Minute
 )
 
 // Entry is the settings file of a daemon that passes requests through to endpoints which the
@@ -50,6 +52,8 @@
 type EntryStore struct {
 	// Address is IP:PORT.
 	Address string `yaml:"address"`
+	// DeafTimeout is how soon a call to the store that hangs must be noticed.
+	DeafTimeout time.Duration `yaml:"deafTimeout"`
 }
 
 // EntryRetries bounds what all daemons together send again to one service.
@@ -88,6 +92,7 @@
 	file.Address("listen.ready", e.Listen.Ready)
 	file.Address("listen.metrics", e.Listen.Metrics)
 	file.Address("store.address", e.Store.Address)
+	file.Duration("store.deafTimeout", e.Store.DeafTimeout, minDeafTimeout, maxDeafTimeout)
 	file.Duration("stopTimeout", e.StopTimeout, time.Second, maxStopTimeout)
 	file.Duration("drainWithin", e.DrainWithin, time.Millisecond, maxDrainWithin)
 	file.Duration("retries.window", e.Retries.Window, time.Millisecond, maxWindow)
