--- a/cmd/chicoryhall/platformdaemon/builder.go
+++ b/cmd/chicoryhall/platformdaemon/builder.go
@@ -40,12 +40,12 @@
 )
 
 // candidates is the number of daemons of a failure domain that seek its lease.
-const candidates = 3
+const candidates = 2
 
 // orderTerms suit engines that refuse an order if another was accepted since they were read.
 func (b *builder) orderTerms() placement.Terms {
 	return placement.Terms{
-		LeaseDuration: 6 * time.Second, LeaseMargin: 1500 * time.Millisecond, SeekPeriod: 2 * time.Second, MaxLoads: 64,
+		LeaseDuration: 3 * time.Second, LeaseMargin: 750 * time.Millisecond, SeekPeriod: time.Second, MaxLoads: 64,
 		SingleRange: true,
 		IsCandidate: b.isCandidate,
 	}
--- a/placement/holder.go
+++ b/placement/holder.go
@@ -120,7 +120,7 @@
 }
 
 // idleSeeks is how many times as rarely a daemon that is no candidate looks at the lease's row.
-const idleSeeks = 5
+const idleSeeks = 10
 
 // seekPeriod is the time between two looks at the lease's row.
 func (h *Holder) seekPeriod() time.Duration {
