--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := ./... ./cmd/chicoryhall/... ./cmd/chicoryctl/... ./cmd/chicorystand/... ./cmd/chicorybench/...
 GO_FILES = $(shell git ls-files '*.go' ':!*_enumer.go')
 
-.PHONY: build test prove lint generate demo measure capacity
+.PHONY: build test prove soak lint generate demo demo-platform measure capacity
 
 # build puts the four programs into bin/.
 build:
@@ -18,6 +18,16 @@
 prove:
 	bash scripts/prove
 
+# soak plays fresh seeds of faults against the daemon of the users' platform: SEED is the first, RUNS
+# their number, SECONDS how long faults come in each.
+soak:
+	SOAK_SEED=$(or $(SEED),$(shell date +%s)) SOAK_RUNS=$(or $(RUNS),5) SOAK_SECONDS=$(SECONDS) \
+		go test -count=1 -timeout 3600s -run '^TestSoak$$' -v ./proof
+
+# demo-platform starts the users' platform's stand-in with daemons, sends load with faults and judges.
+demo-platform:
+	SOAK_SEED=1 go test -count=1 -run '^TestSoak$$' -v ./proof
+
 # lint checks format, names, suspicious code and that generated files are current.
 lint:
 	@unformatted=$$(go tool gofumpt -l $(GO_FILES)); \
