--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := ./... ./cmd/chicoryhall/... ./cmd/chicoryctl/... ./cmd/chicorystand/... ./cmd/chicorybench/...
 GO_FILES = $(shell git ls-files '*.go' ':!*_enumer.go')
 
-.PHONY: build test prove soak lint generate demo demo-platform measure capacity
+.PHONY: build test prove soak mutate lint generate demo demo-platform measure capacity
 
 # build puts the four programs into bin/.
 build:
@@ -28,6 +28,10 @@
 demo-platform:
 	SOAK_SEED=1 go test -count=1 -run '^TestSoak$$' -v ./proof
 
+# mutate tells which broken operators the tests of decision packages miss; MUTATED names them.
+mutate:
+	bash scripts/mutate $(MUTATED)
+
 # lint checks format, names, suspicious code and that generated files are current.
 lint:
 	@unformatted=$$(go tool gofumpt -l $(GO_FILES)); \
