Never pass on a status that callers take for not run unless the endpoint says so

Cause: found in reading: an endpoint's 429, 503 or 408 without word that it ran nothing was handed on, and callers would have taken it for a promise. Failing first: a row of TestAnswersAndFailures. A request without an id is refused at once, as no answer could be matched to it; one without any time gets a minute.

--- a/passthrough/answer.go
+++ b/passthrough/answer.go
@@ -118,6 +118,9 @@
 		a.fail(exchange.FailureLost, errors.New("the stream ended inside an event"))
 	case a.streaming:
 		a.finishStream(status)
+	case isPromise(status):
+		a.avoidFirst()
+		a.fail(exchange.FailureLost, errors.Errorf("the endpoint answered with status %d and did not say that it ran nothing", status))
 	case status >= http.StatusInternalServerError:
 		a.avoidFirst()
 		a.fail(exchange.FailureAnswered, errors.Errorf("the endpoint answered with status %d", status))
@@ -130,6 +133,17 @@
 	}
 }
 
+// isPromise tells whether callers take a status for word that the request has not run: an endpoint
+// that does not say so itself gives no such word, and its answer must not be passed on.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 func (a *attempt) finishStream(status int) {
 	x := a.run
 	a.end(false)
--- a/passthrough/run.go
+++ b/passthrough/run.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/event"
 	"chicoryhall.example/chicoryhall/exchange"
@@ -15,6 +17,8 @@
 	// startPatience is how long a stream may wait for a place, in parts of its target latency: its
 	// first event would come too late to be worth the place otherwise.
 	startPatience = 1.5
+	// longestWait bounds a request for which neither the caller nor the rule states a time.
+	longestWait = time.Minute
 	// retryAfterRefused is the time to come back after endpoints refused or were not reached.
 	retryAfterRefused = 400 * time.Millisecond
 	// retryAfterUnknown is the time to come back while this daemon knows no rules yet.
@@ -75,6 +79,9 @@
 func (x *exchangeRun) begin() {
 	terms, err := x.parts().Dialect.Caller(x.head.Header)
 	x.terms = terms
+	if err == nil && terms.ID == "" {
+		err = errors.New("the request has no id")
+	}
 	if err != nil {
 		x.refuse(http.StatusBadRequest, 0, err.Error())
 		return
@@ -129,6 +136,9 @@
 	if x.terms.Patience > 0 && (wait == 0 || x.terms.Patience < wait) {
 		wait = x.terms.Patience
 	}
+	if wait == 0 {
+		wait = longestWait
+	}
 	x.deadline = x.began.Add(wait)
 	x.server.begin(x)
 	x.lookAt(x.deadline)
--- a/passthrough/server_test.go
+++ b/passthrough/server_test.go
@@ -26,6 +26,10 @@
 	return say(conn, fmt.Sprintf("HTTP/1.1 500 Bad\r\nId: %s\r\nSignature: s\r\nContent-Length: 3\r\n\r\nbad", request.Header.Get("Id")))
 }
 
+func unpromising(conn net.Conn, _ int, request *http.Request) bool {
+	return say(conn, fmt.Sprintf("HTTP/1.1 503 Busy\r\nId: %s\r\nSignature: s\r\nContent-Length: 0\r\n\r\n", request.Header.Get("Id")))
+}
+
 func cutting(conn net.Conn, _ int, request *http.Request) bool {
 	say(conn, strings.Replace(whole(request, "hello"), "hello", "he", 1))
 	return false
@@ -75,6 +79,7 @@
 		{"refused", "/unsafe/a", refusing, 200, "second", 1},
 		{"unsafe, failed there", "/unsafe/a", failing, 500, "bad", 0},
 		{"safe, failed there", "/safe/a", failing, 200, "second", 1},
+		{"a refusal that does not say that nothing ran", "/unsafe/a", unpromising, 502, "", 0},
 		{"unsafe, cut", "/unsafe/a", cutting, 502, "", 0},
 		{"safe, cut", "/safe/a", cutting, 200, "second", 1},
 		{"until the end of the connection", "/unsafe/a", unframed, 200, "hello", 0},
@@ -154,6 +159,7 @@
 		{"another host", strings.Replace(requestText("GET", "/safe/", "1", ""), "Host: h", "Host: g", 1), 404, false},
 		{"unknown credential", strings.Replace(requestText("GET", "/safe/", "1", ""), "Key: k", "Key: z", 1), 401, false},
 		{"no credential", strings.Replace(requestText("GET", "/safe/", "1", ""), "Key: k\r\n", "", 1), 401, false},
+		{"no id", strings.Replace(requestText("GET", "/safe/", "1", ""), "Id: 1\r\n", "", 1), 400, false},
 		{"impossible time", strings.Replace(requestText("GET", "/safe/", "1", ""), "Key: k", "Key: k\r\nWait: soon", 1), 400, false},
 		{"large body", strings.Replace(requestText("POST", "/safe/", "1", ""), "Length: 0", "Length: 4096", 1), 413, false},
 		{"large head", "GET /safe/ HTTP/1.1\r\nHost: h\r\nA: " + strings.Repeat("a", 4096) + "\r\n\r\n", 431, false},
