Doubt the list only when engines are missing, not when they are full

A router's error now tells whether engines are missing or full. Tests for the policy of the platform: chains stay in a domain, full and crowded engines, the taste of each daemon.

--- a/passthrough/failure.go
+++ b/passthrough/failure.go
@@ -14,7 +14,9 @@
 
 // onUnroutable ends an exchange that no endpoints can run.
 func (x *exchangeRun) onUnroutable(err error) {
-	x.parts().Doubt()
+	if !lacksRoom(err) {
+		x.parts().Doubt()
+	}
 	switch {
 	case x.machine.IsAnswering():
 		x.cut("no endpoints to go on at: " + err.Error())
@@ -25,6 +27,15 @@
 	}
 }
 
+// lacksRoom tells whether a router's error says that all endpoints are there and some are full.
+func lacksRoom(err error) bool {
+	var lacking interface {
+		error
+		LacksRoom() bool
+	}
+	return errors.As(err, &lacking) && lacking.LacksRoom()
+}
+
 // fail ends the attempt and carries out what follows.
 func (a *attempt) fail(failure exchange.Failure, cause error) {
 	x := a.run
--- a/pipeline/errors.go
+++ b/pipeline/errors.go
@@ -17,14 +17,22 @@
 type UncoveredError struct {
 	Service chicoryhall.ServiceName
 	Layers  []LayerRange
+	// Full tells that ready engines hold the layers and lack room.
+	Full bool
 }
 
+// LacksRoom tells whether there is a route once other requests have ended.
+func (e *UncoveredError) LacksRoom() bool { return e.Full }
+
 // Error names the service and each uncovered range.
 func (e *UncoveredError) Error() string {
 	ranges := make([]string, 0, len(e.Layers))
 	for _, missing := range e.Layers {
 		ranges = append(ranges, fmt.Sprintf("[%d,%d)", missing.From, missing.To))
 	}
-	return fmt.Sprintf("choose route: service %q has no ready engine for layers %s",
-		e.Service, strings.Join(ranges, " "))
+	lack := "no ready engine"
+	if e.Full {
+		lack = "no engine with room"
+	}
+	return fmt.Sprintf("choose route: service %q has %s for layers %s", e.Service, lack, strings.Join(ranges, " "))
 }
--- a/pipeline/router.go
+++ b/pipeline/router.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 
 	"chicoryhall.example/chicoryhall"
@@ -74,5 +75,13 @@
 	return &UncoveredError{
 		Service: s.plan.document.Service,
 		Layers:  s.plan.uncovered(0, s.plan.layers, usable),
+		Full:    len(s.plan.uncovered(0, s.plan.layers, s.hasReady)) == 0,
 	}
 }
+
+// hasReady tells whether a group has an engine that may get work once it has room.
+func (s *search) hasReady(g *group) bool {
+	return slices.ContainsFunc(g.engines, func(index int) bool {
+		return !s.excluded[index] && s.view(s.plan.engines[index].id).State == chicoryhall.EndpointReady
+	})
+}
--- /dev/null
+++ b/pipeline/shortest_test.go
@@ -0,0 +1,134 @@
+package pipeline_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/pipeline"
+)
+
+// twoDomains holds a model of four layers twice: fast engines in domain x, slow ones in y.
+func twoDomains() (*chicoryhall.Document, *fakeEndpoints) {
+	document := &chicoryhall.Document{
+		Service: "s", Kind: chicoryhall.ServicePipeline,
+		Model: chicoryhall.DocumentModel{Name: "m", Version: "1", Layers: 4, KVBytes: 1, ActivationBytes: 1000},
+		Accelerators: []chicoryhall.DocumentAccelerator{
+			{Kind: "fast", Batch: 100, LayerStep: time.Millisecond, PromptTime: time.Microsecond},
+			{Kind: "slow", Batch: 100, LayerStep: 5 * time.Millisecond, PromptTime: 5 * time.Microsecond},
+		},
+	}
+	endpoints := newFakeEndpoints()
+	for _, one := range []struct {
+		id     chicoryhall.EngineID
+		domain chicoryhall.FailureDomain
+		kind   chicoryhall.AcceleratorKind
+		from   int
+		to     int
+	}{{"x1", "x", "fast", 0, 2}, {"x2", "x", "fast", 2, 4}, {"y1", "y", "slow", 0, 2}, {"y2", "y", "slow", 2, 4}} {
+		document.Endpoints = append(document.Endpoints, chicoryhall.DocumentEndpoint{
+			ID: one.id, Address: string(one.id), FailureDomain: one.domain, Accelerator: one.kind, From: one.from, To: one.to,
+		})
+		endpoints.views[one.id] = chicoryhall.EndpointView{Load: chicoryhall.Load{
+			Engine: one.id, Holdings: []chicoryhall.Holding{{Model: "m", Version: "1", From: one.from, To: one.to}},
+		}}
+	}
+	return document, endpoints
+}
+
+func TestShortestStaysInADomain(t *testing.T) {
+	cases := []struct {
+		name     string
+		change   func(views map[chicoryhall.EngineID]chicoryhall.EndpointView)
+		crossing time.Duration
+		want     []chicoryhall.EngineID
+		lacks    bool
+		fails    bool
+	}{
+		{"the faster chain, though it is farther", nil, time.Second, []chicoryhall.EngineID{"x1", "x2"}, false, false},
+		{"a dead stage", func(views map[chicoryhall.EngineID]chicoryhall.EndpointView) {
+			views["x2"] = chicoryhall.EndpointView{State: chicoryhall.EndpointDead}
+		}, time.Second, []chicoryhall.EngineID{"y1", "y2"}, false, false},
+		{"a full stage", func(views map[chicoryhall.EngineID]chicoryhall.EndpointView) {
+			views["x2"] = withFull(views["x2"])
+		}, time.Second, []chicoryhall.EngineID{"y1", "y2"}, false, false},
+		{"crossing costs nothing", func(views map[chicoryhall.EngineID]chicoryhall.EndpointView) {
+			views["x2"] = withFull(views["x2"])
+		}, 0, []chicoryhall.EngineID{"x1", "y2"}, false, false},
+		{"crowded engines", func(views map[chicoryhall.EngineID]chicoryhall.EndpointView) {
+			for _, id := range []chicoryhall.EngineID{"x1", "x2"} {
+				view := views[id]
+				view.Crowding = 1
+				views[id] = view
+			}
+		}, time.Second, []chicoryhall.EngineID{"y1", "y2"}, false, false},
+		{"no room anywhere", func(views map[chicoryhall.EngineID]chicoryhall.EndpointView) {
+			views["x2"], views["y2"] = withFull(views["x2"]), withFull(views["y2"])
+		}, time.Second, nil, true, true},
+		{"no engine for two layers", func(views map[chicoryhall.EngineID]chicoryhall.EndpointView) {
+			views["x2"] = chicoryhall.EndpointView{State: chicoryhall.EndpointDead}
+			views["y2"] = chicoryhall.EndpointView{State: chicoryhall.EndpointSuspect}
+		}, time.Second, nil, false, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			document, endpoints := twoDomains()
+			if c.change != nil {
+				c.change(endpoints.views)
+			}
+			router := pipeline.New(endpoints, pipeline.Options{Policy: pipeline.PolicyShortest, Crossing: c.crossing})
+			route, err := router.Choose(chicoryhall.RouteQuery{
+				Document: document, From: "y", Positions: 100, Remaining: 100, Now: time.Unix(1000, 0),
+			})
+			must.Eq(t, c.fails, err != nil)
+			var uncovered *pipeline.UncoveredError
+			if errors.As(err, &uncovered) {
+				must.Eq(t, c.lacks, uncovered.LacksRoom())
+				return
+			}
+			var met []chicoryhall.EngineID
+			for _, hop := range route.Hops {
+				met = append(met, hop.Engine)
+			}
+			must.Eq(t, c.want, met)
+		})
+	}
+}
+
+func withFull(view chicoryhall.EndpointView) chicoryhall.EndpointView {
+	view.Full = true
+	return view
+}
+
+// TestTasteDiffersByDaemon looks at engines that are alike: daemons prefer different ones, and each
+// the same one every time.
+func TestTasteDiffersByDaemon(t *testing.T) {
+	document, endpoints := twoDomains()
+	document.Accelerators[1].LayerStep = document.Accelerators[0].LayerStep
+	document.Accelerators[1].PromptTime = document.Accelerators[0].PromptTime
+	for _, ends := range [][2]chicoryhall.FailureDomain{{"x", "y"}, {"y", "x"}} {
+		document.Links = append(document.Links, chicoryhall.DocumentLink{From: ends[0], To: ends[1], BytesPerSecond: 1e9})
+	}
+	first := make(map[chicoryhall.EngineID]int)
+	for seed := range uint64(40) {
+		router := pipeline.New(endpoints, pipeline.Options{
+			Policy: pipeline.PolicyShortest, Seed: seed * 0x9E3779B97F4A7C15, Crossing: time.Second, Spread: 0.25,
+		})
+		var before chicoryhall.EngineID
+		for range 5 {
+			route, err := router.Choose(chicoryhall.RouteQuery{Document: document, From: "x", Positions: 100, Remaining: 100, Now: time.Unix(1000, 0)})
+			must.NoError(t, err)
+			chosen := route.Hops[0].Engine
+			must.True(t, before == "" || before == chosen)
+			before = chosen
+		}
+		first[before]++
+	}
+	must.MapLen(t, 2, first)
+	for _, count := range first {
+		must.Greater(t, 8, count)
+	}
+}
