--- a/proof/soak_world_test.go
+++ b/proof/soak_world_test.go
@@ -54,7 +54,6 @@
   slack: 200
   window: 10s
 stopTimeout: 4s
-drainWithin: 2s
 `
 
 const soakRule = `{"name":"%s","host":"h","pathPrefix":"/%s/","kind":"%s","timeoutMs":%d,"targetLatencyMs":300,"priority":1,` +
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -16,7 +16,6 @@
 	maxStopTimeout = time.Hour
 	maxWindow      = time.Hour
 	maxSlack       = 1 << 30
-	maxDrainWithin = time.Hour
 	minDeafTimeout = 1500 * time.Millisecond
 	maxDeafTimeout = time.Minute
 )
@@ -32,8 +31,6 @@
 	Retries       EntryRetries              `yaml:"retries"`
 	// StopTimeout is how long the process may take to end after SIGTERM.
 	StopTimeout time.Duration `yaml:"stopTimeout"`
-	// DrainWithin is how soon new work at a leaving endpoint must have ended.
-	DrainWithin time.Duration `yaml:"drainWithin"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `yaml:"logLevel,omitempty"`
 }
@@ -94,7 +91,6 @@
 	file.Address("store.address", e.Store.Address)
 	file.Duration("store.deafTimeout", e.Store.DeafTimeout, minDeafTimeout, maxDeafTimeout)
 	file.Duration("stopTimeout", e.StopTimeout, time.Second, maxStopTimeout)
-	file.Duration("drainWithin", e.DrainWithin, time.Millisecond, maxDrainWithin)
 	file.Duration("retries.window", e.Retries.Window, time.Millisecond, maxWindow)
 	if ratio := e.Retries.Ratio; file.Known("retries.ratio") && (ratio < 0 || ratio > 1) {
 		file.Report("retries.ratio", "%g is out of range; write a part of the requests from 0 to 1", ratio)
