Keep idle connections in one place; close those that expired

pool.take returned nothing for a connection whose time had passed and left it open, held by no one, until its peer closed it; older ones behind it that their peer keeps longer were not tried. engine.Client held the same lists a second time. A connection that could not be added to the event loop is closed as well.

--- a/engine/client.go
+++ b/engine/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"runtime"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -16,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/idle"
 )
 
 const (
@@ -38,9 +38,7 @@
 	loop    *nbhttp.Engine
 	dials   errgroup.Group
 	stopped atomic.Bool
-
-	mu   sync.Mutex
-	idle map[string][]*connection
+	idle    *idle.Connections[*connection]
 }
 
 // NewClient returns a Client whose event loop runs until Serve ends.
@@ -52,7 +50,7 @@
 	if err := loop.Start(); err != nil {
 		return nil, errors.WithMessage(err, "start the engine client's event loop")
 	}
-	return &Client{timer: timer, loop: loop, idle: map[string][]*connection{}}, nil
+	return &Client{timer: timer, loop: loop, idle: idle.New[*connection](maxIdlePerAddress)}, nil
 }
 
 // processorsPerPoller is the number of processors for which one goroutine waits for events;
@@ -65,7 +63,7 @@
 
 // Serve keeps the client running until ctx ends.
 func (c *Client) Serve(ctx context.Context) error {
-	tick := c.timer.Every(idleTimeout/2, c.closeIdle)
+	tick := c.timer.Every(idleTimeout/2, c.idle.CloseExpired)
 	defer tick.Cancel()
 	<-ctx.Done()
 	c.stopped.Store(true)
@@ -100,7 +98,7 @@
 // send starts an exchange; its receiver is called on other goroutines.
 func (c *Client) send(x exchange) {
 	if !x.fresh {
-		if conn := c.takeIdle(x.address); conn != nil && conn.begin(x) {
+		if conn, found := c.idle.Take(x.address, c.timer.Now()); found && conn.begin(x) {
 			return
 		}
 	}
@@ -123,11 +121,13 @@
 	}
 	raw, err := nbio.NBConn(plain)
 	if err != nil {
+		_ = plain.Close()
 		x.receiver.onFailure(&Error{kind: FailureUnreachable, step: x.step, peer: x.address, cause: err})
 		return
 	}
 	conn := newConnection(c, x.address, raw)
 	if _, err := c.loop.AddConn(raw); err != nil {
+		_ = raw.Close()
 		x.receiver.onFailure(&Error{kind: FailureUnreachable, step: x.step, peer: x.address, cause: err})
 		return
 	}
@@ -144,77 +144,5 @@
 	return &Error{kind: kind, step: x.step, peer: x.address, cause: err}
 }
 
-// takeIdle returns the idle connection that was used last, or nil.
-func (c *Client) takeIdle(address string) *connection {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	idle := c.idle[address]
-	if len(idle) == 0 {
-		return nil
-	}
-	conn := idle[len(idle)-1]
-	c.idle[address] = idle[:len(idle)-1]
-	return conn
-}
-
-// putIdle keeps a connection for the next exchange, or closes it.
-func (c *Client) putIdle(conn *connection) {
-	c.mu.Lock()
-	full := len(c.idle[conn.address]) >= maxIdlePerAddress
-	if !full {
-		conn.idleSince = c.timer.Now()
-		c.idle[conn.address] = append(c.idle[conn.address], conn)
-	}
-	c.mu.Unlock()
-	if full {
-		conn.close()
-	}
-}
-
-// dropIdle forgets a connection that was closed while idle.
-func (c *Client) dropIdle(closed *connection) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	idle := c.idle[closed.address]
-	for i, conn := range idle {
-		if conn == closed {
-			c.idle[closed.address] = append(idle[:i], idle[i+1:]...)
-			return
-		}
-	}
-}
-
 // ForgetIdle closes the idle connections to an endpoint whose open ones have gone silent.
-func (c *Client) ForgetIdle(address string) {
-	c.mu.Lock()
-	idle := c.idle[address]
-	delete(c.idle, address)
-	c.mu.Unlock()
-	for _, conn := range idle {
-		conn.close()
-	}
-}
-
-// closeIdle closes the connections that have been idle for too long.
-func (c *Client) closeIdle(now time.Time) {
-	var old []*connection
-	c.mu.Lock()
-	for address, idle := range c.idle {
-		kept := idle[:0]
-		for _, conn := range idle {
-			if now.Sub(conn.idleSince) > idleTimeout {
-				old = append(old, conn)
-			} else {
-				kept = append(kept, conn)
-			}
-		}
-		c.idle[address] = kept
-		if len(kept) == 0 {
-			delete(c.idle, address)
-		}
-	}
-	c.mu.Unlock()
-	for _, conn := range old {
-		conn.close()
-	}
-}
+func (c *Client) ForgetIdle(address string) { c.idle.Forget(address) }
--- a/engine/connection.go
+++ b/engine/connection.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"sync"
-	"time"
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
@@ -15,8 +14,6 @@
 	client  *Client
 	address string
 	raw     *nbio.Conn
-	// idleSince is guarded by the client's lock.
-	idleSince time.Time
 
 	mu     sync.Mutex
 	closed bool
@@ -64,7 +61,8 @@
 	}
 }
 
-func (conn *connection) close() {
+// CloseIdle closes the connection while it carries nothing.
+func (conn *connection) CloseIdle() {
 	_ = conn.raw.Close()
 }
 
@@ -106,9 +104,9 @@
 	conn.mu.Unlock()
 	switch {
 	case last || current == nil:
-		conn.close()
+		_ = conn.raw.Close()
 	default:
-		conn.client.putIdle(conn)
+		conn.client.idle.Put(conn.address, conn, conn.client.timer.Now().Add(idleTimeout))
 	}
 	if current != nil {
 		current.onWhole()
@@ -123,7 +121,7 @@
 	conn.current = nil
 	conn.mu.Unlock()
 	if current == nil {
-		conn.client.dropIdle(conn)
+		conn.client.idle.Drop(conn.address, conn)
 		return
 	}
 	if err == nil {
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -135,37 +135,31 @@
 	})
 }
 
-func (a *attempt) onHead(response *http.Response) {
+// inTurn runs a step in the turn of the caller's connection unless the attempt has ended by then.
+func (a *attempt) inTurn(step func()) {
 	a.run.conn.call(func() {
 		if !a.ended {
-			a.takeHead(response)
+			step()
 		}
 	})
 }
 
+func (a *attempt) onHead(response *http.Response) {
+	a.inTurn(func() { a.takeHead(response) })
+}
+
+// onBody keeps a copy: the reader of the connection uses its buffer again.
 func (a *attempt) onBody(piece []byte) {
 	kept := slices.Clone(piece)
-	a.run.conn.call(func() {
-		if !a.ended {
-			a.takeBody(kept)
-		}
-	})
+	a.inTurn(func() { a.takeBody(kept) })
 }
 
 func (a *attempt) onWhole() {
-	a.run.conn.call(func() {
-		if !a.ended {
-			a.takeWhole()
-		}
-	})
+	a.inTurn(a.takeWhole)
 }
 
 func (a *attempt) onFailure(err error, sent bool) {
-	a.run.conn.call(func() {
-		if !a.ended {
-			a.takeFailure(err, sent)
-		}
-	})
+	a.inTurn(func() { a.takeFailure(err, sent) })
 }
 
 // routeText writes a route for logs.
--- a/passthrough/endpoint.go
+++ b/passthrough/endpoint.go
@@ -25,8 +25,6 @@
 	address string
 	socket  *nbio.Conn
 	reader  *http1.Reader[*http.Response]
-	// idleUntil is guarded by the pool's lock.
-	idleUntil time.Time
 
 	mu      sync.Mutex
 	closed  bool
@@ -90,6 +88,11 @@
 	}
 }
 
+// CloseIdle closes the connection while it carries nothing.
+func (conn *endpointConnection) CloseIdle() {
+	_ = conn.socket.Close()
+}
+
 func (conn *endpointConnection) receiver() answerReceiver {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
@@ -122,12 +125,12 @@
 // finish hands a whole answer on and frees the connection for the next request.
 func (conn *endpointConnection) finish() {
 	conn.answered++
-	fit := !conn.last && conn.reader.Between()
+	fit := !conn.last && conn.keep > 0 && conn.reader.Between()
 	current := conn.take()
 	if fit {
-		conn.pool.put(conn, conn.keep)
+		conn.pool.idle.Put(conn.address, conn, conn.pool.timer.Now().Add(conn.keep))
 	} else {
-		_ = conn.socket.Close()
+		conn.CloseIdle()
 	}
 	if current != nil {
 		current.onWhole()
@@ -152,7 +155,7 @@
 	conn.mu.Lock()
 	conn.closed = true
 	conn.mu.Unlock()
-	conn.pool.drop(conn)
+	conn.pool.idle.Drop(conn.address, conn)
 	conn.whole = false
 	if errors.Is(err, io.EOF) && conn.reader.End() == nil && conn.whole {
 		if current := conn.take(); current != nil {
--- a/passthrough/pool.go
+++ b/passthrough/pool.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -11,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/idle"
 )
 
 const (
@@ -58,15 +58,13 @@
 	metrics *Metrics
 	dials   errgroup.Group
 	stopped atomic.Bool
-
-	mu   sync.Mutex
-	idle map[string][]*endpointConnection
+	idle    *idle.Connections[*endpointConnection]
 }
 
 func newPool(parts *Parts, loop *nbio.Engine) *pool {
 	return &pool{
 		timer: parts.Timer, loop: loop, dialect: parts.Dialect, metrics: parts.Metrics,
-		idle: make(map[string][]*endpointConnection),
+		idle: idle.New[*endpointConnection](maxIdlePerEndpoint),
 	}
 }
 
@@ -77,7 +75,8 @@
 
 // send starts a request on an idle connection or on a new one.
 func (p *pool) send(one outgoing) {
-	for conn := p.take(one.address); conn != nil; conn = p.take(one.address) {
+	now := p.timer.Now()
+	for conn, found := p.idle.Take(one.address, now); found; conn, found = p.idle.Take(one.address, now) {
 		if conn.begin(one) {
 			return
 		}
@@ -102,12 +101,14 @@
 	p.metrics.connections.Inc()
 	socket, err := nbio.NBConn(plain)
 	if err != nil {
+		_ = plain.Close()
 		one.answer.onFailure(err, false)
 		return
 	}
 	conn := newEndpointConnection(p, one.address, socket)
 	socket.SetSession(conn)
 	if _, err := p.loop.AddConn(socket); err != nil {
+		_ = socket.Close()
 		one.answer.onFailure(err, false)
 		return
 	}
@@ -116,82 +117,6 @@
 	}
 }
 
-// take returns the idle connection that was used last and is still kept by its endpoint, or nil.
-func (p *pool) take(address string) *endpointConnection {
-	now := p.timer.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	idle := p.idle[address]
-	if len(idle) == 0 {
-		return nil
-	}
-	conn := idle[len(idle)-1]
-	p.idle[address] = idle[:len(idle)-1]
-	if now.After(conn.idleUntil) {
-		return nil
-	}
-	return conn
-}
-
-// put keeps a connection for the next request, or closes it.
-func (p *pool) put(conn *endpointConnection, keep time.Duration) {
-	p.mu.Lock()
-	full := len(p.idle[conn.address]) >= maxIdlePerEndpoint || keep <= 0
-	if !full {
-		conn.idleUntil = p.timer.Now().Add(keep)
-		p.idle[conn.address] = append(p.idle[conn.address], conn)
-	}
-	p.mu.Unlock()
-	if full {
-		_ = conn.socket.Close()
-	}
-}
-
-// drop forgets a connection that was closed while idle.
-func (p *pool) drop(closed *endpointConnection) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	idle := p.idle[closed.address]
-	for i, conn := range idle {
-		if conn == closed {
-			p.idle[closed.address] = append(idle[:i], idle[i+1:]...)
-			return
-		}
-	}
-}
-
 // forget closes the idle connections to an endpoint, as they may be silent like the one that
 // just failed.
-func (p *pool) forget(address string) {
-	p.mu.Lock()
-	idle := p.idle[address]
-	delete(p.idle, address)
-	p.mu.Unlock()
-	for _, conn := range idle {
-		_ = conn.socket.Close()
-	}
-}
-
-// closeIdle closes the connections that have been idle for too long.
-func (p *pool) closeIdle(now time.Time) {
-	var old []*endpointConnection
-	p.mu.Lock()
-	for address, idle := range p.idle {
-		kept := idle[:0]
-		for _, conn := range idle {
-			if now.After(conn.idleUntil) {
-				old = append(old, conn)
-			} else {
-				kept = append(kept, conn)
-			}
-		}
-		p.idle[address] = kept
-		if len(kept) == 0 {
-			delete(p.idle, address)
-		}
-	}
-	p.mu.Unlock()
-	for _, conn := range old {
-		_ = conn.socket.Close()
-	}
-}
+func (p *pool) forget(address string) { p.idle.Forget(address) }
--- a/passthrough/server.go
+++ b/passthrough/server.go
@@ -91,7 +91,7 @@
 		return errors.WithMessagef(err, "listen for callers at %s", s.parts.Address)
 	}
 	s.parts.Log.Log(event.CallersListening, "address", s.parts.Address)
-	ticks := s.parts.Timer.Every(idlePeriod, s.pool.closeIdle)
+	ticks := s.parts.Timer.Every(idlePeriod, s.pool.idle.CloseExpired)
 	defer ticks.Cancel()
 	<-ctx.Done()
 	s.ending.Store(true)
