--- a/event/requests.go
+++ b/event/requests.go
@@ -39,7 +39,7 @@
 		"An answer could not be gone on with; the caller's connection was closed so that it does not look whole.",
 		"Look at the events 2045 of the same request.")
 	ExchangeAbandoned = define(2044, log.InfoLevel, "exchange abandoned",
-		"The caller closed its connection; the endpoint's work was cancelled.", "Nothing.")
+		"The caller's connection has closed, detail tells how; the endpoint's work was cancelled.", "Nothing.")
 	ExchangeAdmitted = define(2046, log.InfoLevel, "exchange admitted",
 		"A request got a place and was sent; route, what is expected of it, and what was believed to be at its first endpoint.",
 		"Nothing.")
--- a/passthrough/connection.go
+++ b/passthrough/connection.go
@@ -64,12 +64,13 @@
 
 func (conn *connection) onData(data []byte) { conn.box.Post(message{data: data}) }
 
-func (conn *connection) onClose(error) { conn.call(conn.handleClose) }
+func (conn *connection) onClose(err error) { conn.call(func() { conn.handleClose(err) }) }
 
-func (conn *connection) handleClose() {
+// handleClose ends the exchange in progress; err tells who closed the connection and why.
+func (conn *connection) handleClose(err error) {
 	conn.gone = true
 	if conn.current != nil {
-		conn.current.onCallerGone()
+		conn.current.onCallerGone(err)
 	}
 }
 
--- a/passthrough/run.go
+++ b/passthrough/run.go
@@ -186,13 +186,21 @@
 	x.attempt()
 }
 
-// onCallerGone ends the exchange of a caller that closed its connection.
-func (x *exchangeRun) onCallerGone() {
+// onCallerGone ends the exchange of a caller whose connection has closed with err.
+func (x *exchangeRun) onCallerGone(err error) {
 	if x.finished {
 		return
 	}
 	x.abandon()
-	x.finish(event.ExchangeAbandoned, 0, "the caller closed its connection")
+	x.finish(event.ExchangeAbandoned, 0, "the caller's connection has closed: "+closeReason(err))
+}
+
+// closeReason tells how a connection ended, where a nil error stands for a close in order.
+func closeReason(err error) string {
+	if err == nil {
+		return "closed in order"
+	}
+	return err.Error()
 }
 
 // lookAt asks to be looked at no later than a time.
--- a/passthrough/server_test.go
+++ b/passthrough/server_test.go
@@ -414,3 +414,31 @@
 }
 
 var _ chicoryhall.Dialect = plainDialect{}
+
+// TestLogsHowTheCallerLeft shows that the log tells a reset from a close in order.
+func TestLogsHowTheCallerLeft(t *testing.T) {
+	cases := []struct {
+		name  string
+		leave func(conn net.Conn)
+		word  string
+	}{
+		{"reset", func(conn net.Conn) { reset(conn) }, "reset by peer"},
+		{"closed", func(net.Conn) {}, "EOF"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			asked := make(chan struct{})
+			w := newWorld(t, rules(), newEndpoint(t, func(net.Conn, int, *http.Request) bool {
+				close(asked)
+				return true
+			}))
+			conn, _ := w.dial(t)
+			must.True(t, say(conn, requestText("POST", "/unsafe/a", "left", "x")))
+			<-asked
+			c.leave(conn)
+			must.NoError(t, conn.Close())
+			w.logs.await(t, "event=2044", "request=left", c.word)
+			w.idle(t)
+		})
+	}
+}
--- a/passthrough/world_test.go
+++ b/passthrough/world_test.go
@@ -149,11 +149,53 @@
 	address   string
 	server    *passthrough.Server
 	endpoints *views
+	logs      *logs
 	mu        sync.Mutex
 	retries   int
 	refuse    bool
 }
 
+// logs keeps what the server logs.
+type logs struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *logs) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(line)
+}
+
+// await fails unless a line with all words is logged.
+func (l *logs) await(t *testing.T, words ...string) {
+	t.Helper()
+	deadline := time.Now().Add(2 * time.Second)
+	for {
+		l.mu.Lock()
+		text := l.text.String()
+		l.mu.Unlock()
+		for line := range strings.Lines(text) {
+			if containsAll(line, words) {
+				return
+			}
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("no line has %q in:\n%s", words, text)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func containsAll(line string, words []string) bool {
+	for _, word := range words {
+		if !strings.Contains(line, word) {
+			return false
+		}
+	}
+	return true
+}
+
 // views are endpoints that are always ready; they note what is observed.
 type views struct {
 	mu       sync.Mutex
@@ -265,7 +307,7 @@
 	}
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
-	w := &world{address: free.Addr().String(), retries: 10, endpoints: &views{inFlight: make(map[chicoryhall.EngineID]int)}}
+	w := &world{address: free.Addr().String(), retries: 10, logs: &logs{}, endpoints: &views{inFlight: make(map[chicoryhall.EngineID]int)}}
 	must.NoError(t, free.Close())
 	clock := timer.New()
 	current := routing.NewCurrent()
@@ -274,7 +316,7 @@
 	}
 	w.server = passthrough.NewServer(passthrough.Parts{
 		Address: w.address, Timer: clock, Rules: current, Documents: w, Endpoints: w.endpoints, Router: router, Admission: w,
-		Retries: w, Dialect: plainDialect{}, Doubt: func() {}, Metrics: passthrough.NewMetrics(), Log: event.NewLogger(io.Discard, "test", log.InfoLevel),
+		Retries: w, Dialect: plainDialect{}, Doubt: func() {}, Metrics: passthrough.NewMetrics(), Log: event.NewLogger(w.logs, "test", log.InfoLevel),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var serving sync.WaitGroup
