Close callers' connections in their own turn

Cause: nbio's read deadline closes a connection from a timer of its own. Once that timer runs it can't be stopped, so a request that was just read, and passed on to an endpoint, lost its connection and its answer.

Ruled out before: a cut, the end of a drain, an unreadable message.

The limits now come from the timer service, and alarm.go holds the waiting that exchangeRun had for itself.

--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -72,7 +72,7 @@
 	for _, hop := range route.Hops {
 		x.parts().Endpoints.Begin(hop.Engine)
 	}
-	x.lookAt(a.nextLook())
+	x.look.set(a.nextLook())
 	a.logBegin(now)
 	x.server.pool.send(outgoing{
 		address: route.Hops[0].Address, method: x.head.Method, id: x.terms.ID, message: a.message(now), answer: a,
--- a/passthrough/connection.go
+++ b/passthrough/connection.go
@@ -13,8 +13,13 @@
 	"chicoryhall.example/chicoryhall/mailbox"
 )
 
-// lingerTime is how long a connection stays open for its last answer to be read.
-const lingerTime = time.Second
+const (
+	// lingerTime is how long a connection stays open for its last answer to be read.
+	lingerTime = time.Second
+	// lateGrace is how long a connection stays open whose end comes this much late or later: the
+	// process was held up, and what its peer sent meanwhile is read first.
+	lateGrace = 50 * time.Millisecond
+)
 
 // message is one thing for a caller's connection to handle: bytes or a call.
 type message struct {
@@ -38,6 +43,12 @@
 	gone    bool
 	// closing tells that no further request is taken.
 	closing bool
+
+	// closeAt is when the connection is closed unless the caller sends or is sent more, or zero.
+	closeAt time.Time
+	closer  alarm
+	// extended tells that closeAt was put off once by lateGrace.
+	extended bool
 }
 
 func newConnection(s *Server, socket *nbio.Conn) *connection {
@@ -48,6 +59,7 @@
 	})
 	limits, _, _ := s.limits()
 	conn.reader = http1.NewRequestReader(conn, limits)
+	conn.closer = alarm{timer: s.parts.Timer, turn: conn.call, fire: conn.onCloseDue}
 	return conn
 }
 
@@ -69,6 +81,7 @@
 // handleClose ends the exchange in progress; err tells who closed the connection and why.
 func (conn *connection) handleClose(err error) {
 	conn.gone = true
+	conn.closer.cancel()
 	if conn.current != nil {
 		conn.current.onCallerGone(err)
 	}
@@ -81,7 +94,7 @@
 	}
 	if conn.current == nil && conn.head == nil {
 		_, headTimeout, _ := conn.server.limits()
-		_ = conn.socket.SetReadDeadline(time.Now().Add(headTimeout))
+		conn.closeIn(headTimeout)
 	}
 	conn.check(conn.reader.Feed(data))
 	limits, _, _ := conn.server.limits()
@@ -121,7 +134,7 @@
 		conn.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
 	_, _, idle := conn.server.limits()
-	_ = conn.socket.SetReadDeadline(time.Now().Add(idle))
+	conn.closeIn(idle)
 	return nil
 }
 
@@ -134,7 +147,7 @@
 // OnEnd begins the exchange of a whole request; later requests wait for its end.
 func (conn *connection) OnEnd() error {
 	conn.reader.Pause()
-	_ = conn.socket.SetReadDeadline(time.Time{})
+	conn.closeAt = time.Time{}
 	x := newExchangeRun(conn, conn.head, conn.body)
 	conn.head, conn.body = nil, nil
 	conn.current = x
@@ -154,7 +167,7 @@
 		return
 	}
 	_, _, idle := conn.server.limits()
-	_ = conn.socket.SetReadDeadline(time.Now().Add(idle))
+	conn.closeIn(idle)
 	// The rest of the bytes is read in a turn of its own, as this may be inside the reader's.
 	conn.call(func() {
 		if conn.current == nil && !conn.closing && !conn.gone {
@@ -164,8 +177,28 @@
 }
 
 // linger closes the connection once its last answer has had time to be read.
-func (conn *connection) linger() {
-	_ = conn.socket.SetReadDeadline(time.Now().Add(lingerTime))
+func (conn *connection) linger() { conn.closeIn(lingerTime) }
+
+// closeIn limits how long the connection stays open as it is.
+func (conn *connection) closeIn(limit time.Duration) {
+	conn.closeAt = conn.server.parts.Timer.Now().Add(limit)
+	conn.extended = false
+	conn.closer.set(conn.closeAt)
+}
+
+// onCloseDue closes the connection if its time is over. It runs in the connection's turn, so that
+// no request that has been read is dropped.
+func (conn *connection) onCloseDue(now time.Time) {
+	switch {
+	case conn.gone || conn.closeAt.IsZero():
+	case now.Before(conn.closeAt):
+		conn.closer.set(conn.closeAt)
+	case !conn.extended && now.Sub(conn.closeAt) >= lateGrace:
+		conn.closeIn(lateGrace)
+		conn.extended = true
+	default:
+		conn.close()
+	}
 }
 
 // close ends the connection at once.
--- a/passthrough/run.go
+++ b/passthrough/run.go
@@ -64,13 +64,15 @@
 	// last tells that the connection ends behind the answer; it is fixed with the answer's head.
 	last bool
 
-	// look is when the exchange is looked at next, or zero.
-	look    time.Time
-	looking chicoryhall.Subscription
+	// look is when the exchange is looked at next.
+	look alarm
 }
 
 func newExchangeRun(conn *connection, head *http.Request, body []byte) *exchangeRun {
-	return &exchangeRun{conn: conn, server: conn.server, head: head, body: body, began: conn.server.parts.Timer.Now()}
+	timer := conn.server.parts.Timer
+	x := &exchangeRun{conn: conn, server: conn.server, head: head, body: body, began: timer.Now()}
+	x.look = alarm{timer: timer, turn: conn.call, fire: x.onDue}
+	return x
 }
 
 func (x *exchangeRun) parts() *Parts { return &x.server.parts }
@@ -141,7 +143,7 @@
 	}
 	x.deadline = x.began.Add(wait)
 	x.server.begin(x)
-	x.lookAt(x.deadline)
+	x.look.set(x.deadline)
 }
 
 // admit asks for a place.
@@ -203,23 +205,6 @@
 	return err.Error()
 }
 
-// lookAt asks to be looked at no later than a time.
-func (x *exchangeRun) lookAt(at time.Time) {
-	if !x.look.IsZero() && !at.Before(x.look) {
-		return // An earlier look comes first and asks again.
-	}
-	if x.looking != nil {
-		x.looking.Cancel()
-	}
-	x.look = at
-	x.looking = x.parts().Timer.After(max(0, at.Sub(x.parts().Timer.Now())), func(now time.Time) {
-		x.conn.call(func() {
-			x.look = time.Time{}
-			x.onDue(now)
-		})
-	})
-}
-
 // onDue gives up at the deadline, and looks at whether the attempt makes progress before.
 func (x *exchangeRun) onDue(now time.Time) {
 	switch {
@@ -229,7 +214,7 @@
 	case x.current != nil:
 		x.current.onDue(now)
 	default:
-		x.lookAt(x.deadline)
+		x.look.set(x.deadline)
 	}
 }
 
@@ -303,9 +288,7 @@
 // finish gives back what the exchange holds and logs how it ended.
 func (x *exchangeRun) finish(kind *event.Event, status int, detail string) {
 	x.finished = true
-	if x.looking != nil {
-		x.looking.Cancel()
-	}
+	x.look.cancel()
 	x.server.end(x)
 	if x.permit != nil {
 		x.permit.Release()
--- a/passthrough/server.go
+++ b/passthrough/server.go
@@ -200,7 +200,7 @@
 	s.connections[socket] = conn
 	s.mu.Unlock()
 	_, headTimeout, _ := s.limits()
-	_ = socket.SetReadDeadline(time.Now().Add(headTimeout))
+	conn.call(func() { conn.closeIn(headTimeout) })
 }
 
 // peer is one end of a connection of the event loop.
--- a/passthrough/stall.go
+++ b/passthrough/stall.go
@@ -29,7 +29,7 @@
 // onDue looks at whether the attempt has stalled.
 func (a *attempt) onDue(now time.Time) {
 	if look := a.nextLook(); now.Before(look) {
-		a.run.lookAt(look)
+		a.run.look.set(look)
 		return
 	}
 	a.blameStall(now)
--- a/passthrough/world_test.go
+++ b/passthrough/world_test.go
@@ -300,6 +300,22 @@
 
 // newWorld starts a server; the endpoints are tried in their order.
 func newWorld(t *testing.T, set *chicoryhall.RuleSet, endpoints ...*endpoint) *world {
+	t.Helper()
+	return newWorldOn(t, 0, set, endpoints...)
+}
+
+// lateTimer makes its calls some time late, as if the process had been held up.
+type lateTimer struct {
+	*timer.Service
+	late time.Duration
+}
+
+func (l lateTimer) After(delay time.Duration, fire func(time.Time)) chicoryhall.Subscription {
+	return l.Service.After(delay+l.late, fire)
+}
+
+// newWorldOn starts a server whose timer is late.
+func newWorldOn(t *testing.T, late time.Duration, set *chicoryhall.RuleSet, endpoints ...*endpoint) *world {
 	t.Helper()
 	var router inTurn
 	for _, e := range endpoints {
@@ -315,7 +331,7 @@
 		current.Apply(set)
 	}
 	w.server = passthrough.NewServer(passthrough.Parts{
-		Address: w.address, Timer: clock, Rules: current, Documents: w, Endpoints: w.endpoints, Router: router, Admission: w,
+		Address: w.address, Timer: lateTimer{Service: clock, late: late}, Rules: current, Documents: w, Endpoints: w.endpoints, Router: router, Admission: w,
 		Retries: w, Dialect: plainDialect{}, Doubt: func() {}, Metrics: passthrough.NewMetrics(), Log: event.NewLogger(w.logs, "test", log.InfoLevel),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
