Test guards of limits, quarantine, retries and events by their edges

Tables at the exact ends of loans, suspicions, reservations, convictions, windows and events, and of the lists that messages carry, came to them.

--- a/exchange/events_test.go
+++ b/exchange/events_test.go
@@ -105,3 +105,39 @@
 		must.Eq(t, string(outOne), string(outTwo))
 	})
 }
+
+// TestBothLineEndsSplitEvents mixes the two ends of an event in one piece.
+func TestBothLineEndsSplitEvents(t *testing.T) {
+	for _, text := range []string{"id: 1\r\n\r\nid: 2\n\n", "id: 1\n\nid: 2\r\n\r\n", "id: 1\n\nid: 2\n\n", "id: 1\r\n\r\nid: 2\r\n\r\n"} {
+		events := &exchange.Events{}
+		out, err := events.Feed(nil, []byte(text+"id: 3"))
+		must.NoError(t, err)
+		must.Eq(t, text, string(out))
+		must.Eq(t, "2", events.Last())
+		must.False(t, events.IsBetween())
+	}
+}
+
+// TestPositionOfTheCaller begins behind what the caller states, if it is a number.
+func TestPositionOfTheCaller(t *testing.T) {
+	for _, c := range []struct {
+		after, last string
+		fails       bool
+	}{{"7", "7", true}, {"6", "6", false}, {"", "", false}, {"x", "", false}} {
+		events := &exchange.Events{}
+		events.After(c.after)
+		must.Eq(t, c.last, events.Last())
+		_, err := events.Feed(nil, []byte(eventText(7)))
+		must.Eq(t, c.fails, err != nil, must.Sprint(c))
+	}
+}
+
+// TestLongestEvent feeds an event as long as allowed, and one byte more.
+func TestLongestEvent(t *testing.T) {
+	const longest = 1 << 20
+	for _, length := range []int{longest, longest + 1} {
+		events := &exchange.Events{}
+		_, err := events.Feed(nil, []byte(strings.Repeat("a", length)))
+		must.Eq(t, length > longest, err != nil)
+	}
+}
--- a/exchange/machine_test.go
+++ b/exchange/machine_test.go
@@ -101,3 +101,28 @@
 		}
 	})
 }
+
+// TestRefusalsHaveAnEnd lets endpoints refuse until the request is given up.
+func TestRefusalsHaveAnEnd(t *testing.T) {
+	for _, failure := range []exchange.Failure{exchange.FailureRefused, exchange.FailureUnsent} {
+		m := exchange.New(exchange.Config{Kind: chicoryhall.ExchangeUnsafe, MaxAttempts: 1})
+		for tried := 1; tried <= 4; tried++ {
+			wanted := exchange.VerdictAgain
+			if tried == 4 {
+				wanted = exchange.VerdictNotRun
+			}
+			must.Eq(t, wanted, m.After(failure, always))
+			must.Eq(t, tried, m.Attempts())
+		}
+	}
+}
+
+// TestRunsHaveAnEnd loses a repeatable request as often as its rule lets it run.
+func TestRunsHaveAnEnd(t *testing.T) {
+	m := exchange.New(exchange.Config{Kind: chicoryhall.ExchangeSafe, MaxAttempts: 3})
+	must.Eq(t, exchange.VerdictAgain, m.After(exchange.FailureRefused, always))
+	must.Eq(t, exchange.VerdictAgain, m.After(exchange.FailureLost, always))
+	must.Eq(t, exchange.VerdictAgain, m.After(exchange.FailureLost, always))
+	must.Eq(t, exchange.VerdictUnknown, m.After(exchange.FailureLost, always))
+	must.Eq(t, 4, m.Attempts())
+}
--- a/limit/limiter_test.go
+++ b/limit/limiter_test.go
@@ -219,6 +219,53 @@
 	must.Between(t, 0.95*rate/3*seconds, float64(f.allowed), rate/3*seconds+f.burst(rate/3))
 }
 
+// TestAsksNameOtherRatesEachTime lacks more rates than one message may name. Mutation that it
+// catches: beginning each message with the same rate.
+func TestAsksNameOtherRatesEachTime(t *testing.T) {
+	const organisations, mostNamed = 30, 24
+	f := newFleet(1, 2, 1)
+	described := documents(1)
+	described.document.Organisations = nil
+	for i := range organisations {
+		name := chicoryhall.Organisation(fmt.Sprintf("o%d", i))
+		described.document.Organisations = append(described.document.Organisations,
+			chicoryhall.DocumentOrganisation{Name: name, RequestsPerSecond: 2})
+	}
+	limiter := limit.New(described, f.views["d0"])
+	for _, organisation := range described.document.Organisations {
+		for range 10 {
+			limiter.Allow("draft", organisation.Name, begin)
+		}
+	}
+	limiter.Tick(begin.Add(limit.AskPeriod))
+	named := make(map[limit.Key]int)
+	for range 5 {
+		wants := limiter.Asks()["d1"].Wants
+		must.Len(t, mostNamed, wants)
+		for _, want := range wants {
+			named[want.Key]++
+			must.Between(t, 5.0, want.Rate, 5.5)
+		}
+	}
+	must.MapLen(t, organisations, named)
+	for _, times := range named {
+		must.Eq(t, 4, times, must.Sprint("five messages of 24 name each of 30 four times"))
+	}
+}
+
+// TestLendsNothingForWhatIsNotWanted asks for rates that are none.
+func TestLendsNothingForWhatIsNotWanted(t *testing.T) {
+	f := newFleet(1, 2, 100)
+	for _, c := range []struct {
+		organisation chicoryhall.Organisation
+		rate         float64
+		loans        int
+	}{{"large", 1, 1}, {"large", 0, 0}, {"large", -1, 0}, {"free", 1, 0}, {"other", 1, 0}} {
+		ask := limit.Ask{From: "d0", Wants: limit.Wants{{Key: limit.KeyOf("draft", c.organisation), Rate: c.rate}}}
+		must.Len(t, c.loans, f.limiters["d1"].Lend(ask, begin).Loans, must.Sprint(c))
+	}
+}
+
 func TestUnlimitedOrganisationPasses(t *testing.T) {
 	f := newFleet(1, 1, 1)
 	for range 1000 {
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -69,3 +69,35 @@
 	}
 	must.True(t, windows.Take("s", now.Add(time.Hour)))
 }
+
+// TestWindowsCountForOneWindow looks at a request and a retry at the end of their window, which
+// slides in parts of a twentieth: requests count at most the window, retries at least.
+func TestWindowsCountForOneWindow(t *testing.T) {
+	const part = 100 * time.Millisecond
+	begin := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name  string
+		terms retry.Terms
+		// first happens at the beginning, as a request or as a retry.
+		retried bool
+		later   time.Duration
+		taken   bool
+	}{
+		{"a request that counts", retry.Terms{Window: 20 * part, Ratio: 1}, false, 20*part - 1, true},
+		{"a request that is too old", retry.Terms{Window: 20 * part, Ratio: 1}, false, 20 * part, false},
+		{"a retry that counts", retry.Terms{Window: 20 * part, Slack: 1.25}, true, 21*part - 1, false},
+		{"a retry that is too old", retry.Terms{Window: 20 * part, Slack: 1.25}, true, 21 * part, true},
+		{"long after a request", retry.Terms{Window: 20 * part, Ratio: 1}, false, 1000 * part, false},
+		{"long after a retry", retry.Terms{Window: 20 * part, Slack: 1.25}, true, 1000 * part, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			windows := retry.NewWindows(c.terms, func() int { return 1 })
+			if c.retried {
+				must.True(t, windows.Take("s", begin))
+			} else {
+				windows.Requested("s", begin)
+			}
+			must.Eq(t, c.taken, windows.Take("s", begin.Add(c.later)))
+		})
+	}
+}
