Leave engines alone that fill up, the more surely the fuller they are

A daemon knows the load of the first engine of a chain by its answers, that of the others only by its own three or four requests there times a guess, and all daemons used the fastest chain until it was full. The guess was also too low: it took one request of all daemons for each of its own where nothing is known.

Engines' places: what /-/report tells at the refusals agrees with the planned room.

Now the router leaves an engine alone at random, from 0.6 of its room on, unless only a link between domains would avoid it, and the guess begins with the daemons of the own domain.

--- a/cmd/chicoryhall/platformdaemon/builder.go
+++ b/cmd/chicoryhall/platformdaemon/builder.go
@@ -119,7 +119,7 @@
 	into.Add(b.members)
 	b.rules = routing.NewCurrent()
 	b.listed = watch.NewListed(watch.ListedConfig{
-		Timer: b.timer, Daemons: b.members.Alive, Document: b.document, Log: b.log,
+		Timer: b.timer, Daemons: b.members.Alive, Neighbours: b.members.Neighbours, Document: b.document, Log: b.log,
 	})
 	b.documents = routing.NewDocuments(b.rules, b.listed)
 	b.entries = follow.New(follow.Config[chicoryhall.Listing]{
--- a/endpoints.go
+++ b/endpoints.go
@@ -40,6 +40,9 @@
 	InFlight int
 	// Full tells that the endpoint has no room for one more request of usual size.
 	Full bool
+	// Fill is the part of the endpoint's room for requests that is believed to be taken, or 0 where
+	// the room is not known.
+	Fill float64
 	// Crowding is the part of the endpoint's time that new work is believed to wait for, from 0 to 1.
 	Crowding float64
 }
--- a/membership/listed.go
+++ b/membership/listed.go
@@ -100,6 +100,17 @@
 	return alive
 }
 
+// Neighbours returns the number of live daemons of this daemon's failure domain, this one included.
+func (l *Listed) Neighbours() int {
+	neighbours := 1
+	for _, member := range l.All() {
+		if member.State == chicoryhall.MemberAlive && member.FailureDomain == l.self.FailureDomain {
+			neighbours++
+		}
+	}
+	return neighbours
+}
+
 // Subscribe calls changed with each entry that changes; it must not block.
 func (l *Listed) Subscribe(changed func(chicoryhall.Member)) {
 	l.mu.Lock()
--- a/pipeline/router.go
+++ b/pipeline/router.go
@@ -52,8 +52,24 @@
 	return nil
 }
 
-// choose answers a query from one plan.
+// choose answers a query from one plan. Engines that fill up are avoided where that needs no link
+// between failure domains.
 func (r *Router) choose(p *cachedPlan, query *chicoryhall.RouteQuery) (chicoryhall.Route, error) {
+	s := &r.search
+	s.pressing = false
+	hops, ok := r.hops(p, query)
+	if !ok || crosses(hops) {
+		s.pressing = true
+		hops, ok = r.hops(p, query)
+	}
+	if !ok {
+		return chicoryhall.Route{}, s.uncoveredError()
+	}
+	return s.route(hops, query), nil
+}
+
+// hops returns the stages for a query, with those of the last attempt that may go on if possible.
+func (r *Router) hops(p *cachedPlan, query *chicoryhall.RouteQuery) ([]hop, bool) {
 	s := &r.search
 	s.reset(p.plan, query)
 	s.flows = p.flows
@@ -63,10 +79,12 @@
 		s.reset(p.plan, query)
 		hops, ok = s.fill(nil, query)
 	}
-	if !ok {
-		return chicoryhall.Route{}, s.uncoveredError()
-	}
-	return s.route(hops, query), nil
+	return hops, ok
+}
+
+// crosses tells whether stages lie in more than one failure domain.
+func crosses(hops []hop) bool {
+	return slices.ContainsFunc(hops, func(h hop) bool { return h.domain != hops[0].domain })
 }
 
 // uncoveredError names the layers for which no group has a usable engine.
--- a/pipeline/search.go
+++ b/pipeline/search.go
@@ -8,6 +8,9 @@
 	"chicoryhall.example/chicoryhall"
 )
 
+// calmFill is the part of an engine's room up to which it is used without hesitation.
+const calmFill = 0.6
+
 // samplesPerGroup is the number of engines looked at in each group for one choice.
 const samplesPerGroup = 2
 
@@ -25,6 +28,9 @@
 	random   *rand.Rand
 	view     func(chicoryhall.EngineID) chicoryhall.EndpointView
 	excluded []bool
+	// pressing tells that engines are used however much they are filled, as no route avoids them
+	// inside a failure domain.
+	pressing bool
 	offers   []offer
 	// flows are the ways of the maximum flow, by which whole routes are drawn.
 	flows []flow
@@ -82,7 +88,7 @@
 			continue
 		}
 		seen := s.view(s.plan.engines[index].id)
-		if seen.State != chicoryhall.EndpointReady || seen.Full {
+		if seen.State != chicoryhall.EndpointReady || seen.Full || s.avoids(seen.Fill) {
 			continue
 		}
 		candidate := offer{engine: index, load: loadOf(seen), usable: true}
@@ -98,6 +104,13 @@
 	return best
 }
 
+// avoids draws whether an engine that fills up is left alone: the more surely, the fuller it is
+// believed to be. Daemons know the load late and in part; if all used the fastest engine until it is
+// full, it would refuse about as many requests as it takes.
+func (s *search) avoids(fill float64) bool {
+	return !s.pressing && fill > calmFill && s.random.Float64() < (fill-calmFill)/(1-calmFill)
+}
+
 // taste is by how much an engine looks slower to this daemon; it stays the same over time.
 func (s *search) taste(id chicoryhall.EngineID) float64 {
 	if s.spread == 0 {
--- a/watch/estimate.go
+++ b/watch/estimate.go
@@ -21,8 +21,8 @@
 }
 
 // scale returns how many times this daemon's own work the group has, at most the number of daemons.
-func (g *groupLoad) scale(daemons int) float64 {
-	return math.Min((g.all+1)/(g.own+1), float64(daemons))
+func (g *groupLoad) scale(daemons, neighbours int) float64 {
+	return math.Min((g.all+float64(neighbours))/(g.own+1), float64(daemons))
 }
 
 // estimate renews by how much this daemon's own work is scaled at the endpoints that did not report
@@ -40,9 +40,9 @@
 			group.all += e.byReport()
 		}
 	}
-	daemons := l.config.Daemons()
+	daemons, neighbours := l.config.Daemons(), l.config.Neighbours()
 	for _, e := range l.entries {
-		e.scale = groups[keyOf(e)].scale(daemons)
+		e.scale = groups[keyOf(e)].scale(daemons, neighbours)
 		if e.isReported(now) {
 			e.scale = 0
 		}
--- a/watch/listed.go
+++ b/watch/listed.go
@@ -43,6 +43,9 @@
 	Timer chicoryhall.Timer
 	// Daemons returns the number of daemons that send work to the endpoints, this one included.
 	Daemons func() int
+	// Neighbours returns the number of daemons of this daemon's failure domain, this one included:
+	// most work at its endpoints is theirs.
+	Neighbours func() int
 	// Document returns the document of a service, for the memory of its endpoints.
 	Document func(chicoryhall.ServiceName) (*chicoryhall.Document, bool)
 	Log      *event.Logger
--- a/watch/listed_test.go
+++ b/watch/listed_test.go
@@ -17,19 +17,20 @@
 // listedWorld is a Listed on a clock that the test moves.
 type listedWorld struct {
 	*watch.Listed
-	clock   *timer.Manual
-	daemons int
+	clock      *timer.Manual
+	daemons    int
+	neighbours int
 }
 
 func newListedWorld() *listedWorld {
-	w := &listedWorld{clock: timer.NewManual(time.Unix(1000, 0)), daemons: 4}
+	w := &listedWorld{clock: timer.NewManual(time.Unix(1000, 0)), daemons: 4, neighbours: 1}
 	document := &chicoryhall.Document{
 		Service: "draft", Kind: chicoryhall.ServicePipeline,
 		Model:        chicoryhall.DocumentModel{Layers: 10, LayerBytes: 10, KVBytes: 1, UsualPrompt: 1, UsualAnswer: 1},
 		Accelerators: []chicoryhall.DocumentAccelerator{{Kind: "a", MemoryBytes: 200, Batch: 100}},
 	}
 	w.Listed = watch.NewListed(watch.ListedConfig{
-		Timer: w.clock, Daemons: func() int { return w.daemons },
+		Timer: w.clock, Daemons: func() int { return w.daemons }, Neighbours: func() int { return w.neighbours },
 		Document: func(service chicoryhall.ServiceName) (*chicoryhall.Document, bool) {
 			return document, service == "draft"
 		},
@@ -221,6 +222,36 @@
 	must.Eq(t, 12, w.View("second").Load.Running) // No more than the daemons there are.
 }
 
+// TestListedGuessesByItsNeighbours has no report to go by: the others are taken to send as much as
+// this daemon, and the more its own work, the more the reports count.
+func TestListedGuessesByItsNeighbours(t *testing.T) {
+	for _, c := range []struct {
+		neighbours, own, reported, running int
+		fill                               float64
+	}{{neighbours: 4, running: 0}, {neighbours: 4, own: 1, reported: 1, running: 1, fill: 0.2}, {neighbours: 1, own: 1, reported: 1, running: 0, fill: 0.1}} {
+		w := newListedWorld()
+		w.neighbours, w.daemons = c.neighbours, 30
+		first, second := holding("first"), holding("second")
+		w.Replace([]chicoryhall.Listing{first, second})
+		for range c.own {
+			w.Begin("first")
+			w.Begin("second")
+		}
+		if c.reported > 0 {
+			w.Report("first", c.reported)
+		}
+		must.Eq(t, c.running, w.View("second").Load.Running, must.Sprint(c))
+		must.InDelta(t, c.fill, w.View("second").Fill, 0.06, must.Sprint(c))
+	}
+}
+
+// holding is a listing of an engine with the room of its memory for ten usual requests.
+func holding(id chicoryhall.EngineID) chicoryhall.Listing {
+	one := listing(id)
+	one.Holdings = []chicoryhall.Holding{{Model: "m", From: 0, To: 5}}
+	return one
+}
+
 func TestListedPausesLongerWhereManyDaemonsAsk(t *testing.T) {
 	for _, c := range []struct {
 		daemons int
--- a/watch/listedview.go
+++ b/watch/listedview.go
@@ -25,10 +25,19 @@
 	present, places := e.present(), l.placesOf(e)
 	return chicoryhall.EndpointView{
 		State: e.state(now), Load: e.load(present), InFlight: e.inFlight, Crowding: math.Max(e.refusedLevel(now)/2, l.readingAt(e, present)),
+		Fill: fillOf(present, places),
 		Full: now.Sub(e.refusedAt) < l.refusalPause() || places > 0 && present >= places,
 	}
 }
 
+// fillOf returns the part of the places that is taken, or 0 where they are not known.
+func fillOf(present, places float64) float64 {
+	if places <= 0 {
+		return 0
+	}
+	return present / places
+}
+
 // readingAt is the part of an endpoint's time that goes to reading prompts, where so many requests are
 // present: they are replaced by new ones as fast as they leave.
 func (l *Listed) readingAt(e *listedEntry, present float64) float64 {
