Let endpoints' changes gather for 800 ms

The pause behind changes is a setting of each feed now: 800 ms for endpoints (an endpoint that leaves goes on for two seconds at least), 500 ms for rules as before. Test: TestChangesGather.

--- a/cmd/chicoryhall/platformdaemon/builder.go
+++ b/cmd/chicoryhall/platformdaemon/builder.go
@@ -37,6 +37,10 @@
 	// entriesWait is how long a feed of endpoints may be held; when the feed of rules finds the store
 	// lost, it is given up too.
 	entriesWait = 15 * time.Second
+	// entriesGather and rulesGather are the pauses behind changes of each. Calls to the store are
+	// shared by all daemons, and an endpoint that leaves goes on for two seconds at least.
+	entriesGather = 800 * time.Millisecond
+	rulesGather   = 500 * time.Millisecond
 )
 
 // candidates is the number of daemons of a failure domain that seek its lease.
@@ -124,12 +128,12 @@
 	b.documents = routing.NewDocuments(b.rules, b.listed)
 	b.entries = follow.New(follow.Config[chicoryhall.Listing]{
 		Name: "endpoints", Source: platform.Entries(b.store, b.log), Sink: platform.ListSink{Listed: b.listed},
-		Wait: entriesWait, Timer: b.timer, Log: b.log,
+		Wait: entriesWait, Gather: entriesGather, Timer: b.timer, Log: b.log,
 	})
 	into.Add(b.entries)
 	into.Add(follow.New(follow.Config[*chicoryhall.RuleSet]{
 		Name: "rules", Source: platform.Rules(b.store, b.log), Sink: platform.RuleSink{Current: b.rules, Log: b.log},
-		Wait: b.settings.Store.DeafTimeout - deafMargin - follow.AnswerTimeout, OnLost: b.entries.Verify,
+		Wait: b.settings.Store.DeafTimeout - deafMargin - follow.AnswerTimeout, Gather: rulesGather, OnLost: b.entries.Verify,
 		Timer: b.timer, Log: b.log,
 	}))
 }
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -21,8 +21,6 @@
 	listTimeout = 2 * time.Second
 	// verifyPeriod lies between two reads of the whole table without trouble.
 	verifyPeriod = 30 * time.Second
-	// gatherTime is the pause behind changes, in which more of them gather for the next answer.
-	gatherTime = 500 * time.Millisecond
 	// doubtPause is the least time between two reads that were asked for by Verify.
 	doubtPause = time.Second
 	// firstPause and longestPause bound the pause after a failure; it doubles with each in a row.
@@ -64,6 +62,8 @@
 	// Wait is how long the store may hold a feed without changes; with AnswerTimeout it bounds how
 	// long a feed that hangs goes unnoticed.
 	Wait time.Duration
+	// Gather is the pause behind changes, in which more of them gather for the next answer.
+	Gather time.Duration
 	// OnLost is called when the store is lost, or is nil.
 	OnLost func()
 	Timer  chicoryhall.Timer
@@ -172,7 +172,7 @@
 	f.version = max(f.version, version)
 	if len(changes) > 0 {
 		f.config.Sink.Update(changes)
-		f.pause(ctx, gatherTime)
+		f.pause(ctx, f.config.Gather)
 	}
 	return nil
 }
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -16,12 +16,17 @@
 	"chicoryhall.example/chicoryhall/timer"
 )
 
+// testGather is the pause behind changes.
+const testGather = 200 * time.Millisecond
+
 // script answers calls one after another and ends the follower behind the last one.
 type script struct {
 	steps []step
 	end   context.CancelFunc
 	calls []string
 	after []int64
+	// at is when each call was made.
+	at []time.Time
 }
 
 // step is the answer to one call.
@@ -34,6 +39,7 @@
 
 func (s *script) next(call string) step {
 	s.calls = append(s.calls, call)
+	s.at = append(s.at, time.Now())
 	if len(s.steps) == 0 {
 		s.end()
 		return step{err: context.Canceled}
@@ -83,7 +89,7 @@
 	defer ready.Cancel()
 	source, sink := &script{steps: steps, end: cancel}, &notes{}
 	follower := follow.New(follow.Config[string]{
-		Name: "t", Source: source, Sink: sink, Wait: time.Second, Timer: clock, Log: event.NewLogger(io.Discard, "test", log.InfoLevel),
+		Name: "t", Source: source, Sink: sink, Wait: time.Second, Gather: testGather, Timer: clock, Log: event.NewLogger(io.Discard, "test", log.InfoLevel),
 	})
 	serve(ended, func() error { return clock.Serve(ticking) })
 	must.ErrorIs(t, follower.Serve(ctx), context.Canceled)
@@ -104,6 +110,17 @@
 	must.Eq(t, []string{"replace", "a", "update b"}, sink.told)
 }
 
+// TestChangesGather waits behind changes, but not behind an answer without any.
+func TestChangesGather(t *testing.T) {
+	change := []follow.Change[string]{{Value: "b"}}
+	source, _ := run(t, []step{{version: 5}, {version: 5}, {changes: change, version: 8}, {version: 8}})
+	must.Len(t, 5, source.at)
+	for i, wanted := range []time.Duration{0, 0, testGather, 0} {
+		pause := source.at[i+1].Sub(source.at[i])
+		must.Between(t, wanted, pause, wanted+testGather/2)
+	}
+}
+
 func TestFollowerReadsAgainAfterTrouble(t *testing.T) {
 	cases := []struct {
 		name    string
