Count the live daemons once a second

Each look at an endpoint asked for the number of live daemons, for the pause behind a refusal, and each time all members were copied and sorted; a request looks at every engine two or three times: daemons times engines.

Ruled out: the streams' pieces.

The count is now taken once a second, and anew behind each read of the rows. Test: TestListedCountsNeighbours (no allocation a question; the old one copied all rows).

--- a/membership/listed.go
+++ b/membership/listed.go
@@ -26,6 +26,8 @@
 	rowLifetime = 3*rowPeriod + rowPeriod/2
 	// rowTimeout bounds one call to the table.
 	rowTimeout = 2 * time.Second
+	// censusLifetime is how long a count of the live daemons is used.
+	censusLifetime = time.Second
 	// forgetAfter is the age at which a row that does not change is removed.
 	forgetAfter = 5 * time.Minute
 )
@@ -44,6 +46,14 @@
 	since time.Time
 }
 
+// census is the number of live daemons as counted at a time, this one included.
+type census struct {
+	alive int
+	// neighbours are those of this daemon's failure domain.
+	neighbours int
+	at         time.Time
+}
+
 // Listed is a chicoryhall.Members of daemons that find each other in the platform's table alone.
 // No clocks are compared: a daemon lives while its row changes.
 type Listed struct {
@@ -59,6 +69,7 @@
 	subscribers []func(chicoryhall.Member)
 	// reached tells that the table answered the last read.
 	reached bool
+	counted census
 }
 
 // NewListed returns a Listed that knows no other daemon until Serve runs.
@@ -90,25 +101,32 @@
 }
 
 // Alive returns the number of live daemons, this one included.
-func (l *Listed) Alive() int {
-	alive := 1
-	for _, member := range l.All() {
-		if member.State == chicoryhall.MemberAlive {
-			alive++
-		}
-	}
-	return alive
-}
+func (l *Listed) Alive() int { return l.census().alive }
 
 // Neighbours returns the number of live daemons of this daemon's failure domain, this one included.
-func (l *Listed) Neighbours() int {
-	neighbours := 1
-	for _, member := range l.All() {
-		if member.State == chicoryhall.MemberAlive && member.FailureDomain == l.self.FailureDomain {
-			neighbours++
+func (l *Listed) Neighbours() int { return l.census().neighbours }
+
+// census counts the live daemons, at most once in its lifetime: it is asked for at every look at an
+// endpoint.
+func (l *Listed) census() census {
+	now := l.timer.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.counted.at) < censusLifetime {
+		return l.counted
+	}
+	l.counted = census{alive: 1, neighbours: 1, at: now}
+	for _, sighted := range l.rows {
+		member := l.memberOf(sighted, now)
+		if member.State != chicoryhall.MemberAlive {
+			continue
+		}
+		l.counted.alive++
+		if member.FailureDomain == l.self.FailureDomain {
+			l.counted.neighbours++
 		}
 	}
-	return neighbours
+	return l.counted
 }
 
 // Subscribe calls changed with each entry that changes; it must not block.
@@ -201,6 +219,7 @@
 		}
 	}
 	l.rows = present
+	l.counted = census{}
 }
 
 // news returns the members that differ from what the subscribers know.
@@ -274,6 +293,7 @@
 	l.mu.Lock()
 	before := l.reached
 	l.reached = err == nil
+	l.counted = census{}
 	l.mu.Unlock()
 	if before && err != nil {
 		l.log.Log(event.RowsFailed, "step", step, "error", err)
--- a/membership/listed_test.go
+++ b/membership/listed_test.go
@@ -68,6 +68,31 @@
 	must.False(t, found)
 }
 
+// TestListedCountsNeighbours counts the live daemons of all domains and of its own, and looks at the
+// rows once for many questions.
+func TestListedCountsNeighbours(t *testing.T) {
+	store, clock := &tabletest.Store{}, timer.NewManual(time.Unix(1000, 0))
+	members := membership.NewListed(chicoryhall.Member{ID: "a", FailureDomain: "f"}, store, clock, event.NewLogger(io.Discard, "test", log.InfoLevel))
+	must.Eq(t, 1, members.Alive())
+	must.Eq(t, 1, members.Neighbours())
+	for id, domain := range map[string]string{"b": "f", "c": "g", "d": "f"} {
+		writeRow(t, store, id, `{"failureDomain":"`+domain+`","run":1}`)
+	}
+	told := make(chan chicoryhall.Member, 16)
+	members.Subscribe(func(member chicoryhall.Member) { told <- member })
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	serveMembers(ended, func() error { return members.Serve(ctx) })
+	for range 3 {
+		<-told
+	}
+	must.Eq(t, 4, members.Alive(), must.Sprint("at once after the read"))
+	must.Eq(t, 3, members.Neighbours())
+	must.Eq(t, 0.0, testing.AllocsPerRun(100, func() { members.Alive() }), must.Sprint("no copy for each question"))
+	cancel()
+	<-ended
+}
+
 func serveMembers(ended chan<- error, function func() error) {
 	go func() { ended <- function() }()
 }
