Show which requests were lost when an endpoint ended, and the retries spent and refused

Nothing connected two IDs of the same request, nothing showed that an endpoint had ended while it ran one, and spent retries were not counted.

Now: a fingerprint of method, host, path, organisation and body in event 2046; event 2047 with the fingerprints of the requests that were lost when an endpoint ended, and a counter; chicoryhall_retries_total by service and whether the budget allowed the retry. A lost attempt's endpoints are probed after 50 ms, each at most once a second, unless they made progress since; another incarnation in the list shows a crash too. quarantine.Losses matches losses and crashes in either order, and does no I/O. No decision on requests changes.

--- a/cmd/chicoryhall/platformdaemon/builder.go
+++ b/cmd/chicoryhall/platformdaemon/builder.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 	"github.com/thejerf/suture/v4"
 
@@ -90,6 +91,8 @@
 	admission     *admission.Controller
 	server        *passthrough.Server
 	metrics       *passthrough.Metrics
+	crashes       *crashes
+	crashMetrics  *metrics.Set
 }
 
 // build constructs the components in the order of their dependencies and adds them to the tree of supervisors.
@@ -166,6 +169,9 @@
 }
 
 func (b *builder) buildInterfaces(supervisor *suture.Supervisor) {
+	b.crashMetrics = metrics.NewSet()
+	b.crashes = newCrashes(b.timer, b.endpoints, b.crashMetrics, b.log)
+	supervisor.Add(b.crashes)
 	b.metrics = passthrough.NewMetrics()
 	b.admission = admission.New(b.timer, b.documents, b.endpoints, b.members)
 	b.server = passthrough.NewServer(passthrough.Config{
@@ -178,7 +184,8 @@
 		Retries: retry.NewSlidingBudgets(retry.SlidingLimits{
 			Window: b.settings.Retries.Window, Ratio: b.settings.Retries.Ratio, Slack: b.settings.Retries.Slack,
 		}, b.members.Alive),
-		Dialect: platform.Dialect{}, OnStaleView: b.endpointsFeed.Refresh, Metrics: b.metrics, Log: b.log,
+		Quarantine: b.crashes,
+		Dialect:    platform.Dialect{}, OnStaleView: b.endpointsFeed.Refresh, Metrics: b.metrics, Log: b.log,
 	})
 	supervisor.Add(b.server)
 	supervisor.Add(newStatusServer(b.settings.Listen.Ready, readyPath, passthrough.ReadyHandler(b.ready)))
--- a/event/requests.go
+++ b/event/requests.go
@@ -48,6 +48,9 @@
 	AttemptEnded = define(2045, log.InfoLevel, "attempt ended without an answer",
 		"An attempt of a request forwarded by \"chicoryhall pass\" gave no complete, successful answer; failure says whether the request may have run.",
 		"Check the endpoints in route if it repeats.")
+	EndpointCrashed = define(2047, log.WarnLevel, "endpoint ended under requests",
+		"An endpoint ended while requests of this daemon ran on it; fingerprints names them by their content. One that is named at several such events may be the cause.",
+		"Look for a fingerprint that occurs again and again, here and in the events 2046, and check the logs of the endpoints.")
 	EndpointFailed = define(2500, log.WarnLevel, "endpoint failed a request",
 		"An endpoint refused or broke a connection or stopped responding; the request continues on another one.",
 		"Check the endpoint if it repeats.")
--- a/exchange/events.go
+++ b/exchange/events.go
@@ -45,6 +45,9 @@
 	return strconv.FormatInt(s.lastID, 10)
 }
 
+// Position returns the number that LastID returns as a text, or 0 if there is none.
+func (s *EventSplitter) Position() int64 { return s.lastID }
+
 // Resume starts the stream of a new attempt. It drops an incomplete event of the previous one. Events up to LastID
 // are omitted then, and a gap after it is an error.
 func (s *EventSplitter) Resume() {
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -10,6 +10,7 @@
 	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/event"
 	"chicoryhall.example/chicoryhall/http1"
+	"chicoryhall.example/chicoryhall/quarantine"
 )
 
 const (
@@ -35,6 +36,8 @@
 	number   int
 	route    chicoryhall.Route
 	conn     *endpointConnection
+	// incarnations are those of the route's endpoints at the start of the attempt.
+	incarnations []quarantine.Crash
 	// sent is set when the request is about to be written: from then on, bytes of it may have been sent.
 	sent          bool
 	ended         bool
@@ -71,6 +74,8 @@
 	a := &attempt{exchange: x, number: x.attempts, route: route, startedAt: now, lastProgress: now}
 	x.current = a
 	for _, hop := range route.Hops {
+		incarnation := x.config().Endpoints.View(hop.Engine).Load.Incarnation
+		a.incarnations = append(a.incarnations, quarantine.Crash{Endpoint: hop.Engine, Incarnation: incarnation})
 		x.config().Endpoints.Begin(hop.Engine)
 	}
 	x.checkTimer.wakeBy(a.stalledAt())
@@ -85,7 +90,7 @@
 	x := a.exchange
 	first := x.config().Endpoints.View(a.route.Hops[0].Engine)
 	x.config().Log.Log(event.ExchangeAdmitted, "request", x.callerHeaders.ID, "attempt", a.number, "service", x.service, "class", x.class.Name,
-		"organisation", x.organisation, "rules", x.rulesVersion, "waited", now.Sub(x.startedAt), "left", x.deadline.Sub(now),
+		"organisation", x.organisation, "fingerprint", x.fingerprint, "rules", x.rulesVersion, "waited", now.Sub(x.startedAt), "left", x.deadline.Sub(now),
 		"route", routeText(a.route), "expectedFirst", a.route.TimeToFirstToken, "expectedGap", a.route.TimePerToken,
 		"ownInFlight", first.InFlight, "othersBelieved", first.Load.Running, "resumeBehind", a.resumeAfter())
 }
--- a/passthrough/callerexchange.go
+++ b/passthrough/callerexchange.go
@@ -10,6 +10,7 @@
 	"chicoryhall.example/chicoryhall/event"
 	"chicoryhall.example/chicoryhall/exchange"
 	"chicoryhall.example/chicoryhall/http1"
+	"chicoryhall.example/chicoryhall/quarantine"
 	"chicoryhall.example/chicoryhall/routing"
 )
 
@@ -46,6 +47,7 @@
 	rule          *chicoryhall.Rule
 	rulesVersion  int64
 	organisation  chicoryhall.Organisation
+	fingerprint   quarantine.Fingerprint
 	service       chicoryhall.ServiceName
 	class         chicoryhall.DocumentClass
 	deadline      time.Time
@@ -114,6 +116,7 @@
 		x.refuse(http.StatusUnauthorized, 0, "the credential is not known")
 		return
 	}
+	x.fingerprint = x.fingerprintOf()
 	x.class = rule.Class(priority)
 	x.service = routing.ChooseTarget(rule, x.server.randomFloat())
 	x.setDeadline()
@@ -231,6 +234,9 @@
 // onDeadline ends the exchange because its deadline has passed. It may still be waiting for admission.
 func (x *callerExchange) onDeadline() {
 	running := x.current != nil && x.current.sent
+	if running {
+		x.current.reportLoss()
+	}
 	x.abandonAttempt()
 	switch x.machine.FinalVerdict(running) {
 	case exchange.VerdictCut:
--- a/passthrough/config.go
+++ b/passthrough/config.go
@@ -5,6 +5,7 @@
 
 	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/event"
+	"chicoryhall.example/chicoryhall/quarantine"
 	"chicoryhall.example/chicoryhall/routing"
 )
 
@@ -27,6 +28,12 @@
 	ByAddress(address string) (chicoryhall.EndpointID, bool)
 }
 
+// Quarantine recognises requests that crash the endpoints that run them. Its methods must not block.
+type Quarantine interface {
+	// Lost reports an attempt that was sent and ended without a complete answer.
+	Lost(loss quarantine.Loss)
+}
+
 // Config holds the dependencies and settings of a Server.
 type Config struct {
 	// Address is where the Server listens for callers, IP:PORT.
@@ -39,6 +46,7 @@
 	Router        chicoryhall.Router
 	Admission     chicoryhall.Admission
 	Retries       Retries
+	Quarantine    Quarantine
 	Dialect       chicoryhall.Dialect
 	// OnStaleView is called when a missing route or a misdirected request suggests that the view of endpoints
 	// is out of date. It must not block.
--- a/passthrough/failure.go
+++ b/passthrough/failure.go
@@ -41,6 +41,9 @@
 	x := a.exchange
 	a.end(true)
 	x.current = nil
+	if failure == exchange.FailureLost {
+		a.reportLoss()
+	}
 	x.config().Log.Log(event.AttemptEnded, "request", x.callerHeaders.ID, "attempt", a.number, "failure", failure, "sent", a.sent,
 		"route", routeText(a.route), "took", x.config().Timer.Now().Sub(a.startedAt), "error", cause)
 	verdict := x.machine.OnFailure(failure, func() bool { return x.takeRetry() })
@@ -53,7 +56,9 @@
 	if !now.Before(x.deadline) || x.server.shuttingDown.Load() {
 		return false
 	}
-	return x.config().Retries.Take(x.service, now)
+	taken := x.config().Retries.Take(x.service, now)
+	x.config().Metrics.retryRequested(x.service, taken)
+	return taken
 }
 
 // applyVerdict carries out the machine's verdict on a failed attempt.
--- a/passthrough/fixture_test.go
+++ b/passthrough/fixture_test.go
@@ -20,6 +20,7 @@
 	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/event"
 	"chicoryhall.example/chicoryhall/passthrough"
+	"chicoryhall.example/chicoryhall/quarantine"
 	"chicoryhall.example/chicoryhall/routing"
 	"chicoryhall.example/chicoryhall/timer"
 )
@@ -156,6 +157,7 @@
 	logs      *logBuffer
 	mu        sync.Mutex
 	retries   int
+	losses    []quarantine.Loss
 	refuse    bool
 }
 
@@ -267,6 +269,13 @@
 	return s.retries >= 0
 }
 
+// Lost records the loss.
+func (s *testServer) Lost(loss quarantine.Loss) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.losses = append(s.losses, loss)
+}
+
 // orderedRouter routes to the first endpoint that is not excluded.
 type orderedRouter struct{ addresses []string }
 
@@ -337,7 +346,7 @@
 	}
 	w.server = passthrough.NewServer(passthrough.Config{
 		Address: w.address, Timer: lateTimer{Service: clock, late: late}, Rules: current, Documents: w, Endpoints: w.endpoints, Router: router, Admission: w,
-		Retries: w, Dialect: testDialect{}, OnStaleView: func() {}, Metrics: passthrough.NewMetrics(), Log: event.NewLogger(w.logs, "test", log.InfoLevel),
+		Retries: w, Quarantine: w, Dialect: testDialect{}, OnStaleView: func() {}, Metrics: passthrough.NewMetrics(), Log: event.NewLogger(w.logs, "test", log.InfoLevel),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var serving sync.WaitGroup
--- a/passthrough/metrics.go
+++ b/passthrough/metrics.go
@@ -37,6 +37,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("chicoryhall_messages_refused_total{status=\"%d\"}", status)).Inc()
 }
 
+// retryRequested counts a retry of a service's request that its budget allowed or refused.
+func (m *Metrics) retryRequested(service chicoryhall.ServiceName, allowed bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("chicoryhall_retries_total{service=%q,allowed=\"%t\"}", service, allowed)).Inc()
+}
+
 // exchangeEnded counts an exchange and its duration.
 func (m *Metrics) exchangeEnded(class chicoryhall.ClassName, status int, duration time.Duration) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("chicoryhall_exchanges_total{class=%q,status=\"%d\"}", class, status)).Inc()
--- /dev/null
+++ b/quarantine/losses_test.go
@@ -0,0 +1,91 @@
+package quarantine_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"chicoryhall.example/chicoryhall/quarantine"
+)
+
+var (
+	lossStart = time.Unix(1000, 0)
+	first     = quarantine.Crash{Endpoint: "a", Incarnation: 1}
+	again     = quarantine.Crash{Endpoint: "a", Incarnation: 2}
+	other     = quarantine.Crash{Endpoint: "b", Incarnation: 1}
+)
+
+// lossAt returns a loss at the endpoints that started a second before it was lost.
+func lossAt(after time.Duration, endpoints ...quarantine.Crash) quarantine.Loss {
+	at := lossStart.Add(after)
+	return quarantine.Loss{
+		Fingerprint: 7, Endpoints: endpoints, Addresses: make([]string, len(endpoints)), StartedAt: at.Add(-time.Second), LostAt: at,
+	}
+}
+
+func TestCrashExplainsLosses(t *testing.T) {
+	cases := []struct {
+		name         string
+		loss         quarantine.Loss
+		crash        quarantine.Crash
+		lastProgress time.Duration
+		knownAfter   time.Duration
+		explains     bool
+	}{
+		{"crash known after the loss", lossAt(0, first, other), other, -time.Second, time.Second, true},
+		{"another endpoint", lossAt(0, first), other, -time.Second, time.Second, false},
+		{"another incarnation", lossAt(0, first), again, -time.Second, time.Second, false},
+		{"progress long after the loss", lossAt(0, first), first, time.Second, 2 * time.Second, false},
+		{"progress noticed right after the loss", lossAt(0, first), first, 50 * time.Millisecond, time.Second, true},
+		{"loss long ago", lossAt(0, first), first, -time.Second, time.Minute, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := quarantine.NewLosses()
+			must.SliceEmpty(t, l.Add(c.loss))
+			explained := l.AddCrash(c.crash, lossStart.Add(c.lastProgress), lossStart.Add(c.knownAfter))
+			must.Eq(t, c.explains, len(explained) == 1)
+			must.SliceEmpty(t, l.AddCrash(c.crash, lossStart.Add(c.lastProgress), lossStart.Add(c.knownAfter)))
+		})
+	}
+}
+
+func TestKnownCrashExplainsLaterLoss(t *testing.T) {
+	cases := []struct {
+		name     string
+		loss     quarantine.Loss
+		explains bool
+	}{
+		{"attempt that ran at the crash", lossAt(500*time.Millisecond, other, first), true},
+		{"attempt that started after the crash", lossAt(2*time.Second, other, first), false},
+		{"next incarnation", lossAt(500*time.Millisecond, again), false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := quarantine.NewLosses()
+			must.SliceEmpty(t, l.AddCrash(first, time.Time{}, lossStart))
+			must.Eq(t, c.explains, len(l.Add(c.loss)) == 1)
+		})
+	}
+}
+
+func TestUnexplainedLosses(t *testing.T) {
+	l := quarantine.NewLosses()
+	loss := lossAt(0, first, other)
+	loss.Addresses = []string{"address of a", "address of b"}
+	l.Add(loss)
+	must.Eq(t, map[quarantine.Crash]string{first: "address of a"}, l.Unexplained("a", lossStart))
+	l.AddCrash(first, time.Time{}, lossStart)
+	must.MapEmpty(t, l.Unexplained("a", lossStart))
+	must.MapLen(t, 1, l.Unexplained("b", lossStart))
+	must.MapEmpty(t, l.Unexplained("b", lossStart.Add(time.Minute)))
+}
+
+func TestCrashesWithinWindow(t *testing.T) {
+	l := quarantine.NewLosses()
+	l.AddCrash(first, time.Time{}, lossStart)
+	must.False(t, l.CrashedWithin(time.Second, []quarantine.Crash{first}, lossStart))
+	must.True(t, l.CrashedWithin(time.Second, []quarantine.Crash{other}, lossStart.Add(time.Second)))
+	must.False(t, l.CrashedWithin(time.Second, nil, lossStart.Add(2*time.Second)))
+}
--- a/quarantine/messages.go
+++ b/quarantine/messages.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"time"
 
 	"chicoryhall.example/chicoryhall"
@@ -29,6 +30,9 @@
 // body. Package requests computes it.
 type Fingerprint uint64
 
+// String returns the fingerprint as it stands in logs, in 16 hexadecimal digits.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
+
 // QueryKind is the purpose of a Query.
 type QueryKind int
 
