Reproduce the incident: a crashing request keeps reaching engines (red)

What callers saw: engines went on ending under one and the same request, and with each of them the other streams on it broke off.

The simulated platform gets requests that crash the endpoints that run them: the first engine, all engines of the route, or the first engine after some events; a dead endpoint now resets new connections. It records each arrival.

--- a/cmd/chicorystand/entry/hall.go
+++ b/cmd/chicorystand/entry/hall.go
@@ -12,6 +12,7 @@
 
 The control endpoint answers:
   GET  /ledger                  the requests that the endpoints ran, and requests and orders that were wrong
+  GET  /arrivals                the requests that crash endpoints, each time one arrived at an endpoint
   POST /store                   {"refuse":true,"silent":true,"delayMillis":50,"loseAnswers":true}
                                 sets the faults of the store: refuse answers with 503; silent does not answer;
                                 delayMillis delays each answer; loseAnswers closes the connection instead of
@@ -24,6 +25,8 @@
                                 closes the connection in the middle of one answer in that many
   POST /engines/ID/crash        aborts all requests of the endpoint, which then starts again without layers
   POST /engines/ID/leave        the endpoint refuses new requests and lists itself in the store as draining
+A request whose body begins with "crash-first " crashes the endpoint that runs it, one with "crash-route " all engines
+of its route, and one with "crash-later " the endpoint that runs it after four events.
 Unlike the control endpoints of the other stand-ins, it has no paths /faults and /crash for the whole process.`
 
 // hallVerb runs the platform that package hall simulates, on which "chicoryhall pass" runs, with its engines and plain
--- a/cmd/chicorystand/hall/control.go
+++ b/cmd/chicorystand/hall/control.go
@@ -15,6 +15,7 @@
 func (p *Platform) controlHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ledger", func(rw http.ResponseWriter, _ *http.Request) { reply(rw, http.StatusOK, p.ledger.Entries()) })
+	mux.HandleFunc("GET /arrivals", func(rw http.ResponseWriter, _ *http.Request) { reply(rw, http.StatusOK, p.arrivals.entries()) })
 	mux.HandleFunc("POST /store", func(rw http.ResponseWriter, r *http.Request) {
 		var faults StoreFaults
 		if decode(rw, r, &faults) {
--- a/cmd/chicorystand/hall/doc.go
+++ b/cmd/chicorystand/hall/doc.go
@@ -12,6 +12,7 @@
 // simpler than those of modelengine: they do not compute in batches. Instead, the
 // time for a token grows with the number of requests in progress. The ledger records
 // the requests that endpoints ran, and what was wrong with requests and orders.
-// Requests that an endpoint refused without an error of the sender, for example as it
+// Requests that crash endpoints are recorded too, each time they arrive at one. Other
+// requests that an endpoint refused without an error of the sender, for example as it
 // had no free slot, are not recorded.
 package hall
--- a/cmd/chicorystand/hall/endpoint.go
+++ b/cmd/chicorystand/hall/endpoint.go
@@ -74,9 +74,13 @@
 func (e *Endpoint) register() error { return e.platform.store.Put("servers", e.settings.ID, e.entry()) }
 
 // Crash aborts all running requests. The endpoint restarts without layers after downtime. If that is longer than
-// lapseTime, its entry is removed from the store after lapseTime.
-func (e *Endpoint) Crash(downtime time.Duration) {
+// lapseTime, its entry is removed from the store after lapseTime. Crash returns false if the endpoint is dead already.
+func (e *Endpoint) Crash(downtime time.Duration) bool {
 	e.mu.Lock()
+	if e.faults.Dead {
+		e.mu.Unlock()
+		return false
+	}
 	e.faults.Dead = true
 	e.from, e.to, e.sequence, e.running, e.used = 0, 0, 0, 0, 0
 	e.mu.Unlock()
@@ -91,6 +95,13 @@
 		e.mu.Unlock()
 		e.platform.stopOnError(e.register())
 	})
+	return true
+}
+
+func (e *Endpoint) isDead() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults.Dead
 }
 
 // isUnresponsive reports whether the faults make the endpoint dead or silent.
@@ -261,6 +272,7 @@
 }
 
 func (e *Endpoint) servePlain(w http.ResponseWriter, r *http.Request) {
+	poison := e.readPoison(r)
 	if !e.acquireSlot() {
 		refuseWithoutRunning(w, http.StatusServiceUnavailable, nil)
 		return
@@ -273,6 +285,9 @@
 		panic(http.ErrAbortHandler)
 	case <-time.After(e.slowed(e.settings.WorkMillis)):
 	}
+	if poison.onEvent(crashLaterEvents+1, []*Endpoint{e}) {
+		panic(http.ErrAbortHandler)
+	}
 	body := "answer to " + id
 	e.setAnswerHeaders(w, r)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
--- a/cmd/chicorystand/hall/platform.go
+++ b/cmd/chicorystand/hall/platform.go
@@ -25,6 +25,7 @@
 	settings  Settings
 	store     *Store
 	ledger    Ledger
+	arrivals  arrivals
 	endpoints []*Endpoint
 	group     *errgroup.Group
 	ctx       context.Context
@@ -77,6 +78,9 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen at %s", address)
 	}
+	if endpoint, ok := handler.(*Endpoint); ok {
+		listener = &closedListener{Listener: listener, endpoint: endpoint}
+	}
 	server := &http.Server{Handler: handler, ErrorLog: discardLogger()}
 	p.group.Go(func() error {
 		<-p.ctx.Done()
--- /dev/null
+++ b/cmd/chicorystand/hall/poison.go
@@ -0,0 +1,120 @@
+package hall
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// A request crashes engines that run it if its body begins with one of these words, then a space and any text:
+// crashFirst crashes the endpoint that gets the request, crashRoute all engines of its route, and crashLater the endpoint
+// that gets it once it has sent crashLaterEvents events.
+const (
+	crashFirst = "crash-first "
+	crashRoute = "crash-route "
+	crashLater = "crash-later "
+)
+
+// crashLaterEvents is the number of events that a crashLater request generates before it crashes the endpoint.
+const crashLaterEvents = 4
+
+// Arrival records that a request that crashes endpoints arrived at one, also if the endpoint refused it.
+type Arrival struct {
+	// Content is the request's path and body, which are the same in each repeat.
+	Content  string `json:"content"`
+	Request  string `json:"request"`
+	Endpoint string `json:"engine"`
+	// AtMillis is the Unix time in milliseconds.
+	AtMillis int64 `json:"atMillis"`
+	// Crashed lists the endpoints that the request crashed.
+	Crashed []string `json:"crashed,omitempty"`
+}
+
+// arrivals records the arrivals of all requests that crash endpoints.
+type arrivals struct {
+	mu  sync.Mutex
+	all []*Arrival
+}
+
+func (a *arrivals) add(arrival *Arrival) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.all = append(a.all, arrival)
+}
+
+// entries returns a copy of all arrivals in their order.
+func (a *arrivals) entries() []Arrival {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	copied := make([]Arrival, 0, len(a.all))
+	for _, arrival := range a.all {
+		copied = append(copied, *arrival)
+	}
+	return copied
+}
+
+// poison is what a request does to the endpoints that run it. A nil poison does nothing.
+type poison struct {
+	platform *Platform
+	kind     string
+	arrival  *Arrival
+}
+
+// readPoison reads the body of a request and records its arrival if it crashes endpoints.
+func (e *Endpoint) readPoison(r *http.Request) *poison {
+	body, _ := io.ReadAll(r.Body) // A body that ends early crashes nothing.
+	for _, kind := range []string{crashFirst, crashRoute, crashLater} {
+		if !strings.HasPrefix(string(body), kind) {
+			continue
+		}
+		arrival := &Arrival{
+			Content: r.URL.Path + " " + string(body), Request: r.Header.Get("Request-Id"), Endpoint: e.settings.ID,
+			AtMillis: time.Now().UnixMilli(),
+		}
+		e.platform.arrivals.add(arrival)
+		return &poison{platform: e.platform, kind: kind, arrival: arrival}
+	}
+	return nil
+}
+
+// onEvent crashes endpoints if the time for that has come: the request is about to generate the event with the given
+// number, starting from 1, at the endpoints of its route. It reports whether it crashed any.
+func (p *poison) onEvent(number int, route []*Endpoint) bool {
+	if p == nil || p.kind == crashLater && number <= crashLaterEvents {
+		return false
+	}
+	if p.kind != crashRoute {
+		route = route[:1]
+	}
+	for _, endpoint := range route {
+		if endpoint.Crash(crashTime) {
+			p.platform.arrivals.mu.Lock()
+			p.arrival.Crashed = append(p.arrival.Crashed, endpoint.settings.ID)
+			p.platform.arrivals.mu.Unlock()
+		}
+	}
+	return true
+}
+
+// closedListener resets new connections while its endpoint is dead, as if nothing listened there.
+type closedListener struct {
+	net.Listener
+	endpoint *Endpoint
+}
+
+// Accept returns the next connection that arrives while the endpoint is alive.
+func (l *closedListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil || !l.endpoint.isDead() {
+			return conn, err
+		}
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // Makes Close reset the connection.
+		}
+		_ = conn.Close()
+	}
+}
--- a/cmd/chicorystand/hall/stream.go
+++ b/cmd/chicorystand/hall/stream.go
@@ -11,6 +11,7 @@
 // serveStream runs a request over its route and sends its events.
 func (e *Endpoint) serveStream(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
+	poison := e.readPoison(r)
 	hops, culprit, err := e.route(r)
 	if err != nil {
 		e.platform.ledger.add(LedgerEntry{Request: id, Endpoint: e.settings.ID, Wrong: err.Error()})
@@ -33,7 +34,7 @@
 	}
 	defer e.platform.release(hops, prompt+answer)
 	e.platform.ledger.add(LedgerEntry{Request: id, Endpoint: e.settings.ID, Behind: r.Header.Get("Last-Event-Id"), Wrong: wrongHeaders(r)})
-	e.stream(w, r, hops, prompt, answer)
+	e.stream(w, r, poison, hops, prompt, answer)
 }
 
 // tokenCounts returns the numbers of tokens of the prompt and of the answer, as stated in the request's header.
@@ -53,7 +54,7 @@
 func EventsOf(tokens, tokensPerEvent int) int { return (tokens + tokensPerEvent - 1) / tokensPerEvent }
 
 // stream sends the answer's events at the simulated speed, starting after the event named in Last-Event-Id.
-func (e *Endpoint) stream(w http.ResponseWriter, r *http.Request, hops []hop, prompt, answer int) {
+func (e *Endpoint) stream(w http.ResponseWriter, r *http.Request, poison *poison, hops []hop, prompt, answer int) {
 	model := e.platform.settings.Model
 	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 for a new stream
 	cutAnswer := e.shouldCut()
@@ -67,6 +68,9 @@
 		if !e.work(r, hops, float64(model.TokensPerEvent)*e.stepMillis(hops)) {
 			panic(http.ErrAbortHandler)
 		}
+		if poison.onEvent(number, enginesOf(hops)) {
+			panic(http.ErrAbortHandler)
+		}
 		text := EventText(r.Header.Get("Request-Id"), number)
 		cutHere := cutAnswer && number > (first+last)/2
 		if cutHere {
@@ -82,6 +86,14 @@
 	}
 }
 
+func enginesOf(hops []hop) []*Endpoint {
+	engines := make([]*Endpoint, 0, len(hops))
+	for _, h := range hops {
+		engines = append(engines, h.engine)
+	}
+	return engines
+}
+
 // stepMillis returns the time for one token over all stages, in milliseconds.
 func (e *Endpoint) stepMillis(hops []hop) float64 {
 	model := e.platform.settings.Model
--- a/proof/soak_caller_test.go
+++ b/proof/soak_caller_test.go
@@ -57,8 +57,14 @@
 	conn     net.Conn
 	reader   *bufio.Reader
 	results  []soakResult
+	// bodyOf returns the body of the request with the given ID.
+	bodyOf func(id string) string
 }
 
+// sameBody and ownBody are the values of bodyOf for requests with equal and with different bodies.
+func sameBody(string) string   { return "body" }
+func ownBody(id string) string { return "body of " + id }
+
 // run sends requests until end is closed. It waits for each answer until some time after the request's timeout.
 func (c *soakCaller) run(end <-chan struct{}) {
 	for number := 0; ; number++ {
@@ -79,20 +85,33 @@
 	}
 }
 
-// send sends one request on the open connection, or on a new one if there is none.
+// connect opens a connection to a random daemon unless there is one already, and reports whether there is one then.
+func (c *soakCaller) connect() bool {
+	if c.conn != nil {
+		return true
+	}
+	address := c.platform.daemons[c.random.IntN(len(c.platform.daemons))].callers
+	conn, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return false
+	}
+	c.conn, c.reader = conn, bufio.NewReader(conn)
+	return true
+}
+
+// send sends one request of a random kind on the open connection, or on a new one if there is none.
 func (c *soakCaller) send(id string) {
-	if c.conn == nil {
-		address := c.platform.daemons[c.random.IntN(len(c.platform.daemons))].callers
-		conn, err := net.DialTimeout("tcp", address, time.Second)
-		if err != nil {
-			return
-		}
-		c.conn, c.reader = conn, bufio.NewReader(conn)
+	if c.connect() {
+		c.sendKind(id, soakKinds[c.random.IntN(len(soakKinds))])
 	}
-	kind := soakKinds[c.random.IntN(len(soakKinds))]
+}
+
+// sendKind sends one request on the open connection.
+func (c *soakCaller) sendKind(id string, kind soakKind) {
+	body := c.bodyOf(id)
 	result := soakResult{id: id, kind: kind, sentAt: time.Now()}
-	text := fmt.Sprintf("POST /%s/a HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nApi-Key: k\r\nDeadline-Ms: %d\r\nToken-Count: 100,%d\r\nContent-Length: 4\r\n\r\nbody",
-		kind.name, id, kind.timeout.Milliseconds(), kind.tokens)
+	text := fmt.Sprintf("POST /%s/a HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nApi-Key: k\r\nDeadline-Ms: %d\r\nToken-Count: 100,%d\r\nContent-Length: %d\r\n\r\n%s",
+		kind.name, id, kind.timeout.Milliseconds(), kind.tokens, len(body), body)
 	_ = c.conn.SetDeadline(time.Now().Add(kind.timeout + 4*time.Second)) // An error would also occur in the write.
 	isLast := true
 	if _, err := io.WriteString(c.conn, text); err != nil {
@@ -128,10 +147,10 @@
 	done sync.WaitGroup
 }
 
-func startCallers(w *soakPlatform, count int, seed uint64) *callers {
+func startCallers(w *soakPlatform, count int, seed uint64, bodyOf func(string) string) *callers {
 	cs := &callers{end: make(chan struct{})}
 	for i := range count {
-		c := &soakCaller{platform: w, name: fmt.Sprintf("c%d", i), random: rand.New(rand.NewPCG(seed, uint64(i)))}
+		c := &soakCaller{platform: w, name: fmt.Sprintf("c%d", i), random: rand.New(rand.NewPCG(seed, uint64(i))), bodyOf: bodyOf}
 		cs.all = append(cs.all, c)
 		cs.done.Go(func() { c.run(cs.end) })
 	}
--- a/proof/soak_platform_test.go
+++ b/proof/soak_platform_test.go
@@ -74,7 +74,7 @@
 }
 
 // newSoakPlatform starts the simulated platform, the proxy and the daemons.
-func newSoakPlatform(t *testing.T, daemonsPerDomain, enginesPerDomain int) *soakPlatform {
+func newSoakPlatform(t *testing.T, daemonsPerDomain, enginesPerDomain, plainPerDomain int) *soakPlatform {
 	t.Helper()
 	folder := t.TempDir()
 	w := &soakPlatform{control: freeAddress(t), proxy: freeAddress(t)}
@@ -99,7 +99,9 @@
 		for i := range enginesPerDomain {
 			engines = append(engines, soakEngine(fmt.Sprintf("%s-e%d", domain, i), domain, "model", freeAddress(t), i))
 		}
-		engines = append(engines, soakEngine(domain+"-p", domain, "plain", freeAddress(t), -1))
+		for i := range plainPerDomain {
+			engines = append(engines, soakEngine(fmt.Sprintf("%s-p%d", domain, i), domain, "plain", freeAddress(t), -1))
+		}
 	}
 	for _, engine := range engines {
 		w.engines = append(w.engines, engine["id"].(string))
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -127,10 +127,10 @@
 // restarted twice at the same time.
 func soak(t *testing.T, seed uint64, daemons, engines, callerCount int, duration time.Duration) {
 	t.Helper()
-	w := newSoakPlatform(t, daemons, engines)
+	w := newSoakPlatform(t, daemons, engines, 1)
 	random := rand.New(rand.NewPCG(seed, seed))
 	time.Sleep(3 * time.Second) // Until the engines have loaded their layers.
-	cs := startCallers(w, callerCount, seed)
+	cs := startCallers(w, callerCount, seed, sameBody)
 	var history []string
 	var pendingEnds sync.WaitGroup
 	startTime := time.Now()
