retry: a restarted daemon has hardly any slack for one window

The limit on repeats holds for any 10 s and all daemons. Each daemon spends the ratio of its own requests and its part of the slack, and remembers both in memory.

Cause: a process that starts knows nothing of what the one before it has spent, and had its part of the slack again at once. The same class as the incident: a bound over all daemons that rests on what one process remembers.

Evidence: TestRestartedDaemonsKeepTheSharedLimit, 1, 7 and 89 daemons that spend all they may, restart and do so again. Before: 6 retries with a slack of 4 for one daemon, the first case.

Why this works: for one window after its start a daemon has a tenth of the slack's part instead of 0.8 of it, so both processes together stay below the whole slack. When the whole system starts, no callers are there for the first window anyway.

--- a/cmd/chicoryhall/platformdaemon/builder.go
+++ b/cmd/chicoryhall/platformdaemon/builder.go
@@ -183,7 +183,7 @@
 		Admission: b.admission,
 		Retries: retry.NewSlidingBudgets(retry.SlidingLimits{
 			Window: b.settings.Retries.Window, Ratio: b.settings.Retries.Ratio, Slack: b.settings.Retries.Slack,
-		}, b.members.Alive),
+		}, b.timer.Now(), b.members.Alive),
 		Quarantine: b.crashes,
 		Dialect:    platform.Dialect{}, OnStaleView: b.endpointsFeed.Refresh, Metrics: b.metrics, Log: b.log,
 	})
--- a/retry/slidingbudgets.go
+++ b/retry/slidingbudgets.go
@@ -13,6 +13,9 @@
 	// The known daemons divide slackShare of the slack among them. The rest is a reserve: a daemon that does
 	// not know all others yet takes too large a part.
 	slackShare = 0.8
+	// startShare takes the place of slackShare during the first window after the start of a daemon, as the process before
+	// it may have spent the daemon's part of the slack.
+	startShare = 0.1
 )
 
 // SlidingLimits limits the retries of a service over all daemons.
@@ -30,16 +33,17 @@
 // concurrent use.
 type SlidingBudgets struct {
 	limits      SlidingLimits
+	startedAt   time.Time
 	daemonCount func() int
 
 	mu        sync.Mutex
 	byService map[chicoryhall.ServiceName]*window
 }
 
-// NewSlidingBudgets returns SlidingBudgets without any requests; daemonCount returns the number of daemons that
-// share the slack, this one included.
-func NewSlidingBudgets(limits SlidingLimits, daemonCount func() int) *SlidingBudgets {
-	return &SlidingBudgets{limits: limits, daemonCount: daemonCount, byService: make(map[chicoryhall.ServiceName]*window)}
+// NewSlidingBudgets returns SlidingBudgets without any requests. startedAt is when the daemon's process started;
+// daemonCount returns the number of daemons that share the slack, this one included.
+func NewSlidingBudgets(limits SlidingLimits, startedAt time.Time, daemonCount func() int) *SlidingBudgets {
+	return &SlidingBudgets{limits: limits, startedAt: startedAt, daemonCount: daemonCount, byService: make(map[chicoryhall.ServiceName]*window)}
 }
 
 // CountRequest counts a caller's request.
@@ -55,7 +59,7 @@
 	defer b.mu.Unlock()
 	current := b.windowAt(service, now)
 	requests, retries := current.sums()
-	allowed := b.limits.Ratio*requests + b.limits.Slack*slackShare/float64(max(1, b.daemonCount()))
+	allowed := b.limits.Ratio*requests + b.slackAt(now)/float64(max(1, b.daemonCount()))
 	if retries+1 > allowed {
 		return false
 	}
@@ -63,6 +67,14 @@
 	return true
 }
 
+// slackAt returns the part of the slack that all daemons together spend if they are in the same state as this one.
+func (b *SlidingBudgets) slackAt(now time.Time) float64 {
+	if now.Sub(b.startedAt) < b.limits.Window {
+		return b.limits.Slack * startShare
+	}
+	return b.limits.Slack * slackShare
+}
+
 // windowAt returns the service's window, advanced to now.
 func (b *SlidingBudgets) windowAt(service chicoryhall.ServiceName, now time.Time) *window {
 	current := b.byService[service]
--- a/retry/slidingbudgets_test.go
+++ b/retry/slidingbudgets_test.go
@@ -23,7 +23,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		var budgets []*retry.SlidingBudgets
 		for range daemons {
-			budgets = append(budgets, retry.NewSlidingBudgets(limits, func() int { return daemons }))
+			budgets = append(budgets, retry.NewSlidingBudgets(limits, time.Time{}, func() int { return daemons }))
 		}
 		now := time.Unix(1000, 0)
 		var events []call
@@ -54,11 +54,29 @@
 	})
 }
 
+// TestRestartedDaemonsKeepTheSharedLimit lets all daemons spend their retries, restart, and spend what they have then.
+func TestRestartedDaemonsKeepTheSharedLimit(t *testing.T) {
+	for _, daemons := range []int{1, 7, 89} {
+		limits := retry.SlidingLimits{Window: 10 * time.Second, Ratio: 0.2, Slack: 4 * float64(daemons)}
+		start := time.Unix(1000, 0)
+		retries := 0
+		for _, startedAt := range []time.Time{start.Add(-time.Hour), start.Add(time.Second)} {
+			for range daemons {
+				budgets := retry.NewSlidingBudgets(limits, startedAt, func() int { return daemons })
+				for budgets.Take("s", start.Add(2*time.Second)) {
+					retries++
+				}
+			}
+		}
+		must.LessEq(t, limits.Slack, float64(retries), must.Sprint(daemons))
+	}
+}
+
 // TestSlidingBudgetsRecover spends the slack and checks when retries are allowed again. A slack of 5 allows 4
 // retries, because of slackShare; a count of 0 daemons counts as 1. A time that lies before the newest bucket does
 // not bring the window back to an earlier state.
 func TestSlidingBudgetsRecover(t *testing.T) {
-	budgets := retry.NewSlidingBudgets(retry.SlidingLimits{Window: time.Second, Slack: 5}, func() int { return 0 })
+	budgets := retry.NewSlidingBudgets(retry.SlidingLimits{Window: time.Second, Slack: 5}, time.Time{}, func() int { return 0 })
 	now := time.Unix(1000, 0)
 	for range 4 {
 		must.True(t, budgets.Take("s", now))
@@ -95,7 +113,7 @@
 		{"long after a retry", retry.SlidingLimits{Window: 20 * bucket, Slack: 1.25}, true, 1000 * bucket, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			budgets := retry.NewSlidingBudgets(c.limits, func() int { return 1 })
+			budgets := retry.NewSlidingBudgets(c.limits, time.Time{}, func() int { return 1 })
 			if c.isRetry {
 				must.True(t, budgets.Take("s", start))
 			} else {
