--- a/cmd/chicoryhall/platformdaemon/builder.go
+++ b/cmd/chicoryhall/platformdaemon/builder.go
@@ -45,6 +45,11 @@
 	// two seconds.
 	endpointsPause = 800 * time.Millisecond
 	rulesPause     = 500 * time.Millisecond
+	// alertsWait is how long the store may wait for alerts of other daemons before it answers, alertsPause the pause after
+	// one, and alertsBackoff the longest pause after a failure: while the store does not answer, nobody can write alerts.
+	alertsWait    = 29 * time.Second
+	alertsPause   = 600 * time.Millisecond
+	alertsBackoff = 3 * time.Second
 )
 
 // preferredDaemons is the number of daemons of a failure domain that compete for its lease.
@@ -91,8 +96,8 @@
 	admission     *admission.Controller
 	server        *passthrough.Server
 	metrics       *passthrough.Metrics
-	crashes       *crashes
 	crashMetrics  *metrics.Set
+	quarantine    *quarantineService
 }
 
 // build constructs the components in the order of their dependencies and adds them to the tree of supervisors.
@@ -109,6 +114,7 @@
 	b.buildBase(base)
 	b.buildKnowledge(knowledge)
 	b.buildPlacement(decisions)
+	b.buildQuarantine(decisions)
 	b.buildInterfaces(interfaces)
 	return b
 }
@@ -168,10 +174,21 @@
 	}))
 }
 
-func (b *builder) buildInterfaces(supervisor *suture.Supervisor) {
+// buildQuarantine adds the components that stop requests that crash endpoints.
+func (b *builder) buildQuarantine(supervisor *suture.Supervisor) {
 	b.crashMetrics = metrics.NewSet()
-	b.crashes = newCrashes(b.timer, b.endpoints, b.crashMetrics, b.log)
-	supervisor.Add(b.crashes)
+	crashes := newCrashes(b.timer, b.endpoints, b.crashMetrics, b.log)
+	supervisor.Add(crashes)
+	b.quarantine = newQuarantineService(b.settings.ID, b.timer, b.table, crashes, b.log)
+	supervisor.Add(b.quarantine)
+	supervisor.Add(follow.New(follow.Config[platform.Alert]{
+		Name: "alerts", Source: platform.NewAlertSource(b.store, b.log),
+		Sink:    &platform.AlertSink{Self: b.settings.ID, OnAlert: b.quarantine.onAlert},
+		MaxWait: alertsWait, BatchDelay: alertsPause, MaxBackoff: alertsBackoff, Timer: b.timer, Log: b.log,
+	}))
+}
+
+func (b *builder) buildInterfaces(supervisor *suture.Supervisor) {
 	b.metrics = passthrough.NewMetrics()
 	b.admission = admission.New(b.timer, b.documents, b.endpoints, b.members)
 	b.server = passthrough.NewServer(passthrough.Config{
@@ -184,7 +201,7 @@
 		Retries: retry.NewSlidingBudgets(retry.SlidingLimits{
 			Window: b.settings.Retries.Window, Ratio: b.settings.Retries.Ratio, Slack: b.settings.Retries.Slack,
 		}, b.timer.Now(), b.members.Alive),
-		Quarantine: b.crashes,
+		Quarantine: b.quarantine,
 		Dialect:    platform.Dialect{}, OnStaleView: b.endpointsFeed.Refresh, Metrics: b.metrics, Log: b.log,
 	})
 	supervisor.Add(b.server)
--- a/cmd/chicoryhall/platformdaemon/crashes.go
+++ b/cmd/chicoryhall/platformdaemon/crashes.go
@@ -19,7 +19,9 @@
 	// is not probed.
 	crashProbeDelay = 50 * time.Millisecond
 	// crashProbePause is the least time between two probes of one endpoint.
-	crashProbePause = time.Second
+	crashProbePause = 2 * time.Second
+	// massFailureWindow is the time within which crashes are assumed to have a common cause.
+	massFailureWindow = 500 * time.Millisecond
 )
 
 // crashes notices that endpoints have ended under requests of this daemon. It learns of them from lost attempts, whose
@@ -29,7 +31,9 @@
 	endpoints *watch.ListedEndpoints
 	log       *event.Logger
 	count     *metrics.Counter
-	probes    errgroup.Group
+	// onExplained is called with a crash and the losses that it explains.
+	onExplained func(quarantine.Incarnation, []quarantine.Loss)
+	probes      errgroup.Group
 
 	mu     sync.Mutex
 	losses *quarantine.Losses
@@ -56,7 +60,7 @@
 	return ctx.Err()
 }
 
-// Lost records a lost attempt and looks for a crash of its endpoints.
+// Lost records a lost attempt and looks for a crash of its endpoints if the loss may be due to one.
 func (c *crashes) Lost(loss quarantine.Loss) {
 	c.mu.Lock()
 	crashed := c.losses.Add(loss)
@@ -64,18 +68,46 @@
 	for _, crash := range crashed {
 		c.report(crash, []quarantine.Loss{loss})
 	}
-	c.timer.After(crashProbeDelay, func(now time.Time) { c.probeSilent(loss, now) })
+	if loss.Cause != quarantine.LossUnrelated {
+		c.timer.After(crashProbeDelay, func(now time.Time) { c.probeLoss(loss, now) })
+	}
+}
+
+// probeLoss probes the endpoints of a loss. If a connection broke, the first endpoint of the route is the likely cause, so
+// the others are probed only if it is alive.
+func (c *crashes) probeLoss(loss quarantine.Loss, now time.Time) {
+	if loss.Cause == quarantine.LossBroken {
+		first, others := loss.Stages[:1], loss.Stages[1:]
+		c.probeSilent(first, loss.LostAt, now, func() { c.probeSilent(others, loss.LostAt, c.timer.Now(), func() {}) })
+		return
+	}
+	c.probeSilent(loss.Stages, loss.LostAt, now, func() {})
 }
 
-// probeSilent probes the endpoints of a loss that have not made progress since.
-func (c *crashes) probeSilent(loss quarantine.Loss, now time.Time) {
-	for i, endpoint := range loss.Endpoints {
-		if !c.endpoints.LastProgress(endpoint.Endpoint).After(loss.LostAt) {
-			c.probe(endpoint, loss.Addresses[i], now)
+// probeSilent probes those stages whose endpoints have made no progress since a loss, and calls onAlive for each that
+// turns out to be alive.
+func (c *crashes) probeSilent(stages []quarantine.Stage, lostAt, now time.Time, onAlive func()) {
+	for _, stage := range stages {
+		if !c.endpoints.LastProgress(stage.Endpoint).After(lostAt) {
+			c.probe(stage, now, onAlive)
 		}
 	}
 }
 
+// probe probes an endpoint. If that was done recently, it does so again after a pause, as the endpoint may have crashed
+// since.
+func (c *crashes) probe(stage quarantine.Stage, now time.Time, onAlive func()) {
+	if c.mayProbe(stage.Endpoint, now) {
+		c.probeNow(stage, onAlive)
+		return
+	}
+	c.timer.After(crashProbePause, func(now time.Time) {
+		if !c.isCrashed(stage.Incarnation) && c.mayProbe(stage.Endpoint, now) {
+			c.probeNow(stage, onAlive)
+		}
+	})
+}
+
 // mayProbe reports whether the last probe of an endpoint is long enough ago, and if so, records a new one.
 func (c *crashes) mayProbe(id chicoryhall.EndpointID, now time.Time) bool {
 	c.mu.Lock()
@@ -87,14 +119,20 @@
 	return true
 }
 
-// probe probes an endpoint unless that was done recently.
-func (c *crashes) probe(endpoint quarantine.Crash, address string, now time.Time) {
-	if !c.mayProbe(endpoint.Endpoint, now) {
-		return
-	}
+func (c *crashes) isCrashed(incarnation quarantine.Incarnation) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.losses.Crashed(incarnation)
+}
+
+func (c *crashes) probeNow(stage quarantine.Stage, onAlive func()) {
 	c.probes.Go(func() error {
-		if probeEndpoint(context.Background(), address) == probeGone {
-			c.handleCrash(endpoint)
+		switch probeEndpoint(context.Background(), stage.Address) {
+		case probeGone:
+			c.handleCrash(stage.Incarnation)
+		case probeAlive:
+			onAlive()
+		case probeUnclear:
 		}
 		return nil
 	})
@@ -111,18 +149,18 @@
 		return
 	}
 	current := c.endpoints.View(id).Load.Incarnation
-	for endpoint, address := range lost {
+	for _, stage := range lost {
 		switch {
 		case state == chicoryhall.EndpointDead:
-			c.probe(endpoint, address, now)
-		case endpoint.Incarnation != current:
-			c.handleCrash(endpoint)
+			c.probe(stage, now, func() {})
+		case stage.Number != current:
+			c.handleCrash(stage.Incarnation)
 		}
 	}
 }
 
 // handleCrash attributes the crash of an endpoint to the requests that were lost there.
-func (c *crashes) handleCrash(crash quarantine.Crash) {
+func (c *crashes) handleCrash(crash quarantine.Incarnation) {
 	lastProgress := c.endpoints.LastProgress(crash.Endpoint)
 	c.mu.Lock()
 	explained := c.losses.AddCrash(crash, lastProgress, c.timer.Now())
@@ -133,12 +171,50 @@
 	}
 }
 
-// report logs the requests that were lost in the crash of an endpoint.
-func (c *crashes) report(crash quarantine.Crash, explained []quarantine.Loss) {
+// report logs the requests that were lost in the crash of an endpoint, and passes them on.
+func (c *crashes) report(crash quarantine.Incarnation, explained []quarantine.Loss) {
 	fingerprints := make([]quarantine.Fingerprint, 0, len(explained))
 	for _, loss := range explained {
 		fingerprints = append(fingerprints, loss.Fingerprint)
 	}
-	c.log.Log(event.EndpointCrashed, "endpoint", crash.Endpoint, "incarnation", crash.Incarnation,
+	c.log.Log(event.EndpointCrashed, "endpoint", crash.Endpoint, "incarnation", crash.Number,
 		"requests", len(explained), "fingerprints", fingerprints)
+	c.onExplained(crash, explained)
+}
+
+// crashedElsewhere reports whether an endpoint on which the lost attempt did not run has crashed at about the same time.
+func (c *crashes) crashedElsewhere(loss quarantine.Loss, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.losses.CrashedElsewhere(loss, massFailureWindow, now)
+}
+
+// unreachable returns those endpoints of a route that are known to have crashed, or else those that do not answer a probe.
+func (c *crashes) unreachable(stages []quarantine.Stage) []chicoryhall.EndpointID {
+	var gone []chicoryhall.EndpointID
+	c.mu.Lock()
+	for _, stage := range stages {
+		if c.losses.Crashed(stage.Incarnation) {
+			gone = append(gone, stage.Endpoint)
+		}
+	}
+	c.mu.Unlock()
+	if len(gone) > 0 {
+		return gone
+	}
+	results := make([]crashProbe, len(stages))
+	var probes errgroup.Group
+	for i, stage := range stages {
+		probes.Go(func() error {
+			results[i] = probeEndpoint(context.Background(), stage.Address)
+			return nil
+		})
+	}
+	_ = probes.Wait() // The functions return no errors.
+	for i, stage := range stages {
+		if results[i] != probeAlive {
+			gone = append(gone, stage.Endpoint)
+		}
+	}
+	return gone
 }
--- /dev/null
+++ b/cmd/chicoryhall/platformdaemon/quarantine_test.go
@@ -0,0 +1,143 @@
+package platformdaemon
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+	"github.com/shoenig/test/must"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/event"
+	"chicoryhall.example/chicoryhall/quarantine"
+	"chicoryhall.example/chicoryhall/table/tabletest"
+	"chicoryhall.example/chicoryhall/timer"
+	"chicoryhall.example/chicoryhall/watch"
+)
+
+const suspect = quarantine.Fingerprint(7)
+
+// newTestQuarantine returns the quarantine of a daemon whose Serve does not run.
+func newTestQuarantine(self chicoryhall.DaemonID, store *tabletest.Store) *quarantineService {
+	clock := timer.New()
+	logger := event.NewLogger(io.Discard, "test", log.ErrorLevel)
+	endpoints := watch.NewListedEndpoints(watch.ListedConfig{Timer: clock, Log: logger})
+	return newQuarantineService(self, clock, store, newCrashes(clock, endpoints, metrics.NewSet(), logger), logger)
+}
+
+// crash makes the quarantine record that an attempt of the suspect was lost when an endpoint crashed.
+func (s *quarantineService) crash(attempt, endpoint string) {
+	incarnation := quarantine.Incarnation{Endpoint: chicoryhall.EndpointID(endpoint), Number: 1}
+	s.recordCrash(incarnation, []quarantine.Loss{{
+		Fingerprint: suspect, Attempt: attempt, Stages: []quarantine.Stage{{Incarnation: incarnation}}, LostAt: s.timer.Now(),
+	}})
+}
+
+func (s *quarantineService) incidents() int { return s.Standing(suspect, s.timer.Now()).Incidents }
+
+// TestDaemonsCountCrashesTogether lets one daemon read what another one has written, also after a restart, an outage, and
+// a write whose answer was lost.
+func TestDaemonsCountCrashesTogether(t *testing.T) {
+	ctx := context.Background()
+	store := &tabletest.Store{}
+	one, two := newTestQuarantine("one", store), newTestQuarantine("two", store)
+	one.exchange(ctx)
+	two.exchange(ctx)
+	one.crash("a/1", "x")
+	one.exchange(ctx)
+	two.crash("b/1", "y")
+	two.exchange(ctx)
+	must.Eq(t, 2, two.incidents())
+	must.Eq(t, 1, one.incidents())
+	_, alerted := store.Snapshot()["alerts/two"]
+	must.True(t, alerted)
+
+	restarted := newTestQuarantine("one", store)
+	restarted.crash("c/1", "z")
+	restarted.exchange(ctx)
+	must.Eq(t, 3, restarted.incidents())
+
+	store.SetDown(true)
+	two.crash("d/1", "v")
+	two.exchange(ctx)
+	store.SetDown(false)
+	store.LoseAnswers(1)
+	two.exchange(ctx)
+	two.exchange(ctx)
+	restarted.exchange(ctx)
+	must.Eq(t, 4, restarted.incidents())
+	must.Eq(t, 4, two.incidents())
+}
+
+// TestClearedSuspectIsKnownToAll clears a suspect at a daemon that has not seen any of its crashes.
+func TestClearedSuspectIsKnownToAll(t *testing.T) {
+	ctx := context.Background()
+	store := &tabletest.Store{}
+	one, two := newTestQuarantine("one", store), newTestQuarantine("two", store)
+	one.exchange(ctx)
+	one.crash("a/1", "x")
+	one.crash("a/2", "y")
+	one.exchange(ctx)
+	two.exchange(ctx)
+	standing := two.Standing(suspect, two.timer.Now())
+	must.Eq(t, quarantine.StateSuspect, standing.State)
+	two.Passed(suspect, standing.Crashes)
+	two.exchange(ctx)
+	_, alerted := store.Snapshot()["alerts/two"]
+	must.True(t, alerted)
+	one.exchange(ctx)
+	must.Eq(t, 0, one.incidents())
+}
+
+// TestSuspectsAreReserved reserves endpoints for the trials of one suspect at two daemons.
+func TestSuspectsAreReserved(t *testing.T) {
+	cases := []struct {
+		name      string
+		incidents int
+		isHeld    bool
+		isDown    bool
+		want      quarantine.Decision
+	}{
+		{"free", 2, false, false, quarantine.DecisionReserved},
+		{"another trial runs", 2, true, false, quarantine.DecisionWait},
+		{"no store, two incidents", 2, false, true, quarantine.DecisionFree},
+		{"no store, three incidents", 3, false, true, quarantine.DecisionWait},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			store := &tabletest.Store{}
+			one, two := newTestQuarantine("one", store), newTestQuarantine("two", store)
+			if c.isHeld {
+				must.Eq(t, quarantine.DecisionReserved, one.reserve("a/1", suspect, nil).Decision)
+			}
+			for i := range c.incidents {
+				two.crash(string(rune('a'+i)), string(rune('a'+i)))
+			}
+			store.SetDown(c.isDown)
+			must.Eq(t, c.want, two.reserve("b/1", suspect, nil).Decision)
+			loss := quarantine.Loss{Attempt: "b/1", LostAt: time.Now()}
+			must.Eq(t, c.want == quarantine.DecisionReserved, two.held["b/1"].Valid(loss.LostAt))
+		})
+	}
+}
+
+// TestSweepRemovesRowsOfGoneDaemons leaves rows of a daemon that is gone and sweeps them after their time.
+func TestSweepRemovesRowsOfGoneDaemons(t *testing.T) {
+	ctx := context.Background()
+	store := &tabletest.Store{}
+	gone, swept := newTestQuarantine("gone", store), newTestQuarantine("swept", store)
+	for _, s := range []*quarantineService{gone, swept} {
+		s.exchange(ctx)
+		s.crash("a/1", "x")
+		s.exchange(ctx)
+	}
+	rows := newStaleRows(reportPrefix, 0)
+	swept.sweep(ctx, rows)
+	_, ownLeft := store.Snapshot()["quarantine/swept"]
+	_, otherLeft := store.Snapshot()["quarantine/gone"]
+	must.True(t, ownLeft)
+	must.False(t, otherLeft)
+}
--- a/event/requests.go
+++ b/event/requests.go
@@ -12,11 +12,11 @@
 		"No chain of ready endpoints covers the model's layers; a new request is refused at once, one that was already running is retried for a short while.",
 		"Check the endpoints of the layers named in the error.")
 	RequestQuarantined = define(2012, log.ErrorLevel, "request refused because it crashes endpoints",
-		"The request was refused because two endpoints crashed while running a request with the same content; the refusal lasts an hour.",
+		"The request was refused because endpoints crashed while running requests with the same content; requests with it are refused for about an hour.",
 		"Check the logs of the crashed endpoints; the content of the request is the cause in nearly all cases.")
 	SuspectIsolated = define(2013, log.WarnLevel, "suspect isolated",
-		"An endpoint crashed while running the request, which is now suspected of causing it; it runs again on engines that no other suspect request uses.",
-		"Nothing; event 2012 follows if it crashes a second endpoint.")
+		"Endpoints crashed while running the request or others with its content, which are now suspected of causing it; it runs again on endpoints that no other suspect request uses.",
+		"Nothing; event 2012 follows if it crashes these too.")
 	ArbiterUnreachable = define(2014, log.WarnLevel, "arbiter unreachable",
 		"The daemon that decides about requests suspected of crashing endpoints did not answer; this daemon decides by itself.",
 		"Check events 3100 and 3101 for the state of that daemon.")
@@ -51,6 +51,9 @@
 	EndpointCrashed = define(2047, log.WarnLevel, "endpoint ended under requests",
 		"An endpoint ended while requests of this daemon ran on it; fingerprints names them by their content. One that is named at several such events may be the cause.",
 		"Look for a fingerprint that occurs again and again, here and in the events 2046, and check the logs of the endpoints.")
+	CrashAlertReceived = define(2048, log.InfoLevel, "alert of a suspect received",
+		"Another daemon has found that requests with the same content were lost in several crashes of endpoints, or that they are harmless after all; this daemon reads what it has reported.",
+		"Nothing.")
 	EndpointFailed = define(2500, log.WarnLevel, "endpoint failed a request",
 		"An endpoint refused or broke a connection or stopped responding; the request continues on another one.",
 		"Check the endpoint if it repeats.")
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -25,9 +25,9 @@
 	// minRefreshPause is the least time between a read of the whole table and another one requested by
 	// Refresh.
 	minRefreshPause = time.Second
-	// minBackoff and maxBackoff bound the pause after a failure, which doubles with each consecutive failure.
-	minBackoff = 50 * time.Millisecond
-	maxBackoff = 400 * time.Millisecond
+	// minBackoff and defaultMaxBackoff bound the pause after a failure, which doubles with each consecutive failure.
+	minBackoff        = 50 * time.Millisecond
+	defaultMaxBackoff = 400 * time.Millisecond
 )
 
 // Change is a row that was written or removed. Value is its content, or identifies it if it was removed.
@@ -69,6 +69,8 @@
 	MaxWait time.Duration
 	// BatchDelay is the pause after changes, so that the next answer contains several of them.
 	BatchDelay time.Duration
+	// MaxBackoff bounds the pause after a failure; if it is 0, defaultMaxBackoff does.
+	MaxBackoff time.Duration
 	// OnUnavailable is called after Sink.Unavailable. It may be nil. It lets followers of other tables refresh
 	// their copies.
 	OnUnavailable func()
@@ -94,6 +96,9 @@
 
 // New returns a Follower that has read nothing yet.
 func New[T any](config Config[T]) *Follower[T] {
+	if config.MaxBackoff == 0 {
+		config.MaxBackoff = defaultMaxBackoff
+	}
 	return &Follower[T]{config: config}
 }
 
@@ -208,7 +213,7 @@
 			f.config.OnUnavailable()
 		}
 	}
-	pause := min(maxBackoff, minBackoff<<min(f.failures, 8)) // Bounded to avoid an overflow.
+	pause := min(f.config.MaxBackoff, minBackoff<<min(f.failures, 8)) // Bounded to avoid an overflow.
 	f.failures++
 	f.sleep(ctx, pause)
 }
--- a/passthrough/answer.go
+++ b/passthrough/answer.go
@@ -84,6 +84,7 @@
 	if len(out) > 0 {
 		x.recordPiece()
 		x.conn.write(x.appendPiece(nil, out))
+		a.checkProven(false)
 	}
 }
 
@@ -124,11 +125,13 @@
 		a.excludeFirst()
 		a.fail(exchange.FailureLost, errors.Errorf("the endpoint answered with status %d and did not say that it ran nothing", status))
 	case status >= http.StatusInternalServerError:
+		a.checkProven(true)
 		a.excludeFirst()
 		a.fail(exchange.FailureAnswered, errors.Errorf("the endpoint answered with status %d", status))
 	case x.machine.IsAnswerStarted():
 		a.fail(exchange.FailureLost, errors.Errorf("the endpoint that was asked to resume the stream answered with status %d", status))
 	default:
+		a.checkProven(true)
 		a.end(false)
 		x.current = nil
 		x.forwardAnswer(a)
@@ -150,6 +153,7 @@
 // finishForwarded ends the exchange after a complete answer that was forwarded as it arrived.
 func (a *attempt) finishForwarded(status int) {
 	x := a.exchange
+	a.checkProven(true)
 	a.end(false)
 	x.current = nil
 	if x.framing() == http1.FramingChunked {
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -36,8 +36,14 @@
 	number   int
 	route    chicoryhall.Route
 	conn     *endpointConnection
-	// incarnations are those of the route's endpoints at the start of the attempt.
-	incarnations []quarantine.Crash
+	// stages are those of the route at the start of the attempt.
+	stages []quarantine.Stage
+	// standing is what was known of the request's content at the start of the attempt.
+	standing quarantine.Standing
+	// reserved is set while the endpoints are reserved for the attempt.
+	reserved bool
+	// lossCause is how the attempt was lost, if it was.
+	lossCause quarantine.LossCause
 	// sent is set when the request is about to be written: from then on, bytes of it may have been sent.
 	sent          bool
 	ended         bool
@@ -54,9 +60,19 @@
 	progressReportedAt time.Time
 }
 
-// startAttempt chooses the endpoints and sends the request.
+// startAttempt chooses the endpoints and starts the attempt, or ends the exchange if it may not run. A suspect starts once
+// its endpoints are reserved.
 func (x *callerExchange) startAttempt() {
-	now := x.config().Timer.Now()
+	standing := x.standing()
+	switch standing.State {
+	case quarantine.StateConvicted:
+		x.endQuarantined(standing, errCrashesEndpoints)
+		return
+	case quarantine.StateUnsettled:
+		x.endQuarantined(standing, errNotSettled)
+		return
+	case quarantine.StateFree, quarantine.StateSuspect:
+	}
 	current, known := x.config().Documents.Current(x.service)
 	if !known {
 		x.refuse(http.StatusServiceUnavailable, retryAfterNoRules, "the service is not described")
@@ -64,18 +80,31 @@
 	}
 	route, err := x.config().Router.Choose(chicoryhall.RouteQuery{
 		Document: current.Document, FailureDomain: x.config().FailureDomain, Positions: x.callerHeaders.PromptTokens,
-		RemainingTokens: x.callerHeaders.AnswerTokens, Exclude: x.excluded, Now: now,
+		RemainingTokens: x.callerHeaders.AnswerTokens, Exclude: slices.Concat(x.excluded, x.reservedElsewhere), Now: x.config().Timer.Now(),
 	})
-	if err != nil {
+	switch {
+	case err != nil && len(x.reservedElsewhere) > 0:
+		x.reservedElsewhere = nil
+		x.awaitReservation(standing)
+	case err != nil:
 		x.onNoRoute(err)
-		return
+	case standing.State == quarantine.StateSuspect:
+		x.reserve(route, standing)
+	default:
+		x.launch(route, standing, false)
 	}
+}
+
+// launch sends the request to the endpoints of a route. reserved says whether they are reserved for it.
+func (x *callerExchange) launch(route chicoryhall.Route, standing quarantine.Standing, reserved bool) {
+	now := x.config().Timer.Now()
 	x.attempts++
-	a := &attempt{exchange: x, number: x.attempts, route: route, startedAt: now, lastProgress: now}
+	a := &attempt{
+		exchange: x, number: x.attempts, route: route, stages: x.stagesOf(route), standing: standing, reserved: reserved,
+		startedAt: now, lastProgress: now,
+	}
 	x.current = a
 	for _, hop := range route.Hops {
-		incarnation := x.config().Endpoints.View(hop.Engine).Load.Incarnation
-		a.incarnations = append(a.incarnations, quarantine.Crash{Endpoint: hop.Engine, Incarnation: incarnation})
 		x.config().Endpoints.Begin(hop.Engine)
 	}
 	x.checkTimer.wakeBy(a.stalledAt())
@@ -125,6 +154,11 @@
 	for _, hop := range a.route.Hops {
 		a.exchange.config().Endpoints.End(hop.Engine)
 	}
+	outcome := quarantine.TrialFailed
+	if !a.sent {
+		outcome = quarantine.TrialNotStarted
+	}
+	a.endTrial(outcome)
 	if abandon && a.conn != nil {
 		a.conn.abandon(a)
 	}
--- a/passthrough/callerexchange.go
+++ b/passthrough/callerexchange.go
@@ -59,6 +59,10 @@
 	attempts int
 	// excluded lists the endpoints that must not be tried again.
 	excluded []chicoryhall.EndpointID
+	// reservedElsewhere lists endpoints that could not be reserved for this request. reservingSince is when the first try to
+	// reserve endpoints failed, or zero.
+	reservedElsewhere []chicoryhall.EndpointID
+	reservingSince    time.Time
 	// events tracks the events of a streamed answer; it is nil for other answers.
 	events   *exchange.EventSplitter
 	finished bool
@@ -119,6 +123,10 @@
 	x.fingerprint = x.fingerprintOf()
 	x.class = rule.Class(priority)
 	x.service = routing.ChooseTarget(rule, x.server.randomFloat())
+	if standing := x.standing(); standing.State == quarantine.StateConvicted {
+		x.endQuarantined(standing, errCrashesEndpoints)
+		return
+	}
 	x.setDeadline()
 	x.requestAdmission()
 }
@@ -206,6 +214,9 @@
 	if x.finished {
 		return
 	}
+	if x.current != nil && x.current.sent {
+		x.current.reportLoss(quarantine.LossUnrelated)
+	}
 	x.abandonAttempt()
 	x.finish(event.ExchangeAbandoned, 0, "the caller's connection has closed: "+closeReason(err))
 }
@@ -235,7 +246,7 @@
 func (x *callerExchange) onDeadline() {
 	running := x.current != nil && x.current.sent
 	if running {
-		x.current.reportLoss()
+		x.current.reportLoss(quarantine.LossSilent)
 	}
 	x.abandonAttempt()
 	switch x.machine.FinalVerdict(running) {
--- a/passthrough/config.go
+++ b/passthrough/config.go
@@ -28,8 +28,21 @@
 	ByAddress(address string) (chicoryhall.EndpointID, bool)
 }
 
-// Quarantine recognises requests that crash the endpoints that run them. Its methods must not block.
+// Quarantine recognises requests that crash the endpoints that run them, and limits how many they crash. Its methods do
+// not block.
 type Quarantine interface {
+	// Standing returns what is known of requests with a fingerprint.
+	Standing(fingerprint quarantine.Fingerprint, now time.Time) quarantine.Standing
+	// Reserve reserves the endpoints of a route for the trial of a suspect, so that no other suspect runs there and no
+	// other trial of this one elsewhere. It calls decided once, with DecisionReserved; DecisionWait if that is not
+	// possible now, for instance because of the endpoints that Busy names; DecisionFree if the suspect may run without a
+	// reservation, as none can be made; or DecisionRefuse if it has had all of its trials.
+	Reserve(attempt string, fingerprint quarantine.Fingerprint, stages []quarantine.Stage, decided func(quarantine.Answer))
+	// Release ends the reservation of an attempt, if there is one.
+	Release(attempt string, outcome quarantine.TrialOutcome)
+	// Passed reports that a request has run beyond the point at which earlier ones with its fingerprint were lost in the
+	// given crashes.
+	Passed(fingerprint quarantine.Fingerprint, crashes []quarantine.Incarnation)
 	// Lost reports an attempt that was sent and ended without a complete answer.
 	Lost(loss quarantine.Loss)
 }
--- a/passthrough/failure.go
+++ b/passthrough/failure.go
@@ -10,6 +10,7 @@
 	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/event"
 	"chicoryhall.example/chicoryhall/exchange"
+	"chicoryhall.example/chicoryhall/quarantine"
 )
 
 // onNoRoute ends an exchange for which no route was found.
@@ -39,14 +40,15 @@
 // fail ends the attempt and applies the resulting verdict.
 func (a *attempt) fail(failure exchange.Failure, cause error) {
 	x := a.exchange
-	a.end(true)
-	x.current = nil
 	if failure == exchange.FailureLost {
-		a.reportLoss()
+		a.reportLoss(a.lossCause)
 	}
+	a.end(true)
+	x.current = nil
 	x.config().Log.Log(event.AttemptEnded, "request", x.callerHeaders.ID, "attempt", a.number, "failure", failure, "sent", a.sent,
 		"route", routeText(a.route), "took", x.config().Timer.Now().Sub(a.startedAt), "error", cause)
-	verdict := x.machine.OnFailure(failure, func() bool { return x.takeRetry() })
+	// A suspect is not sent again at once: whether it caused a crash may be known when its caller returns.
+	verdict := x.machine.OnFailure(failure, func() bool { return !a.isTrial() && x.takeRetry() })
 	x.applyVerdict(verdict, a, cause)
 }
 
@@ -109,6 +111,7 @@
 	a.excludeFirst()
 	if sent {
 		x.config().Endpoints.Observe(first, chicoryhall.ObservedBrokenConnection)
+		a.lossCause = quarantine.LossBroken
 		a.fail(exchange.FailureLost, err)
 		return
 	}
--- a/passthrough/metrics.go
+++ b/passthrough/metrics.go
@@ -15,6 +15,7 @@
 	set              *metrics.Set
 	connections      *metrics.Counter
 	refusedExchanges *metrics.Counter
+	quarantined      *metrics.Counter
 }
 
 // NewMetrics returns Metrics with all counters at zero.
@@ -23,6 +24,7 @@
 	return &Metrics{
 		set:              set,
 		connections:      set.NewCounter("chicoryhall_endpoint_connections_total"),
+		quarantined:      set.NewCounter("chicoryhall_quarantine_refused_total"),
 		refusedExchanges: set.NewCounter("chicoryhall_exchanges_refused_total"),
 	}
 }
@@ -32,6 +34,9 @@
 
 func (m *Metrics) exchangeRefused() { m.refusedExchanges.Inc() }
 
+// requestQuarantined counts a request that is not run because requests with its content crash endpoints.
+func (m *Metrics) requestQuarantined() { m.quarantined.Inc() }
+
 // messageRefused counts an answer to a message that is not a valid request.
 func (m *Metrics) messageRefused(status int) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("chicoryhall_messages_refused_total{status=\"%d\"}", status)).Inc()
--- a/passthrough/quarantine.go
+++ b/passthrough/quarantine.go
@@ -1,13 +1,35 @@
 package passthrough
 
 import (
+	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/event"
+	"chicoryhall.example/chicoryhall/exchange"
 	"chicoryhall.example/chicoryhall/quarantine"
 )
 
+const (
+	// reservationPause is the time after which a suspect tries again to reserve endpoints, if other suspects hold them.
+	reservationPause = 100 * time.Millisecond
+	// maxReservationWait bounds the time for these tries.
+	maxReservationWait = 2 * time.Second
+	// retryAfterUnsettled is the Retry-After time of a suspect that cannot run now: it may be known by then whether it
+	// caused a crash, or its endpoints may be free.
+	retryAfterUnsettled = time.Second
+)
+
+var (
+	errCrashesEndpoints = errors.New("requests with this content have crashed the endpoints that ran them")
+	errNotSettled       = errors.New("endpoints crashed under requests with this content; whether these were the cause is not known yet")
+	errNotReserved      = errors.New("endpoints crashed under requests with this content; no endpoints could be reserved for it")
+)
+
 // fingerprintOf returns the fingerprint of a request: the same one for each request of an organisation with the same
 // method, host, path, query and body.
 func (x *callerExchange) fingerprintOf() quarantine.Fingerprint {
@@ -19,19 +41,135 @@
 	return quarantine.Fingerprint(hash.Sum64())
 }
 
+// standing returns what is known of requests with the content of this one.
+func (x *callerExchange) standing() quarantine.Standing {
+	return x.config().Quarantine.Standing(x.fingerprint, x.config().Timer.Now())
+}
+
+// endQuarantined ends the exchange because of what is known of its content. If it is convicted, the caller is told to
+// return when the conviction has expired.
+func (x *callerExchange) endQuarantined(standing quarantine.Standing, reason error) {
+	after := retryAfterUnsettled
+	if standing.State == quarantine.StateConvicted {
+		after = standing.Lifetime
+		x.config().Metrics.requestQuarantined()
+		x.config().Log.Log(event.RequestQuarantined, "request", x.callerHeaders.ID, "fingerprint", x.fingerprint,
+			"incidents", standing.Incidents, "crashes", standing.Crashes)
+	}
+	switch x.finalVerdict(false) {
+	case exchange.VerdictCut:
+		x.cutOff(reason.Error())
+	case exchange.VerdictNotRun:
+		x.refuse(http.StatusServiceUnavailable, after, reason.Error())
+	default: // VerdictUnknown.
+		x.answerError(http.StatusBadGateway, event.ExchangeFailed, reason.Error())
+	}
+}
+
+// finalVerdict returns the verdict on a request that is not sent again. It may be called before admission.
+func (x *callerExchange) finalVerdict(running bool) exchange.Verdict {
+	if x.machine == nil {
+		return exchange.VerdictNotRun
+	}
+	return x.machine.FinalVerdict(running)
+}
+
+// attemptID identifies the attempt with the given number among all attempts of all daemons.
+func (x *callerExchange) attemptID(number int) string {
+	return string(x.callerHeaders.ID) + "/" + strconv.Itoa(number)
+}
+
+// stagesOf returns the stages of a route with their endpoints' current incarnations.
+func (x *callerExchange) stagesOf(route chicoryhall.Route) []quarantine.Stage {
+	stages := make([]quarantine.Stage, 0, len(route.Hops))
+	for _, hop := range route.Hops {
+		incarnation := quarantine.Incarnation{Endpoint: hop.Engine, Number: x.config().Endpoints.View(hop.Engine).Load.Incarnation}
+		stages = append(stages, quarantine.Stage{Incarnation: incarnation, Address: hop.Address})
+	}
+	return stages
+}
+
+// reserve reserves the endpoints of a suspect's route and then starts the attempt.
+func (x *callerExchange) reserve(route chicoryhall.Route, standing quarantine.Standing) {
+	attempt := x.attemptID(x.attempts + 1)
+	x.config().Quarantine.Reserve(attempt, x.fingerprint, x.stagesOf(route), func(answer quarantine.Answer) {
+		x.conn.post(func() { x.onReservation(attempt, route, standing, answer) })
+	})
+}
+
+// onReservation starts an attempt whose endpoints have been reserved, or tries again later with others.
+func (x *callerExchange) onReservation(attempt string, route chicoryhall.Route, standing quarantine.Standing, answer quarantine.Answer) {
+	if x.finished {
+		x.config().Quarantine.Release(attempt, quarantine.TrialNotStarted)
+		return
+	}
+	switch answer.Decision {
+	case quarantine.DecisionReserved:
+		x.config().Log.Log(event.SuspectIsolated, "request", x.callerHeaders.ID, "fingerprint", x.fingerprint,
+			"incidents", standing.Incidents, "crashes", standing.Crashes, "route", routeText(route))
+		x.launch(route, standing, true)
+	case quarantine.DecisionFree:
+		x.launch(route, standing, false)
+	case quarantine.DecisionWait:
+		x.reservedElsewhere = append(x.reservedElsewhere, answer.Busy...)
+		x.awaitReservation(standing)
+	case quarantine.DecisionRefuse:
+		standing.State = quarantine.StateConvicted
+		x.endQuarantined(standing, errCrashesEndpoints)
+	}
+}
+
+// awaitReservation starts the attempt again after a pause, or ends the exchange if it has waited for too long.
+func (x *callerExchange) awaitReservation(standing quarantine.Standing) {
+	now := x.config().Timer.Now()
+	if x.reservingSince.IsZero() {
+		x.reservingSince = now
+	}
+	if now.Sub(x.reservingSince) >= maxReservationWait {
+		x.endQuarantined(standing, errNotReserved)
+		return
+	}
+	x.config().Timer.After(reservationPause, func(time.Time) {
+		x.conn.post(func() {
+			if !x.finished {
+				x.startAttempt()
+			}
+		})
+	})
+}
+
 // reportLoss reports that the attempt was sent and ended without a complete answer.
-func (a *attempt) reportLoss() {
+func (a *attempt) reportLoss(cause quarantine.LossCause) {
 	x := a.exchange
-	addresses := make([]string, 0, len(a.route.Hops))
-	for _, hop := range a.route.Hops {
-		addresses = append(addresses, hop.Address)
-	}
 	x.config().Quarantine.Lost(quarantine.Loss{
-		Fingerprint: x.fingerprint, Attempt: string(x.callerHeaders.ID) + "/" + strconv.Itoa(a.number), Endpoints: a.incarnations,
-		Addresses: addresses, Position: x.position(), StartedAt: a.startedAt, LostAt: x.config().Timer.Now(),
+		Fingerprint: x.fingerprint, Attempt: x.attemptID(a.number), Stages: a.stages,
+		Position: x.position(), Cause: cause, StartedAt: a.startedAt, LostAt: x.config().Timer.Now(),
 	})
 }
 
+// isTrial reports whether the attempt was the trial of a suspect.
+func (a *attempt) isTrial() bool { return a.standing.State == quarantine.StateSuspect }
+
+// checkProven clears the request's content of the crashes that were known at the start of the attempt, once its answer
+// has got beyond the point at which earlier attempts were lost. A complete answer is always beyond it.
+func (a *attempt) checkProven(complete bool) {
+	x := a.exchange
+	if len(a.standing.Crashes) == 0 || !complete && x.position() < a.standing.ProvenAt {
+		return
+	}
+	x.config().Quarantine.Passed(x.fingerprint, a.standing.Crashes)
+	a.standing.Crashes = nil
+	a.endTrial(quarantine.TrialPassed)
+}
+
+// endTrial releases the reservation of the attempt, if it has one.
+func (a *attempt) endTrial(outcome quarantine.TrialOutcome) {
+	if a.reserved {
+		a.reserved = false
+		a.exchange.config().Quarantine.Release(a.exchange.attemptID(a.number), outcome)
+	}
+}
+
 // position returns the ID of the last event that the caller has received, or 0.
 func (x *callerExchange) position() int64 {
 	if x.events == nil {
--- /dev/null
+++ b/passthrough/quarantine_test.go
@@ -0,0 +1,211 @@
+package passthrough_test
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/quarantine"
+)
+
+// fakeQuarantine is a passthrough.Quarantine that gives every fingerprint the same standing, which a test sets, and
+// records the calls.
+type fakeQuarantine struct {
+	mu       sync.Mutex
+	standing quarantine.Standing
+	// decisions are the answers to the calls of Reserve; the last one is repeated.
+	decisions []quarantine.Decision
+	reserved  []string
+	released  []string
+	passed    []quarantine.Incarnation
+	losses    []quarantine.Loss
+}
+
+func (q *fakeQuarantine) Standing(quarantine.Fingerprint, time.Time) quarantine.Standing {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.standing
+}
+
+func (q *fakeQuarantine) Reserve(attempt string, _ quarantine.Fingerprint, stages []quarantine.Stage, decided func(quarantine.Answer)) {
+	q.mu.Lock()
+	answer := quarantine.Answer{Decision: q.decisions[0]}
+	if len(q.decisions) > 1 {
+		q.decisions = q.decisions[1:]
+	}
+	switch answer.Decision {
+	case quarantine.DecisionReserved:
+		q.reserved = append(q.reserved, attempt)
+	case quarantine.DecisionWait:
+		answer.Busy = []chicoryhall.EndpointID{stages[0].Endpoint}
+	case quarantine.DecisionFree, quarantine.DecisionRefuse:
+	}
+	q.mu.Unlock()
+	decided(answer)
+}
+
+func (q *fakeQuarantine) Release(attempt string, outcome quarantine.TrialOutcome) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.released = append(q.released, attempt+" "+outcome.String())
+}
+
+func (q *fakeQuarantine) Passed(_ quarantine.Fingerprint, crashes []quarantine.Incarnation) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.passed = append(q.passed, crashes...)
+}
+
+func (q *fakeQuarantine) Lost(loss quarantine.Loss) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.losses = append(q.losses, loss)
+}
+
+// crashedBefore is the standing of a fingerprint that was involved in the crash of endpoint x.
+func crashedBefore(state quarantine.State) quarantine.Standing {
+	return quarantine.Standing{
+		State: state, Incidents: 2, Crashes: []quarantine.Incarnation{{Endpoint: "x", Number: 1}}, ProvenAt: 2, Lifetime: time.Hour,
+	}
+}
+
+// TestStandingDecidesWhetherRequestRuns checks what a caller gets, and how often the request is sent, by what is known of
+// its content. The endpoint answers "hello".
+func TestStandingDecidesWhetherRequestRuns(t *testing.T) {
+	reserved := []quarantine.Decision{quarantine.DecisionReserved}
+	cases := []struct {
+		name       string
+		state      quarantine.State
+		decisions  []quarantine.Decision
+		status     int
+		retryAfter string
+		sent       int
+		reserved   []string
+	}{
+		{"free", quarantine.StateFree, nil, 200, "", 1, nil},
+		{"convicted", quarantine.StateConvicted, nil, 503, "3600.000", 0, nil},
+		{"unsettled", quarantine.StateUnsettled, nil, 503, "1.000", 0, nil},
+		{"suspect with a reservation", quarantine.StateSuspect, reserved, 200, "", 1, []string{"1/1"}},
+		{"suspect that has to wait", quarantine.StateSuspect, append([]quarantine.Decision{quarantine.DecisionWait}, reserved...), 200, "", 1, []string{"1/1"}},
+		{"suspect, no reservations can be made", quarantine.StateSuspect, []quarantine.Decision{quarantine.DecisionFree}, 200, "", 1, nil},
+		{"suspect that has had all of its trials", quarantine.StateSuspect, []quarantine.Decision{quarantine.DecisionRefuse}, 503, "3600.000", 0, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			endpoint := newEndpoint(t, answerWith("hello"))
+			w := startServer(t, testRules(), endpoint)
+			w.quarantine.standing, w.quarantine.decisions = crashedBefore(c.state), c.decisions
+			got := w.ask(t, requestText("POST", "/safe/a", "1", "x"))
+			must.NoError(t, got.err)
+			must.Eq(t, c.status, got.status)
+			must.Eq(t, c.retryAfter, got.header.Get("Retry-After"))
+			must.Len(t, c.sent, endpoint.requests())
+			w.waitIdle(t)
+			w.quarantine.mu.Lock()
+			defer w.quarantine.mu.Unlock()
+			must.Eq(t, c.reserved, w.quarantine.reserved)
+			for i, attempt := range c.reserved {
+				must.Eq(t, attempt+" passed", w.quarantine.released[i])
+			}
+			must.Eq(t, len(c.reserved), len(w.quarantine.released))
+			must.Eq(t, c.sent, len(w.quarantine.passed))
+		})
+	}
+}
+
+// TestTrialIsNotRepeatedAtOnce lets the trial of a suspect fail; a request that is no suspect goes to the second endpoint.
+func TestTrialIsNotRepeatedAtOnce(t *testing.T) {
+	cases := []struct {
+		name     string
+		first    responder
+		state    quarantine.State
+		status   int
+		second   int
+		losses   int
+		released []string
+	}{
+		{"suspect refused", answerNotRun, quarantine.StateSuspect, 503, 0, 0, []string{"1/1 failed"}},
+		{"suspect lost", closeAtOnce, quarantine.StateSuspect, 502, 0, 1, []string{"1/1 failed"}},
+		{"free, refused", answerNotRun, quarantine.StateFree, 200, 1, 0, nil},
+		{"free, lost", closeAtOnce, quarantine.StateFree, 200, 1, 1, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			second := newEndpoint(t, answerWith("second"))
+			w := startServer(t, testRules(), newEndpoint(t, c.first), second)
+			w.quarantine.standing, w.quarantine.decisions = crashedBefore(c.state), []quarantine.Decision{quarantine.DecisionReserved}
+			got := w.ask(t, requestText("POST", "/safe/a", "1", "x"))
+			must.Eq(t, c.status, got.status)
+			must.Len(t, c.second, second.requests())
+			w.waitIdle(t)
+			w.quarantine.mu.Lock()
+			defer w.quarantine.mu.Unlock()
+			must.SliceLen(t, c.losses, w.quarantine.losses)
+			for _, loss := range w.quarantine.losses {
+				must.Eq(t, quarantine.LossBroken, loss.Cause)
+			}
+			must.Eq(t, c.released, w.quarantine.released)
+		})
+	}
+}
+
+// TestFingerprintsNameContents sends pairs of requests and checks whether they have the same fingerprint.
+func TestFingerprintsNameContents(t *testing.T) {
+	first := requestText("POST", "/safe/a", "1", "x")
+	cases := []struct {
+		name   string
+		second string
+		same   bool
+	}{
+		{"another id", requestText("POST", "/safe/a", "2", "x"), true},
+		{"another body", requestText("POST", "/safe/a", "2", "y"), false},
+		{"another path", requestText("POST", "/safe/b", "2", "x"), false},
+		{"another query", requestText("POST", "/safe/a?q", "2", "x"), false},
+		{"another method", requestText("PUT", "/safe/a", "2", "x"), false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := startServer(t, testRules(), newEndpoint(t, closeAtOnce), newEndpoint(t, closeAtOnce))
+			w.ask(t, first)
+			w.ask(t, c.second)
+			w.waitIdle(t)
+			w.quarantine.mu.Lock()
+			defer w.quarantine.mu.Unlock()
+			must.SliceLen(t, 4, w.quarantine.losses)
+			must.Eq(t, c.same, w.quarantine.losses[0].Fingerprint == w.quarantine.losses[2].Fingerprint)
+			must.Eq(t, "1/1", w.quarantine.losses[0].Attempt)
+			must.Eq(t, "1/2", w.quarantine.losses[1].Attempt)
+		})
+	}
+}
+
+// TestStreamIsProvenBeyondItsLoss streams up to an event and checks whether that clears the stream of earlier crashes.
+func TestStreamIsProvenBeyondItsLoss(t *testing.T) {
+	cases := []struct {
+		name   string
+		events int
+		end    func(net.Conn) bool
+		proven bool
+		want   string
+	}{
+		{"one event", 1, endSilent, false, "1/1 failed"},
+		{"enough events", 2, endSilent, true, "1/1 passed"},
+		{"complete after one event", 1, endWhole, true, "1/1 passed"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := startServer(t, testRules(), newEndpoint(t, streamEvents(c.events, "", c.end)))
+			w.quarantine.standing, w.quarantine.decisions = crashedBefore(quarantine.StateSuspect), []quarantine.Decision{quarantine.DecisionReserved}
+			w.ask(t, requestText("POST", "/stream/a", "1", "x"))
+			w.waitIdle(t)
+			w.quarantine.mu.Lock()
+			defer w.quarantine.mu.Unlock()
+			must.Eq(t, c.proven, len(w.quarantine.passed) > 0)
+			must.Eq(t, []string{c.want}, w.quarantine.released)
+		})
+	}
+}
--- a/passthrough/stall.go
+++ b/passthrough/stall.go
@@ -7,6 +7,7 @@
 
 	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/exchange"
+	"chicoryhall.example/chicoryhall/quarantine"
 )
 
 // stalledAt returns when the attempt counts as stalled unless more of the answer arrives before. Only event
@@ -35,6 +36,7 @@
 	}
 	a.suspectStalled(now)
 	a.exchange.server.pool.closeIdleConnections(a.route.Hops[0].Address)
+	a.lossCause = quarantine.LossSilent
 	a.fail(exchange.FailureLost, errors.Errorf("no progress for %s", now.Sub(a.lastProgress).Round(time.Millisecond)))
 }
 
--- /dev/null
+++ b/quarantine/incident.go
@@ -0,0 +1,116 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// A fingerprint that was involved in suspectIncidents incidents without having run since is a suspect.
+	suspectIncidents = 2
+	// convictionIncidents is the number of incidents from which on a fingerprint may be convicted.
+	convictionIncidents = 3
+	// A fingerprint is convicted after isolatedIncidents of them in which its endpoints were reserved for it, also if
+	// other requests may have caused each of them.
+	isolatedIncidents = 2
+	// settleTime is how long after an isolated incident the reports of other daemons on it may arrive.
+	settleTime = time.Second
+	// A request has outlived its incidents once the caller has received provenEvents more events than before them.
+	provenEvents = 2
+	// InvolvementLifetime is how long an involvement is kept if its fingerprint is not shown to be the cause.
+	InvolvementLifetime = 10 * time.Minute
+)
+
+// incident is one failure, of one endpoint or of several at the same time, that cost a fingerprint at least one attempt.
+type incident struct {
+	attempts []string
+	crashes  []Incarnation
+	isolated bool
+	// knownAt is when this daemon first knew of the incident's isolated attempt.
+	knownAt time.Time
+	// hasRivals is set if other fingerprints were involved in one of the crashes and have not been cleared.
+	hasRivals bool
+	// explained is set if a request with another, convicted fingerprint has caused one of the crashes.
+	explained bool
+}
+
+// addToIncidents adds an involvement to the incident that it shares the attempt or the crash with. If there are two such
+// incidents, they become one; if there is none, the involvement makes a new one.
+func addToIncidents(incidents []*incident, added Involvement, knownAt time.Time) []*incident {
+	merged := &incident{attempts: []string{added.Attempt}, crashes: []Incarnation{added.Incarnation}, isolated: added.Isolated, knownAt: knownAt}
+	separate := incidents[:0]
+	for _, known := range incidents {
+		if slices.Contains(known.attempts, added.Attempt) || slices.Contains(known.crashes, added.Incarnation) {
+			merged.absorb(known)
+		} else {
+			separate = append(separate, known)
+		}
+	}
+	return append(separate, merged)
+}
+
+func (i *incident) absorb(other *incident) {
+	i.attempts = append(i.attempts, other.attempts...)
+	i.crashes = append(i.crashes, other.crashes...)
+	if other.isolated && (!i.isolated || other.knownAt.Before(i.knownAt)) {
+		i.knownAt = other.knownAt
+	}
+	i.isolated = i.isolated || other.isolated
+}
+
+// subject is what is known of one fingerprint.
+type subject struct {
+	incidents []*incident
+	// position is the highest position at which an attempt was lost.
+	position int64
+}
+
+// state returns the fingerprint's state at now.
+func (s *subject) state(now time.Time) State {
+	switch {
+	case len(s.incidents) < suspectIncidents:
+		return StateFree
+	case s.isCause(now):
+		return StateConvicted
+	case slices.ContainsFunc(s.incidents, func(one *incident) bool { return one.isolated && !one.settled(now) }):
+		return StateUnsettled
+	default:
+		return StateSuspect
+	}
+}
+
+// isCause reports whether the incidents show that requests with the fingerprint cause crashes: at least one that nothing
+// else explains, or several in which the endpoints were reserved for them.
+func (s *subject) isCause(now time.Time) bool {
+	if len(s.incidents) < convictionIncidents {
+		return false
+	}
+	isolated, unexplained := 0, false
+	for _, one := range s.incidents {
+		if one.isolated && !one.explained {
+			isolated++
+			unexplained = unexplained || !one.hasRivals && one.settled(now)
+		}
+	}
+	return unexplained || isolated >= isolatedIncidents
+}
+
+// settled reports whether the reports of all daemons on the incident should have arrived.
+func (i *incident) settled(now time.Time) bool { return now.Sub(i.knownAt) >= settleTime }
+
+// lifetime returns how long an involvement of the fingerprint is kept.
+func (s *subject) lifetime(now time.Time) time.Duration {
+	if s.isCause(now) {
+		return ConvictionLifetime
+	}
+	return InvolvementLifetime
+}
+
+// crashes returns all crashes of the fingerprint's incidents.
+func (s *subject) crashes() []Incarnation {
+	var all []Incarnation
+	for _, one := range s.incidents {
+		all = append(all, one.crashes...)
+	}
+	return all
+}
--- a/quarantine/losses.go
+++ b/quarantine/losses.go
@@ -18,52 +18,77 @@
 	maxLosses = 4096
 )
 
-// Crash identifies the end of one incarnation of an endpoint. An endpoint that starts again with the same ID
-// has another incarnation, and can crash again.
-type Crash struct {
-	Endpoint    chicoryhall.EndpointID `json:"e"`
-	Incarnation int64                  `json:"i,omitempty"`
+// Incarnation is one process of an endpoint, from its start to its end. An endpoint that starts again with the same ID has
+// another incarnation, so the incarnation also identifies a crash.
+type Incarnation struct {
+	Endpoint chicoryhall.EndpointID `json:"e"`
+	Number   int64                  `json:"i,omitempty"`
 }
 
+// Stage is a part of a route: an endpoint's incarnation and its address.
+type Stage struct {
+	Incarnation
+	Address string
+}
+
+//go:generate go tool enumer -type=LossCause -text -transform=kebab -trimprefix=Loss -output=losscause_enumer.go
+
+// LossCause is how an attempt was lost.
+type LossCause int
+
+// The causes of a loss.
+const (
+	// LossUnrelated means that the loss is no sign of a crash: the endpoint answered wrongly, or the caller left.
+	LossUnrelated LossCause = iota
+	// LossBroken means that the connection to the first endpoint of the route broke.
+	LossBroken
+	// LossSilent means that nothing more arrived.
+	LossSilent
+)
+
 // Loss is an attempt that was sent and ended without a complete answer.
 type Loss struct {
 	Fingerprint Fingerprint
 	// Attempt identifies the attempt among all of all daemons.
 	Attempt string
-	// Endpoints are the incarnations of the endpoints that the attempt ran on.
-	Endpoints []Crash
-	// Addresses are those of Endpoints, in the same order.
-	Addresses []string
+	// Stages are those of the route that the attempt ran on.
+	Stages []Stage
 	// Position is the ID of the last event of the answer that the caller had received, or 0.
 	Position int64
 	// Isolated is set if the endpoints were reserved for the attempt until it was lost, see Reservations.
 	Isolated  bool
+	Cause     LossCause
 	StartedAt time.Time
 	LostAt    time.Time
 }
 
+// includes reports whether the attempt ran on an incarnation.
+func (loss *Loss) includes(incarnation Incarnation) bool {
+	return slices.ContainsFunc(loss.Stages, func(stage Stage) bool { return stage.Incarnation == incarnation })
+}
+
 // Losses matches lost attempts with crashes of endpoints, in whichever order they become known. It is not safe
 // for concurrent use.
 type Losses struct {
 	recent []Loss
 	// crashes maps the recent crashes to the times at which they became known.
-	crashes map[Crash]time.Time
+	crashes map[Incarnation]time.Time
 }
 
 // NewLosses returns Losses that know no loss and no crash.
-func NewLosses() *Losses { return &Losses{crashes: make(map[Crash]time.Time)} }
+func NewLosses() *Losses { return &Losses{crashes: make(map[Incarnation]time.Time)} }
 
 // Add records a loss and returns those of its endpoints that are known to have crashed while the attempt ran.
-func (l *Losses) Add(loss Loss) []Crash {
+func (l *Losses) Add(loss Loss) []Incarnation {
 	l.expire(loss.LostAt)
 	if len(l.recent) >= maxLosses {
 		l.recent = l.recent[1:]
 	}
 	l.recent = append(l.recent, loss)
-	var crashed []Crash
-	for _, endpoint := range loss.Endpoints {
-		if knownAt, ok := l.crashes[endpoint]; ok && !loss.StartedAt.After(knownAt) {
-			crashed = append(crashed, endpoint)
+	var crashed []Incarnation
+	for _, stage := range loss.Stages {
+		if knownAt, ok := l.crashes[stage.Incarnation]; ok && !loss.StartedAt.After(knownAt) {
+			crashed = append(crashed, stage.Incarnation)
 		}
 	}
 	return crashed
@@ -71,7 +96,7 @@
 
 // AddCrash records that an endpoint has crashed and returns the losses that this explains. These are the losses there
 // since lastProgress, when the endpoint was last seen working. A crash that is known already explains no further losses.
-func (l *Losses) AddCrash(crash Crash, lastProgress, now time.Time) []Loss {
+func (l *Losses) AddCrash(crash Incarnation, lastProgress, now time.Time) []Loss {
 	l.expire(now)
 	if _, known := l.crashes[crash]; known {
 		return nil
@@ -80,31 +105,37 @@
 	since := lastProgress.Add(-progressTolerance)
 	var explained []Loss
 	for _, loss := range l.recent {
-		if slices.Contains(loss.Endpoints, crash) && !loss.LostAt.Before(since) {
+		if loss.includes(crash) && !loss.LostAt.Before(since) {
 			explained = append(explained, loss)
 		}
 	}
 	return explained
 }
 
-// Unexplained returns the addresses of the incarnations of an endpoint that have losses without a known crash.
-func (l *Losses) Unexplained(id chicoryhall.EndpointID, now time.Time) map[Crash]string {
+// Unexplained returns the stages at an endpoint that have losses without a known crash.
+func (l *Losses) Unexplained(id chicoryhall.EndpointID, now time.Time) []Stage {
 	l.expire(now)
-	addresses := make(map[Crash]string)
+	var stages []Stage
 	for _, loss := range l.recent {
-		for i, endpoint := range loss.Endpoints {
-			if _, known := l.crashes[endpoint]; endpoint.Endpoint == id && !known {
-				addresses[endpoint] = loss.Addresses[i]
+		for _, stage := range loss.Stages {
+			if _, known := l.crashes[stage.Incarnation]; stage.Endpoint == id && !known && !slices.Contains(stages, stage) {
+				stages = append(stages, stage)
 			}
 		}
 	}
-	return addresses
+	return stages
+}
+
+// Crashed reports whether an incarnation is known to have crashed lately.
+func (l *Losses) Crashed(incarnation Incarnation) bool {
+	_, known := l.crashes[incarnation]
+	return known
 }
 
-// CrashedWithin reports whether an endpoint other than the given ones has crashed within the time before now.
-func (l *Losses) CrashedWithin(window time.Duration, except []Crash, now time.Time) bool {
+// CrashedElsewhere reports whether an endpoint on which the lost attempt did not run has crashed within the time before now.
+func (l *Losses) CrashedElsewhere(loss Loss, window time.Duration, now time.Time) bool {
 	for crash, knownAt := range l.crashes {
-		if now.Sub(knownAt) <= window && !slices.Contains(except, crash) {
+		if now.Sub(knownAt) <= window && !loss.includes(crash) {
 			return true
 		}
 	}
@@ -114,5 +145,5 @@
 // expire forgets losses and crashes older than lossMemory.
 func (l *Losses) expire(now time.Time) {
 	l.recent = slices.DeleteFunc(l.recent, func(loss Loss) bool { return now.Sub(loss.LostAt) > lossMemory })
-	maps.DeleteFunc(l.crashes, func(_ Crash, knownAt time.Time) bool { return now.Sub(knownAt) > lossMemory })
+	maps.DeleteFunc(l.crashes, func(_ Incarnation, knownAt time.Time) bool { return now.Sub(knownAt) > lossMemory })
 }
--- a/quarantine/replica.go
+++ b/quarantine/replica.go
@@ -21,10 +21,13 @@
 const (
 	// StateFree means that requests with the fingerprint may run.
 	StateFree State = iota
-	// StateSuspect means that they run only under a reservation by the arbiter.
+	// StateSuspect means that they run only on endpoints that are reserved for them.
 	StateSuspect
 	// StateConvicted means that they are refused.
 	StateConvicted
+	// StateUnsettled means that they wait until it is known whether other requests may have caused the last crash. A
+	// Replica does not have this state.
+	StateUnsettled
 )
 
 // stateEntry is a state and the time at which it expires.
--- /dev/null
+++ b/quarantine/report.go
@@ -0,0 +1,27 @@
+package quarantine
+
+// Involvement says that an attempt of a request was lost when an endpoint crashed.
+type Involvement struct {
+	Fingerprint Fingerprint `json:"f"`
+	// Attempt identifies the attempt among all of all daemons.
+	Attempt string `json:"a"`
+	Incarnation
+	// Position is the ID of the last event of the answer that the caller had received, or 0.
+	Position int64 `json:"p,omitempty"`
+	// Isolated is set if the endpoint was reserved for the attempt, see Reservations.
+	Isolated bool `json:"s,omitempty"`
+}
+
+// Clearance withdraws all involvements of a fingerprint in a crash: a request with the fingerprint has run since, beyond
+// the point at which it was lost.
+type Clearance struct {
+	Fingerprint Fingerprint `json:"f"`
+	Incarnation
+}
+
+// Report is what one daemon knows of crashes first hand. A daemon writes its own report only, so that reports never
+// conflict.
+type Report struct {
+	Involved []Involvement `json:"involved,omitempty"`
+	Cleared  []Clearance   `json:"cleared,omitempty"`
+}
--- a/quarantine/state_enumer.go
+++ b/quarantine/state_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _StateName = "freesuspectconvicted"
+const _StateName = "freesuspectconvictedunsettled"
 
-var _StateIndex = [...]uint8{0, 4, 11, 20}
+var _StateIndex = [...]uint8{0, 4, 11, 20, 29}
 
-const _StateLowerName = "freesuspectconvicted"
+const _StateLowerName = "freesuspectconvictedunsettled"
 
 func (i State) String() string {
 	if i < 0 || i >= State(len(_StateIndex)-1) {
@@ -27,26 +27,30 @@
 	_ = x[StateFree-(0)]
 	_ = x[StateSuspect-(1)]
 	_ = x[StateConvicted-(2)]
+	_ = x[StateUnsettled-(3)]
 }
 
-var _StateValues = []State{StateFree, StateSuspect, StateConvicted}
+var _StateValues = []State{StateFree, StateSuspect, StateConvicted, StateUnsettled}
 
 var _StateNameToValueMap = map[string]State{
 	_StateName[0:4]:   StateFree,
 	_StateName[4:11]:  StateSuspect,
 	_StateName[11:20]: StateConvicted,
+	_StateName[20:29]: StateUnsettled,
 }
 
 var _StateLowerNameToValueMap = map[string]State{
 	_StateLowerName[0:4]:   StateFree,
 	_StateLowerName[4:11]:  StateSuspect,
 	_StateLowerName[11:20]: StateConvicted,
+	_StateLowerName[20:29]: StateUnsettled,
 }
 
 var _StateNames = []string{
 	_StateName[0:4],
 	_StateName[4:11],
 	_StateName[11:20],
+	_StateName[20:29],
 }
 
 // StateString retrieves an enum value from the enum constants string name.
