passthrough: a refusal shows no progress of the later stages of its route

What callers saw: requests sent again and again over an engine that had just ended.

Cause: the head of any answer counted as progress of all endpoints of the route, also a refusal that the first one sends because another does not answer. That cleared the suspicion of the dead one, and hid it from the probe after a loss, which skips endpoints that made progress since.

Evidence: TestRefusalShowsNoProgressOfLaterStages; before, "later" was among the endpoints that made progress.

Why this works: an answer that says that nothing ran comes from the first endpoint alone, so only that one is reported.

--- a/passthrough/answer.go
+++ b/passthrough/answer.go
@@ -96,7 +96,8 @@
 	return http1.AppendChunk(out, piece)
 }
 
-// reportProgress reports at most once per progressReportPeriod that the route's endpoints make progress.
+// reportProgress reports at most once per progressReportPeriod that the endpoints make progress which the answer comes
+// from: all of the route, or only the first one if it refuses the request, as another one may be the reason.
 func (a *attempt) reportProgress() {
 	now := a.exchange.config().Timer.Now()
 	a.lastProgress = now
@@ -104,7 +105,11 @@
 		return
 	}
 	a.progressReportedAt = now
-	for _, hop := range a.route.Hops {
+	working := a.route.Hops
+	if a.answerHeaders.NotRun {
+		working = working[:1]
+	}
+	for _, hop := range working {
 		a.exchange.config().Endpoints.Observe(hop.Engine, chicoryhall.ObservedProgress)
 	}
 }
--- a/passthrough/fixture_test.go
+++ b/passthrough/fixture_test.go
@@ -207,7 +207,9 @@
 type fakeEndpoints struct {
 	mu       sync.Mutex
 	inFlight map[chicoryhall.EndpointID]int
-	observed []string
+	// observed lists the observations, except progress, which progressed names the endpoints of.
+	observed   []string
+	progressed []chicoryhall.EndpointID
 }
 
 func (e *fakeEndpoints) View(chicoryhall.EndpointID) chicoryhall.EndpointView {
@@ -217,9 +219,11 @@
 func (e *fakeEndpoints) Observe(id chicoryhall.EndpointID, observed chicoryhall.Observation) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if observed != chicoryhall.ObservedProgress {
-		e.observed = append(e.observed, string(id)+" "+observed.String())
+	if observed == chicoryhall.ObservedProgress {
+		e.progressed = append(e.progressed, id)
+		return
 	}
+	e.observed = append(e.observed, string(id)+" "+observed.String())
 }
 
 func (e *fakeEndpoints) Begin(id chicoryhall.EndpointID) { e.count(id, 1) }
@@ -269,8 +273,11 @@
 	return s.retries >= 0
 }
 
-// orderedRouter routes to the first endpoint that is not excluded.
-type orderedRouter struct{ addresses []string }
+// orderedRouter routes to the first endpoint that is not excluded, and from there to the later stages.
+type orderedRouter struct {
+	addresses []string
+	later     []chicoryhall.Hop
+}
 
 func (r orderedRouter) Choose(query chicoryhall.RouteQuery) (chicoryhall.Route, error) {
 	for i, address := range r.addresses {
@@ -280,7 +287,7 @@
 			excluded = excluded || other == id
 		}
 		if !excluded {
-			return chicoryhall.Route{Hops: []chicoryhall.Hop{{Engine: id, Address: address}}}, nil
+			return chicoryhall.Route{Hops: append([]chicoryhall.Hop{{Engine: id, Address: address}}, r.later...)}, nil
 		}
 	}
 	return chicoryhall.Route{}, errors.New("no endpoint is left")
@@ -324,10 +331,21 @@
 // startLateServer starts a server whose timers fire late.
 func startLateServer(t *testing.T, late time.Duration, set *chicoryhall.RuleSet, endpoints ...*endpoint) *testServer {
 	t.Helper()
+	return startRoutedServer(t, late, set, routerTo(endpoints...))
+}
+
+// routerTo returns a router to endpoints.
+func routerTo(endpoints ...*endpoint) orderedRouter {
 	var router orderedRouter
 	for _, e := range endpoints {
 		router.addresses = append(router.addresses, e.listener.Addr().String())
 	}
+	return router
+}
+
+// startRoutedServer starts a server with a router.
+func startRoutedServer(t *testing.T, late time.Duration, set *chicoryhall.RuleSet, router orderedRouter) *testServer {
+	t.Helper()
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	w := &testServer{quarantine: &fakeQuarantine{}, address: free.Addr().String(), retries: 10, logs: &logBuffer{}, endpoints: &fakeEndpoints{inFlight: make(map[chicoryhall.EndpointID]int)}}
--- a/passthrough/server_test.go
+++ b/passthrough/server_test.go
@@ -107,6 +107,30 @@
 	}
 }
 
+// TestRefusalShowsNoProgressOfLaterStages checks which endpoints of a route count as working after an answer.
+func TestRefusalShowsNoProgressOfLaterStages(t *testing.T) {
+	cases := []struct {
+		name    string
+		respond responder
+		want    []chicoryhall.EndpointID
+	}{
+		{"refused", answerNotRun, []chicoryhall.EndpointID{"e0"}},
+		{"answered", answerWith("hello"), []chicoryhall.EndpointID{"e0", "later"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			router := routerTo(newEndpoint(t, c.respond))
+			router.later = []chicoryhall.Hop{{Engine: "later", Address: "127.0.0.1:1"}}
+			w := startRoutedServer(t, 0, testRules(), router)
+			w.ask(t, requestText("POST", "/unsafe/a", "1", "x"))
+			w.waitIdle(t)
+			w.endpoints.mu.Lock()
+			defer w.endpoints.mu.Unlock()
+			must.Eq(t, c.want, w.endpoints.progressed)
+		})
+	}
+}
+
 func TestUnreachableEndpointsAreNotRun(t *testing.T) {
 	gone := newEndpoint(t, closeAtOnce)
 	must.NoError(t, gone.listener.Close())
