--- a/cmd/chicoryhall/platformdaemon/builder.go
+++ b/cmd/chicoryhall/platformdaemon/builder.go
@@ -18,6 +18,7 @@
 	"chicoryhall.example/chicoryhall/pipeline"
 	"chicoryhall.example/chicoryhall/placement"
 	"chicoryhall.example/chicoryhall/platform"
+	"chicoryhall.example/chicoryhall/quarantine"
 	"chicoryhall.example/chicoryhall/retry"
 	"chicoryhall.example/chicoryhall/routing"
 	"chicoryhall.example/chicoryhall/settings"
@@ -48,8 +49,11 @@
 	// alertsWait is how long the store may wait for alerts of other daemons before it answers, alertsPause the pause after
 	// one, and alertsBackoff the longest pause after a failure: while the store does not answer, nobody can write alerts.
 	alertsWait    = 29 * time.Second
-	alertsPause   = 600 * time.Millisecond
+	alertsPause   = time.Second
 	alertsBackoff = 3 * time.Second
+	// daemonRowRetention is the time after which a daemon's row is removed that has not changed. A daemon keeps its report
+	// of a convicted request unchanged for as long as the conviction lasts.
+	daemonRowRetention = quarantine.ConvictionLifetime + 15*time.Minute
 )
 
 // preferredDaemons is the number of daemons of a failure domain that compete for its lease.
@@ -178,12 +182,21 @@
 func (b *builder) buildQuarantine(supervisor *suture.Supervisor) {
 	b.crashMetrics = metrics.NewSet()
 	crashes := newCrashes(b.timer, b.endpoints, b.crashMetrics, b.log)
+	evidence := quarantine.NewEvidence(b.settings.ID)
+	reports := newCrashReports(b.settings.ID, b.timer, b.table, evidence, b.log)
+	trials := newTrials(b.settings.ID, b.timer, b.table, b.log)
+	b.quarantine = newQuarantineService(evidence, crashes, reports, trials, b.timer, b.log)
+	sweeper := &rowSweeper{table: b.table, timer: b.timer, log: b.log}
+	sweeper.add(reportPrefix, daemonRowRetention)
+	sweeper.add(platform.AlertPrefix, daemonRowRetention)
+	sweeper.add(quarantine.ReservationPrefix, quarantine.InvolvementLifetime)
 	supervisor.Add(crashes)
-	b.quarantine = newQuarantineService(b.settings.ID, b.timer, b.table, crashes, b.log)
+	supervisor.Add(reports)
 	supervisor.Add(b.quarantine)
+	supervisor.Add(sweeper)
 	supervisor.Add(follow.New(follow.Config[platform.Alert]{
 		Name: "alerts", Source: platform.NewAlertSource(b.store, b.log),
-		Sink:    &platform.AlertSink{Self: b.settings.ID, OnAlert: b.quarantine.onAlert},
+		Sink:    &platform.AlertSink{Self: b.settings.ID, OnAlert: reports.onAlert},
 		MaxWait: alertsWait, BatchDelay: alertsPause, MaxBackoff: alertsBackoff, Timer: b.timer, Log: b.log,
 	}))
 }
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -154,11 +154,7 @@
 	for _, hop := range a.route.Hops {
 		a.exchange.config().Endpoints.End(hop.Engine)
 	}
-	outcome := quarantine.TrialFailed
-	if !a.sent {
-		outcome = quarantine.TrialNotStarted
-	}
-	a.endTrial(outcome)
+	a.endTrial(a.trialOutcome())
 	if abandon && a.conn != nil {
 		a.conn.abandon(a)
 	}
--- a/passthrough/quarantine.go
+++ b/passthrough/quarantine.go
@@ -162,6 +162,18 @@
 	a.endTrial(quarantine.TrialPassed)
 }
 
+// trialOutcome returns the outcome of a trial that has not passed.
+func (a *attempt) trialOutcome() quarantine.TrialOutcome {
+	switch {
+	case !a.sent:
+		return quarantine.TrialNotStarted
+	case a.answerHeaders.NotRun:
+		return quarantine.TrialRefused
+	default:
+		return quarantine.TrialLost
+	}
+}
+
 // endTrial releases the reservation of the attempt, if it has one.
 func (a *attempt) endTrial(outcome quarantine.TrialOutcome) {
 	if a.reserved {
--- a/quarantine/incident.go
+++ b/quarantine/incident.go
@@ -14,7 +14,7 @@
 	// other requests may have caused each of them.
 	isolatedIncidents = 2
 	// settleTime is how long after an isolated incident the reports of other daemons on it may arrive.
-	settleTime = time.Second
+	settleTime = 1500 * time.Millisecond
 	// A request has outlived its incidents once the caller has received provenEvents more events than before them.
 	provenEvents = 2
 	// InvolvementLifetime is how long an involvement is kept if its fingerprint is not shown to be the cause.
--- a/quarantine/reservations.go
+++ b/quarantine/reservations.go
@@ -28,8 +28,10 @@
 
 // The outcomes of a trial.
 const (
-	// TrialFailed means that the attempt reached an endpoint and did not outlive the suspect's incidents.
-	TrialFailed TrialOutcome = iota
+	// TrialLost means that the attempt was sent and lost before it outlived the suspect's incidents.
+	TrialLost TrialOutcome = iota
+	// TrialRefused means that an endpoint said that it did not run the attempt.
+	TrialRefused
 	// TrialPassed means that it outlived them.
 	TrialPassed
 	// TrialNotStarted means that the attempt reached no endpoint.
@@ -59,7 +61,7 @@
 }
 
 // NewRelease returns the transaction that ends the reservation, with a new random nonce. A trial that passed removes the
-// count of the suspect's trials; one that failed stays counted.
+// count of the suspect's trials; one that was lost or refused stays counted.
 func (r *Reservation) NewRelease(nonce string, self chicoryhall.DaemonID, outcome TrialOutcome) table.Transaction {
 	trials := r.trials
 	if outcome == TrialNotStarted {
