passthrough: requests with one ID are different attempts

Cause: involvements of the same attempt are one incident, and an attempt was named by the request's ID and its number alone. A caller that sends a request that crashes engines again under the same ID would have been in one incident for ever, so that the request was never suspect.

Evidence: TestRequestsWithOneIDAreDifferentAttempts; before, both losses had the attempt "1/1".

Why this works: each exchange adds a random part.

--- a/passthrough/callerexchange.go
+++ b/passthrough/callerexchange.go
@@ -1,7 +1,9 @@
 package passthrough
 
 import (
+	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -42,6 +44,8 @@
 	head      *http.Request
 	body      []byte
 	startedAt time.Time
+	// nonce is random.
+	nonce string
 
 	callerHeaders chicoryhall.CallerHeaders
 	rule          *chicoryhall.Rule
@@ -81,7 +85,9 @@
 
 func newCallerExchange(conn *connection, head *http.Request, body []byte) *callerExchange {
 	timer := conn.server.config.Timer
-	x := &callerExchange{conn: conn, server: conn.server, head: head, body: body, startedAt: timer.Now()}
+	x := &callerExchange{
+		conn: conn, server: conn.server, head: head, body: body, startedAt: timer.Now(), nonce: strconv.FormatUint(rand.Uint64(), 36),
+	}
 	x.checkTimer = wakeupTimer{timer: timer, post: conn.post, wake: x.onDue}
 	return x
 }
--- a/passthrough/quarantine.go
+++ b/passthrough/quarantine.go
@@ -74,9 +74,10 @@
 	return x.machine.FinalVerdict(running)
 }
 
-// attemptID identifies the attempt with the given number among all attempts of all daemons.
+// attemptID identifies the attempt with the given number among all attempts of all daemons, also if a caller uses a
+// request's ID again.
 func (x *callerExchange) attemptID(number int) string {
-	return string(x.callerHeaders.ID) + "/" + strconv.Itoa(number)
+	return string(x.callerHeaders.ID) + "/" + strconv.Itoa(number) + "/" + x.nonce
 }
 
 // stagesOf returns the stages of a route with their endpoints' current incarnations.
--- a/passthrough/quarantine_test.go
+++ b/passthrough/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -39,7 +40,7 @@
 	}
 	switch answer.Decision {
 	case quarantine.DecisionReserved:
-		q.reserved = append(q.reserved, attempt)
+		q.reserved = append(q.reserved, withoutNonce(attempt))
 	case quarantine.DecisionWait:
 		answer.Busy = []chicoryhall.EndpointID{stages[0].Endpoint}
 	case quarantine.DecisionFree, quarantine.DecisionRefuse:
@@ -51,9 +52,12 @@
 func (q *fakeQuarantine) Release(attempt string, outcome quarantine.TrialOutcome) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.released = append(q.released, attempt+" "+outcome.String())
+	q.released = append(q.released, withoutNonce(attempt)+" "+outcome.String())
 }
 
+// withoutNonce removes the random part of an attempt's ID, the last one.
+func withoutNonce(attempt string) string { return attempt[:strings.LastIndexByte(attempt, '/')] }
+
 func (q *fakeQuarantine) Passed(_ quarantine.Fingerprint, crashes []quarantine.Incarnation) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -177,12 +181,25 @@
 			defer w.quarantine.mu.Unlock()
 			must.SliceLen(t, 4, w.quarantine.losses)
 			must.Eq(t, c.same, w.quarantine.losses[0].Fingerprint == w.quarantine.losses[2].Fingerprint)
-			must.Eq(t, "1/1", w.quarantine.losses[0].Attempt)
-			must.Eq(t, "1/2", w.quarantine.losses[1].Attempt)
+			must.Eq(t, "1/1", withoutNonce(w.quarantine.losses[0].Attempt))
+			must.Eq(t, "1/2", withoutNonce(w.quarantine.losses[1].Attempt))
 		})
 	}
 }
 
+// TestRequestsWithOneIDAreDifferentAttempts sends two requests with the same ID.
+func TestRequestsWithOneIDAreDifferentAttempts(t *testing.T) {
+	w := startServer(t, testRules(), newEndpoint(t, closeAtOnce))
+	for range 2 {
+		w.ask(t, requestText("POST", "/unsafe/a", "1", "x"))
+	}
+	w.waitIdle(t)
+	w.quarantine.mu.Lock()
+	defer w.quarantine.mu.Unlock()
+	must.SliceLen(t, 2, w.quarantine.losses)
+	must.NotEq(t, w.quarantine.losses[0].Attempt, w.quarantine.losses[1].Attempt)
+}
+
 // TestStreamIsProvenBeyondItsLoss streams up to an event and checks whether that clears the stream of earlier crashes.
 func TestStreamIsProvenBeyondItsLoss(t *testing.T) {
 	cases := []struct {
