quarantine: a crash that becomes known later does not join two incidents

Cause: a lost attempt counts in the crash of each endpoint of its route that shows no progress since, and involvements that share a crash are one incident.

Why this works: only the crash that explains a loss first joins incidents.

--- a/cmd/chicoryhall/platformdaemon/crashes.go
+++ b/cmd/chicoryhall/platformdaemon/crashes.go
@@ -67,6 +67,7 @@
 	c.mu.Unlock()
 	for _, crash := range crashed {
 		c.report(crash, []quarantine.Loss{loss})
+		loss.Explained = true
 	}
 	if loss.Cause != quarantine.LossUnrelated {
 		c.timer.After(crashProbeDelay, func(now time.Time) { c.probeLoss(loss, now) })
--- a/cmd/chicoryhall/platformdaemon/quarantine.go
+++ b/cmd/chicoryhall/platformdaemon/quarantine.go
@@ -76,7 +76,8 @@
 			isolated = !s.crashes.crashedElsewhere(loss, now)
 		}
 		s.evidence.Record(quarantine.Involvement{
-			Fingerprint: loss.Fingerprint, Attempt: loss.Attempt, Incarnation: crash, Position: loss.Position, Isolated: isolated,
+			Fingerprint: loss.Fingerprint, Attempt: loss.Attempt, Incarnation: crash, Position: loss.Position,
+			Later: loss.Explained, Isolated: isolated,
 		}, now)
 	}
 	s.reports.exchangeIn(lossDelay, now)
--- a/quarantine/incident.go
+++ b/quarantine/incident.go
@@ -24,6 +24,8 @@
 // incident is one failure, of one endpoint or of several at the same time, that cost a fingerprint at least one attempt.
 type incident struct {
 	attempts []string
+	// causes are the crashes that explained the losses; crashes contains those that became known later as well.
+	causes   []Incarnation
 	crashes  []Incarnation
 	isolated bool
 	// knownAt is when this daemon first knew of the incident's isolated attempt.
@@ -34,13 +36,16 @@
 	explained bool
 }
 
-// addToIncidents adds an involvement to the incident that it shares the attempt or the crash with. If there are two such
+// addToIncidents adds an involvement to the incident that it shares the attempt or the cause with. If there are two such
 // incidents, they become one; if there is none, the involvement makes a new one.
 func addToIncidents(incidents []*incident, added Involvement, knownAt time.Time) []*incident {
 	merged := &incident{attempts: []string{added.Attempt}, crashes: []Incarnation{added.Incarnation}, isolated: added.Isolated, knownAt: knownAt}
+	if !added.Later {
+		merged.causes = merged.crashes
+	}
 	separate := incidents[:0]
 	for _, known := range incidents {
-		if slices.Contains(known.attempts, added.Attempt) || slices.Contains(known.crashes, added.Incarnation) {
+		if slices.Contains(known.attempts, added.Attempt) || !added.Later && slices.Contains(known.causes, added.Incarnation) {
 			merged.absorb(known)
 		} else {
 			separate = append(separate, known)
@@ -51,7 +56,8 @@
 
 func (i *incident) absorb(other *incident) {
 	i.attempts = append(i.attempts, other.attempts...)
-	i.crashes = append(i.crashes, other.crashes...)
+	i.causes = slices.Concat(i.causes, other.causes)
+	i.crashes = slices.Concat(i.crashes, other.crashes)
 	if other.isolated && (!i.isolated || other.knownAt.Before(i.knownAt)) {
 		i.knownAt = other.knownAt
 	}
--- a/quarantine/losses.go
+++ b/quarantine/losses.go
@@ -60,6 +60,8 @@
 	Cause     LossCause
 	StartedAt time.Time
 	LostAt    time.Time
+	// Explained is set if another crash has explained the loss before.
+	Explained bool
 }
 
 // includes reports whether the attempt ran on an incarnation.
@@ -78,19 +80,21 @@
 // NewLosses returns Losses that know no loss and no crash.
 func NewLosses() *Losses { return &Losses{crashes: make(map[Incarnation]time.Time)} }
 
-// Add records a loss and returns those of its endpoints that are known to have crashed while the attempt ran.
+// Add records a loss and returns those of its endpoints that are known to have crashed while the attempt ran. The first of
+// them explains the loss.
 func (l *Losses) Add(loss Loss) []Incarnation {
 	l.expire(loss.LostAt)
 	if len(l.recent) >= maxLosses {
 		l.recent = l.recent[1:]
 	}
-	l.recent = append(l.recent, loss)
 	var crashed []Incarnation
 	for _, stage := range loss.Stages {
 		if knownAt, ok := l.crashes[stage.Incarnation]; ok && !loss.StartedAt.After(knownAt) {
 			crashed = append(crashed, stage.Incarnation)
 		}
 	}
+	loss.Explained = len(crashed) > 0
+	l.recent = append(l.recent, loss)
 	return crashed
 }
 
@@ -104,9 +108,11 @@
 	l.crashes[crash] = now
 	since := lastProgress.Add(-progressTolerance)
 	var explained []Loss
-	for _, loss := range l.recent {
+	for i := range l.recent {
+		loss := &l.recent[i]
 		if loss.includes(crash) && !loss.LostAt.Before(since) {
-			explained = append(explained, loss)
+			explained = append(explained, *loss)
+			loss.Explained = true
 		}
 	}
 	return explained
--- a/quarantine/losses_test.go
+++ b/quarantine/losses_test.go
@@ -72,6 +72,15 @@
 	}
 }
 
+func TestFirstCrashExplainsLoss(t *testing.T) {
+	l := quarantine.NewLosses()
+	l.Add(lossAt(0, first, other))
+	must.False(t, l.AddCrash(first, time.Time{}, lossStart)[0].Explained)
+	must.True(t, l.AddCrash(other, time.Time{}, lossStart)[0].Explained)
+	must.SliceLen(t, 2, l.Add(lossAt(time.Millisecond, first, other)))
+	must.True(t, l.AddCrash(again, time.Time{}, lossStart) == nil)
+}
+
 func TestUnexplainedLosses(t *testing.T) {
 	l := quarantine.NewLosses()
 	l.Add(lossAt(0, first, other))
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -8,6 +8,9 @@
 	Incarnation
 	// Position is the ID of the last event of the answer that the caller had received, or 0.
 	Position int64 `json:"p,omitempty"`
+	// Later is set if another crash had explained the loss before this one became known. The endpoint may have survived the
+	// attempt then and crashed for another reason.
+	Later bool `json:"l,omitempty"`
 	// Isolated is set if the endpoint was reserved for the attempt, see Reservations.
 	Isolated bool `json:"s,omitempty"`
 }
