platformdaemon: exchange crash reports less often while losses follow each other

The pause between two exchanges now doubles from 1.2 to 5 s while losses go on, and starts anew after 8 quiet seconds; alerts are followed every 1.5 s. What decides on a suspect does not wait for it: the loss of a trial, and the look at others' reports before its crash counts as settled.

--- a/cmd/chicoryhall/platformdaemon/builder.go
+++ b/cmd/chicoryhall/platformdaemon/builder.go
@@ -49,7 +49,7 @@
 	// alertsWait is how long the store may wait for alerts of other daemons before it answers, alertsPause the pause after
 	// one, and alertsBackoff the longest pause after a failure: while the store does not answer, nobody can write alerts.
 	alertsWait    = 29 * time.Second
-	alertsPause   = time.Second
+	alertsPause   = 1500 * time.Millisecond
 	alertsBackoff = 3 * time.Second
 	// daemonRowRetention is the time after which a daemon's row is removed that has not changed. A daemon keeps its report
 	// of a convicted request unchanged for as long as the conviction lasts.
--- a/cmd/chicoryhall/platformdaemon/crashreports.go
+++ b/cmd/chicoryhall/platformdaemon/crashreports.go
@@ -19,8 +19,11 @@
 const (
 	// reportPrefix is the key prefix of the daemons' reports on crashes in the table.
 	reportPrefix = "quarantine/"
-	// exchangePause is the least time between two exchanges, so that many losses in a row cost few calls to the store.
-	exchangePause = 1200 * time.Millisecond
+	// minExchangePause and maxExchangePause bound the least time between two exchanges, so that many losses in a row cost few
+	// calls to the store. It doubles with each exchange and returns to the minimum after quietTime without one.
+	minExchangePause = 1200 * time.Millisecond
+	maxExchangePause = 5 * time.Second
+	quietTime        = 8 * time.Second
 	// settleDelay is the time to another exchange, which shows what other daemons have reported of the same crash.
 	settleDelay = 1200 * time.Millisecond
 	// minRetryPause and maxRetryPause bound the pause after an exchange that failed, which doubles each time.
@@ -50,6 +53,8 @@
 	alertDue bool
 	// wantedSince is the earliest time at which an exchange may have begun to make another one needless.
 	wantedSince time.Time
+	// urgentSince is like wantedSince, for an exchange that does not wait for the end of the pause.
+	urgentSince time.Time
 
 	// The fields below are only used by Serve.
 
@@ -58,9 +63,11 @@
 	written quarantine.Report
 	version int64
 	alerted []quarantine.Involvement
-	// failures counts the exchanges that failed in a row. exchangedAt is when the last one began.
+	// failures counts the exchanges that failed in a row. exchangedAt is when the last one began, and pause the least time
+	// from then to the next one.
 	failures    int
 	exchangedAt time.Time
+	pause       time.Duration
 }
 
 func newCrashReports(self chicoryhall.DaemonID, timer chicoryhall.Timer, store chicoryhall.Table, evidence *quarantine.Evidence, log *event.Logger) *crashReports {
@@ -109,6 +116,16 @@
 	r.timer.After(delay, func(time.Time) { signal(r.exchangeDue) })
 }
 
+// exchangeUrgentlyIn is exchangeIn for an exchange that does not wait for the end of the pause.
+func (r *crashReports) exchangeUrgentlyIn(delay time.Duration, since time.Time) {
+	r.mu.Lock()
+	if r.urgentSince.Before(since) {
+		r.urgentSince = since
+	}
+	r.mu.Unlock()
+	r.exchangeIn(delay, since)
+}
+
 // alertNext makes the next exchange alert the other daemons.
 func (r *crashReports) alertNext() {
 	r.mu.Lock()
@@ -133,19 +150,29 @@
 	r.failures++
 }
 
-// exchangeIfWanted exchanges the reports, or does so at the end of the exchangePause.
+// exchangeIfWanted exchanges the reports, or does so at the end of the pause.
 func (r *crashReports) exchangeIfWanted(ctx context.Context) {
+	now := r.timer.Now()
 	r.mu.Lock()
-	wanted := r.exchangedAt.Before(r.wantedSince)
+	wanted, urgent := r.exchangedAt.Before(r.wantedSince), r.exchangedAt.Before(r.urgentSince)
 	r.mu.Unlock()
-	if !wanted {
-		return
+	left := r.pause - now.Sub(r.exchangedAt)
+	switch {
+	case !wanted:
+	case left > 0 && !urgent:
+		r.timer.After(left, func(time.Time) { signal(r.exchangeDue) })
+	default:
+		r.pause = r.nextPause(now)
+		r.exchange(ctx)
 	}
-	if pause := exchangePause - r.timer.Now().Sub(r.exchangedAt); pause > 0 {
-		r.timer.After(pause, func(time.Time) { signal(r.exchangeDue) })
-		return
+}
+
+// nextPause returns the pause after an exchange that begins now.
+func (r *crashReports) nextPause(now time.Time) time.Duration {
+	if now.Sub(r.exchangedAt) >= quietTime {
+		return minExchangePause
 	}
-	r.exchange(ctx)
+	return min(maxExchangePause, max(minExchangePause, 2*r.pause))
 }
 
 // exchange writes this daemon's report, reads those of all daemons, and alerts the others if need be. The first time, it
@@ -156,7 +183,7 @@
 	succeeded = succeeded && r.read(ctx) && r.write(ctx) && r.alert(ctx)
 	r.retryUnless(succeeded)
 	if succeeded && r.evidence.HasUnsettled(r.timer.Now()) {
-		r.exchangeIn(settleDelay, r.timer.Now().Add(settleDelay))
+		r.exchangeUrgentlyIn(settleDelay, r.timer.Now().Add(settleDelay))
 	}
 }
 
--- a/cmd/chicoryhall/platformdaemon/quarantine.go
+++ b/cmd/chicoryhall/platformdaemon/quarantine.go
@@ -70,8 +70,10 @@
 // many incidents.
 func (s *quarantineService) recordCrash(crash quarantine.Incarnation, lost []quarantine.Loss) {
 	now := s.timer.Now()
+	lostTrial := false
 	for _, loss := range lost {
 		isolated := loss.Isolated
+		lostTrial = lostTrial || isolated
 		if isolated && s.evidence.Standing(loss.Fingerprint, now).Incidents < maxUnreserved {
 			isolated = !s.crashes.crashedElsewhere(loss, now)
 		}
@@ -80,7 +82,11 @@
 			Later: loss.Explained, Isolated: isolated,
 		}, now)
 	}
-	s.reports.exchangeIn(lossDelay, now)
+	if lostTrial {
+		s.reports.exchangeUrgentlyIn(lossDelay, now)
+	} else {
+		s.reports.exchangeIn(lossDelay, now)
+	}
 }
 
 // Passed clears a fingerprint of crashes. The other daemons are alerted if they may take it for a suspect.
--- a/cmd/chicoryhall/platformdaemon/quarantine_test.go
+++ b/cmd/chicoryhall/platformdaemon/quarantine_test.go
@@ -147,6 +147,39 @@
 	}
 }
 
+// TestExchangesPauseLongerInARow checks the pauses after exchanges that follow each other as soon as they may, and after a
+// quiet time.
+func TestExchangesPauseLongerInARow(t *testing.T) {
+	reports := newTestQuarantine("one", &tabletest.Store{}).reports
+	now := time.Unix(1000, 0)
+	for _, want := range []time.Duration{1200, 2400, 4800, 5000, 5000} {
+		reports.pause = reports.nextPause(now)
+		must.Eq(t, want*time.Millisecond, reports.pause)
+		reports.exchangedAt = now
+		now = now.Add(reports.pause)
+	}
+	must.Eq(t, minExchangePause, reports.nextPause(now.Add(quietTime)))
+}
+
+// TestUrgentExchangeDoesNotWait asks for exchanges right after one.
+func TestUrgentExchangeDoesNotWait(t *testing.T) {
+	ctx := context.Background()
+	store := &tabletest.Store{}
+	one, two := newTestQuarantine("one", store), newTestQuarantine("two", store)
+	two.reports.exchange(ctx)
+	two.crash("b/1", "y")
+	one.reports.exchangeIn(0, one.timer.Now())
+	one.reports.exchangeIfWanted(ctx)
+	two.reports.exchange(ctx)
+	must.Eq(t, 0, one.incidents())
+	one.reports.exchangeIn(0, one.timer.Now())
+	one.reports.exchangeIfWanted(ctx)
+	must.Eq(t, 0, one.incidents())
+	one.reports.exchangeUrgentlyIn(0, one.timer.Now())
+	one.reports.exchangeIfWanted(ctx)
+	must.Eq(t, 1, one.incidents())
+}
+
 // TestSweeperRemovesStaleRows leaves a row unchanged for its lifetime.
 func TestSweeperRemovesStaleRows(t *testing.T) {
 	ctx := context.Background()
