--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -1,6 +1,12 @@
 // Package quarantine identifies requests that crash the endpoints they run on ("queries of death")
 // and limits the endpoints that each of them crashes.
 //
+// There are two ways for daemons to agree. Daemons that call each other have an Arbiter, of which
+// each keeps a Replica; the next two paragraphs describe it. Daemons that share only a table each
+// write a Report and derive the state of a fingerprint from all reports (Evidence); a suspect runs
+// in trials for which Reservations reserve endpoints. Losses finds out which lost attempts the
+// crash of an endpoint explains. The package does no I/O.
+//
 // Requests with the same content have the same fingerprint. When an endpoint crashes, the
 // fingerprints of the requests that ran on it become suspects. A request with a suspect fingerprint
 // runs again only under a reservation of its new endpoints: no other suspect runs on them, and
