--- a/passthrough/server_test.go
+++ b/passthrough/server_test.go
@@ -393,11 +393,43 @@
 	<-drained
 }
 
+// TestDrainAnswersNewConnection opens a connection before a draining server refuses requests, and uses it after that.
+func TestDrainAnswersNewConnection(t *testing.T) {
+	release := make(chan struct{})
+	e := newEndpoint(t, func(conn net.Conn, _ int, request *http.Request) bool {
+		<-release
+		return send(conn, wholeAnswer(request, "hello"))
+	})
+	set := testRules()
+	set.Rules[0].Timeout = time.Minute // The rule of /safe/.
+	w := startServer(t, set, e)
+	busy, busyReader := w.dial(t)
+	must.True(t, send(busy, requestText("GET", "/safe/a", "1", "")))
+	drained := make(chan struct{})
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	drainInBackground(ctx, w, drained)
+	time.Sleep(2400 * time.Millisecond) // Shorter than the server's readinessDelay.
+	conn, reader := w.dial(t)
+	time.Sleep(200 * time.Millisecond) // Shorter than the HeadTimeout of the rules.
+	must.True(t, send(conn, requestText("GET", "/safe/a", "2", "")))
+	got := readAnswer(reader)
+	must.NoError(t, got.err)
+	must.Eq(t, 503, got.status)
+	close(release)
+	must.NoError(t, readAnswer(busyReader).err)
+	<-drained
+}
+
+// drainInBackground calls Drain, closes drained when that returns, and returns itself once the server is draining.
 func drainInBackground(ctx context.Context, w *testServer, drained chan<- struct{}) {
 	go func() {
 		w.server.Drain(ctx)
 		close(drained)
 	}()
+	for !w.server.IsDraining() {
+		time.Sleep(time.Millisecond)
+	}
 }
 
 func TestSlowHeadClosesConnection(t *testing.T) {
