daemon: TestCancels compares the outcome with what engines ran

Cause: in the test. Whether the request has been sent by the time of the cancellation is a race; if it has not, not-run is the right outcome and better for the caller, who may repeat it. stream.Machine answers not-run only if nothing has been sent.

The test is replaced by a stricter one: cancelled while an engine's ledger shows the request, the outcome must be unknown; cancelled right after the acceptance, it is unknown, or not-run and then no engine's ledger may show the request.

--- a/cmd/chicoryhall/daemon/serve_test.go
+++ b/cmd/chicoryhall/daemon/serve_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"strings"
@@ -216,19 +217,67 @@
 }
 
 // TestCancels cancels a running request. Fetching it must give the outcome unknown from then on.
+// TestCancels cancels a request while engines run it, and another right after it was accepted, which may be before or after
+// engines run it: the outcome must then agree with what the engines ran.
 func TestCancels(t *testing.T) {
 	if testing.Short() {
 		t.Skip("starts real processes")
 	}
-	d := startDaemons(t, 2, nil, documentText("pipeline", startEngines(t)))[0]
-	client := newCaller(d)
-	accepted := client.submit(context.Background(), query(promptOf(0), 2000), 0, "Prefer", caller.PreferAsync)
-	must.Eq(t, http.StatusAccepted, accepted.status)
-	path := accepted.headers.Get("Location")
-	must.Eq(t, http.StatusNoContent, client.do(context.Background(), http.MethodDelete, path, nil, 0).status)
-	ended := client.do(context.Background(), http.MethodGet, path, nil, 0)
-	must.Eq(t, http.StatusConflict, ended.status)
-	must.Eq(t, chicoryhall.OutcomeUnknown, ended.problem.Outcome)
+	engines := startEngines(t)
+	client := newCaller(startDaemons(t, 2, nil, documentText("pipeline", engines))[0])
+	cases := []struct {
+		name string
+		// ready reports whether to cancel.
+		ready func(id chicoryhall.RequestID) bool
+		// isRunning is set if engines run the request by then.
+		isRunning bool
+	}{
+		{"while it runs", func(id chicoryhall.RequestID) bool { return hasRun(t, engines, id) }, true},
+		{"right after its acceptance", func(chicoryhall.RequestID) bool { return true }, false},
+	}
+	for i, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			accepted := client.submit(context.Background(), query(promptOf(i), 2000), 0, "Prefer", caller.PreferAsync)
+			must.Eq(t, http.StatusAccepted, accepted.status)
+			waitFor(t, "the time to cancel", func() bool { return c.ready(accepted.id) })
+			path := accepted.headers.Get("Location")
+			must.Eq(t, http.StatusNoContent, client.do(context.Background(), http.MethodDelete, path, nil, 0).status)
+			ended := client.do(context.Background(), http.MethodGet, path, nil, 0)
+			must.Eq(t, http.StatusConflict, ended.status)
+			t.Logf("outcome: %s", ended.problem.Outcome)
+			if c.isRunning {
+				must.Eq(t, chicoryhall.OutcomeUnknown, ended.problem.Outcome)
+				return
+			}
+			must.SliceContains(t, []chicoryhall.Outcome{chicoryhall.OutcomeUnknown, chicoryhall.OutcomeNotRun}, ended.problem.Outcome)
+			time.Sleep(200 * time.Millisecond) // Until engines have got what was sent to them.
+			if ended.problem.Outcome == chicoryhall.OutcomeNotRun {
+				must.False(t, hasRun(t, engines, accepted.id))
+			}
+		})
+	}
+}
+
+// hasRun reports whether an engine has opened an attempt of a request.
+func hasRun(t *testing.T, engines []testEndpoint, id chicoryhall.RequestID) bool {
+	t.Helper()
+	for _, e := range engines {
+		response, err := http.Get("http://" + e.control + "/ledger")
+		must.NoError(t, err)
+		var ledger struct {
+			Runs []struct {
+				Stream chicoryhall.RequestID `json:"stream"`
+			} `json:"runs"`
+		}
+		must.NoError(t, json.NewDecoder(response.Body).Decode(&ledger))
+		must.NoError(t, response.Body.Close())
+		for _, run := range ledger.Runs {
+			if run.Stream == id {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // TestNotRunFreesKey checks that a request that was not run can be repeated with the same idempotency key.
