requests, daemon: a key is free once its request was not run

What callers saw: a request with an idempotency key ended as not run, with a time to come back; its repeat got the same refusal again although the endpoints took requests by then. If the message that frees the key was lost, each repeat got it until the key's lifetime was over.

Cause: the daemon that ran the request tells the key's owners that it is free by a message that nothing confirms, after or while the caller gets its answer. A repeat that was quicker was given the earlier request, whose result it then got. The comment that a lost message matters only if the owner fails too was wrong for releases.

Why this works: the daemon that ran the earlier request knows that it was not run, and proposes the repeat in its place, as it does for a request that was lost. An owner now confirms a release, and is asked up to three times.

Left: if all three are lost, a repeat at another daemon than the first is still given the earlier request.

--- a/cmd/chicoryhall/daemon/keys.go
+++ b/cmd/chicoryhall/daemon/keys.go
@@ -14,6 +14,8 @@
 const (
 	// ownerTimeout bounds one call to an owner of a key. After that, the next owner is asked.
 	ownerTimeout = 200 * time.Millisecond
+	// releaseTries is how often an owner is told that a key is free until it confirms.
+	releaseTries = 3
 	// The names of the methods that daemons call on each other.
 	methodDecide  = "keys.decide"
 	methodLearn   = "keys.learn"
@@ -63,29 +65,47 @@
 func (r *keyRegistry) decideAsOwner(p idempotency.Proposal) idempotency.Decision {
 	decision := r.decisions.Decide(p, r.timer.Now())
 	if decision.Request == p.Request { // the decision is new
-		r.notifyOwners(p.Key, methodLearn, p)
+		r.forOtherOwners(p.Key, func(owner chicoryhall.DaemonID) { r.learnAt(owner, p) })
 	}
 	return decision
 }
 
-// Release frees a key whose request was not run, so that it can be used again.
+// Release frees a key whose request was not run, so that it can be used again. It does not wait for the other owners.
 func (r *keyRegistry) Release(key idempotency.Key, request chicoryhall.RequestID) {
 	r.decisions.Release(key, request)
-	r.notifyOwners(key, methodRelease, idempotency.Proposal{Key: key, Request: request})
+	released := idempotency.Proposal{Key: key, Request: request}
+	r.forOtherOwners(key, func(owner chicoryhall.DaemonID) { r.releaseAt(owner, released) })
 }
 
-// notifyOwners sends a message to the other owners of a key without waiting for them.
-func (r *keyRegistry) notifyOwners(key idempotency.Key, method string, p idempotency.Proposal) {
+// releaseAt tells an owner that a key is free. If all tries fail, the key stays taken for repeats at other daemons than
+// this one.
+func (r *keyRegistry) releaseAt(owner chicoryhall.DaemonID, released idempotency.Proposal) {
+	for range releaseTries {
+		ctx, cancel := context.WithTimeout(context.Background(), ownerTimeout)
+		_, err := peer.Call[struct{}](ctx, r.node, owner, methodRelease, released)
+		cancel()
+		if err == nil {
+			return
+		}
+	}
+}
+
+// learnAt tells an owner of a decision. The loss of the message matters only if the owner that decided fails as well. Then
+// a repeat may be run again.
+func (r *keyRegistry) learnAt(owner chicoryhall.DaemonID, decided idempotency.Proposal) {
+	ctx, cancel := context.WithTimeout(context.Background(), ownerTimeout)
+	defer cancel()
+	_ = peer.Notify(ctx, r.node, owner, methodLearn, decided)
+}
+
+// forOtherOwners calls a function for each other owner of a key without waiting for it.
+func (r *keyRegistry) forOtherOwners(key idempotency.Key, call func(owner chicoryhall.DaemonID)) {
 	for _, owner := range idempotency.ReplicasOf(key, r.members) {
 		if owner == r.self {
 			continue
 		}
 		r.notices.Go(func() error {
-			ctx, cancel := context.WithTimeout(context.Background(), ownerTimeout)
-			defer cancel()
-			// The loss of a message matters only if the owner that decided fails as well. Then a repeat may be run
-			// again, or a freed key may stay taken.
-			_ = peer.Notify(ctx, r.node, owner, method, p)
+			call(owner)
 			return nil
 		})
 	}
--- a/requests/submit.go
+++ b/requests/submit.go
@@ -74,13 +74,7 @@
 func (s *Service) startWithKey(r *Request, isKnown func(chicoryhall.RequestID) bool) SubmitResult {
 	ctx, cancel := context.WithTimeout(context.Background(), decisionTimeout)
 	defer cancel()
-	proposal := idempotency.Proposal{Key: r.key(), Fingerprint: r.fingerprint, Request: r.record.ID}
-	decision := s.config.IdempotencyKeys.Decide(ctx, proposal)
-	if decision.Request != r.record.ID && !decision.Reused && !isKnown(decision.Request) {
-		// The earlier request is too old, or was lost with all daemons that held it.
-		proposal.LostRequest = decision.Request
-		decision = s.config.IdempotencyKeys.Decide(ctx, proposal)
-	}
+	decision := s.decide(ctx, r, isKnown)
 	switch {
 	case decision.Reused:
 		s.forget(r)
@@ -94,6 +88,31 @@
 	}
 }
 
+// decide returns which request the key of r belongs to. It belongs to r if there is no earlier request with the key, or if
+// that one was not run, is too old, or was lost with all daemons that held it.
+func (s *Service) decide(ctx context.Context, r *Request, isKnown func(chicoryhall.RequestID) bool) idempotency.Decision {
+	proposal := idempotency.Proposal{Key: r.key(), Fingerprint: r.fingerprint, Request: r.record.ID}
+	decision := s.config.IdempotencyKeys.Decide(ctx, proposal)
+	if decision.Request == r.record.ID {
+		return decision
+	}
+	// The owner of the key may not know yet that the earlier request has released it.
+	isFree := s.wasNotRun(decision.Request) || !decision.Reused && !isKnown(decision.Request)
+	if !isFree {
+		return decision
+	}
+	proposal.LostRequest = decision.Request
+	return s.config.IdempotencyKeys.Decide(ctx, proposal)
+}
+
+// wasNotRun reports whether a request has ended at this daemon without being run.
+func (s *Service) wasNotRun(id chicoryhall.RequestID) bool {
+	s.mu.Lock()
+	r := s.byID[id]
+	s.mu.Unlock()
+	return r != nil && r.ended.Load() && r.result.Outcome == chicoryhall.OutcomeNotRun
+}
+
 // register adds a request; it returns false if there is one with its ID.
 func (s *Service) register(r *Request) bool {
 	s.mu.Lock()
