passthrough: leave a stage that cannot be reached before the stream is late

What callers saw: when an engine ended, or its host went dark, streams that passed through it as a later stage stood still for 600 ms (1.5 s before the first event) and were late, wherever they went on.

Cause: the first engine of a route waits for the later ones and sends nothing meanwhile, so their end shows as silence only, and silence was judged by time alone: three target gaps, as shorter pauses are common in healthy streams.

Change: after half a target gap (before the head half a target latency) the daemon probes those endpoints of the route that have made no progress since, once for all streams. If one refuses a connection, or does not accept it within 30 ms while anything else answers, all streams of the daemon that use it and are silent go on elsewhere. If nothing answers, the own link may be down, and only time decides, as before.

TestStreamLeavesUnreachableStageEarly and TestUnreachableStageEndsAllItsStreams fail without the change.

Left: a stage that accepts connections but does no work; a stream with its last allowed attempt; plain requests, which wait for their deadline.

--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -58,6 +58,8 @@
 	// progressReportedAt is when progress was last reported.
 	lastProgress       time.Time
 	progressReportedAt time.Time
+	// probedAfter is the lastProgress after which the endpoints were last probed.
+	probedAfter time.Time
 }
 
 // startAttempt chooses the endpoints and starts the attempt, or ends the exchange if it may not run. A suspect starts once
@@ -107,7 +109,7 @@
 	for _, hop := range route.Hops {
 		x.config().Endpoints.Begin(hop.Engine)
 	}
-	x.checkTimer.wakeBy(a.stalledAt())
+	a.scheduleCheck()
 	a.logStart(now)
 	x.server.pool.send(endpointRequest{
 		address: route.Hops[0].Address, method: x.head.Method, id: x.callerHeaders.ID, message: a.message(now), receiver: a,
--- a/passthrough/fixture_test.go
+++ b/passthrough/fixture_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -159,6 +160,8 @@
 	refuse    bool
 	// quarantine is the server's passthrough.Quarantine.
 	quarantine *fakeQuarantine
+	// prober is the server's passthrough.Prober.
+	prober *fakeProber
 }
 
 // logBuffer collects the server's log.
@@ -226,6 +229,13 @@
 	e.observed = append(e.observed, string(id)+" "+observed.String())
 }
 
+// all returns the observations so far.
+func (e *fakeEndpoints) all() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.observed)
+}
+
 func (e *fakeEndpoints) Begin(id chicoryhall.EndpointID) { e.count(id, 1) }
 
 func (e *fakeEndpoints) End(id chicoryhall.EndpointID) { e.count(id, -1) }
@@ -348,7 +358,7 @@
 	t.Helper()
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
-	w := &testServer{quarantine: &fakeQuarantine{}, address: free.Addr().String(), retries: 10, logs: &logBuffer{}, endpoints: &fakeEndpoints{inFlight: make(map[chicoryhall.EndpointID]int)}}
+	w := &testServer{quarantine: &fakeQuarantine{}, prober: &fakeProber{}, address: free.Addr().String(), retries: 10, logs: &logBuffer{}, endpoints: &fakeEndpoints{inFlight: make(map[chicoryhall.EndpointID]int)}}
 	must.NoError(t, free.Close())
 	clock := timer.New()
 	current := routing.NewCurrentRules()
@@ -357,7 +367,7 @@
 	}
 	w.server = passthrough.NewServer(passthrough.Config{
 		Address: w.address, Timer: lateTimer{Service: clock, late: late}, Rules: current, Documents: w, Endpoints: w.endpoints, Router: router, Admission: w,
-		Retries: w, Quarantine: w.quarantine, Dialect: testDialect{}, OnStaleView: func() {}, Metrics: passthrough.NewMetrics(), Log: event.NewLogger(w.logs, "test", log.InfoLevel),
+		Retries: w, Quarantine: w.quarantine, Prober: w.prober, Dialect: testDialect{}, OnStaleView: func() {}, Metrics: passthrough.NewMetrics(), Log: event.NewLogger(w.logs, "test", log.InfoLevel),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var serving sync.WaitGroup
