placement: orders are logged with their layers

Events 5001 and 5002 said how many ranges an order holds, on the platform always 1. To see why a failure domain lacked room at some layers, what each engine was told to load is needed.

--- a/placement/controller.go
+++ b/placement/controller.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"crypto/rand"
+	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -249,8 +251,17 @@
 	}
 	if err != nil {
 		c.planner.OrderFailed(order.Endpoint)
-		c.config.Log.Log(event.OrderFailed, "engine", order.Endpoint, "address", order.Address, "fence", c.fence, "error", err)
+		c.config.Log.Log(event.OrderFailed, "engine", order.Endpoint, "address", order.Address, "fence", c.fence, "layers", layersText(order.Layers), "error", err)
 		return
 	}
-	c.config.Log.Log(event.OrderSent, "engine", order.Endpoint, "fence", c.fence, "holdings", len(order.Layers))
+	c.config.Log.Log(event.OrderSent, "engine", order.Endpoint, "fence", c.fence, "layers", layersText(order.Layers))
+}
+
+// layersText formats the layers of an order for logs.
+func layersText(layers []chicoryhall.LayerRange) string {
+	parts := make([]string, 0, len(layers))
+	for _, held := range layers {
+		parts = append(parts, fmt.Sprintf("%s@%s[%d,%d)", held.Model, held.Version, held.From, held.To))
+	}
+	return strings.Join(parts, " ")
 }
