passthrough: probe a stage again that fell quiet after its streams

What callers saw: in some crashes streams still stood still for 600 ms.

Cause: only endpoints without progress since the stream's own last piece were probed, once. If another stream had ended on the crashed engine a moment later, none of those that were left had it probed.

Change: a stage is probed once it has been quiet for as long as the stream must be; a stage that is not is looked at again. Event 2049 logs each probe.

--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -58,8 +58,8 @@
 	// progressReportedAt is when progress was last reported.
 	lastProgress       time.Time
 	progressReportedAt time.Time
-	// probedAfter is the lastProgress after which the endpoints were last probed.
-	probedAfter time.Time
+	// probes records the probes of the route's endpoints.
+	probes probeRecord
 }
 
 // startAttempt chooses the endpoints and starts the attempt, or ends the exchange if it may not run. A suspect starts once
--- a/passthrough/probe.go
+++ b/passthrough/probe.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/event"
 	"chicoryhall.example/chicoryhall/exchange"
 	"chicoryhall.example/chicoryhall/quarantine"
 )
@@ -18,38 +19,63 @@
 	gapProbeFraction  = 0.5
 )
 
+// probeRecord records which endpoints of an attempt were probed since its last progress.
+type probeRecord struct {
+	// since is the attempt's lastProgress at the first probe.
+	since  time.Time
+	probed []chicoryhall.EndpointID
+	// nextAt is when to look at the other endpoints, or zero if there are none.
+	nextAt time.Time
+}
+
 // mayBeProbed reports whether other endpoints may go on with the stream if those of the route cannot be reached.
 func (a *attempt) mayBeProbed() bool {
 	return a.exchange.rule.Kind == chicoryhall.ExchangeStream && a.exchange.machine.MayRetryLoss()
 }
 
-// probeAt returns when the endpoints are probed unless more of the answer arrives before. They are probed once after each
-// piece.
+// quietTime returns the time without progress after which endpoints are probed.
+func (a *attempt) quietTime() time.Duration {
+	if a.forwarding {
+		return time.Duration(gapProbeFraction * float64(a.exchange.rule.TargetGap))
+	}
+	return time.Duration(headProbeFraction * float64(a.exchange.rule.TargetLatency))
+}
+
+// probeAt returns when endpoints are probed unless more of the answer arrives before.
 func (a *attempt) probeAt() (time.Time, bool) {
-	x := a.exchange
-	if !a.mayBeProbed() || a.probedAfter.Equal(a.lastProgress) {
+	switch {
+	case !a.mayBeProbed():
 		return time.Time{}, false
+	case a.probes.since.Equal(a.lastProgress):
+		return a.probes.nextAt, !a.probes.nextAt.IsZero()
+	default:
+		return a.lastProgress.Add(a.quietTime()), true
 	}
-	quiet := headProbeFraction * float64(x.rule.TargetLatency)
-	if a.forwarding {
-		quiet = gapProbeFraction * float64(x.rule.TargetGap)
-	}
-	return a.lastProgress.Add(time.Duration(quiet)), true
 }
 
-// probe probes those endpoints of the route that have made no progress for any request since the attempt's last.
+// probe probes once each endpoint of the route that has made no progress for any request for quietTime. Endpoints that have
+// are looked at again, as their last request may have ended just before they failed.
 func (a *attempt) probe(now time.Time) {
-	since := a.lastProgress
-	a.probedAfter = since
+	if !a.probes.since.Equal(a.lastProgress) {
+		a.probes = probeRecord{since: a.lastProgress}
+	}
+	a.probes.nextAt = time.Time{}
 	var quiet []chicoryhall.Hop
 	for _, hop := range a.route.Hops {
-		if !a.exchange.config().Endpoints.LastProgress(hop.Engine).After(since) {
-			quiet = append(quiet, hop)
+		if slices.Contains(a.probes.probed, hop.Engine) {
+			continue
+		}
+		if now.Sub(a.exchange.config().Endpoints.LastProgress(hop.Engine)) < a.quietTime() {
+			a.probes.nextAt = now.Add(a.quietTime() / 2)
+			continue
 		}
+		quiet = append(quiet, hop)
+		a.probes.probed = append(a.probes.probed, hop.Engine)
 	}
 	if len(quiet) == 0 {
 		return
 	}
+	since := a.lastProgress
 	a.exchange.config().Prober.Probe(quiet, func(result ProbeResult) {
 		a.post(func() { a.onProbed(result, since, now) })
 	})
@@ -58,6 +84,8 @@
 // onProbed ends the attempt, and all others of this daemon that use an endpoint that cannot be reached.
 func (a *attempt) onProbed(result ProbeResult, since, probedAt time.Time) {
 	unreachable := a.unreachable(result, probedAt)
+	a.exchange.config().Log.Log(event.EndpointsProbed, "request", a.exchange.callerHeaders.ID, "attempt", a.number, "quiet", probedAt.Sub(since),
+		"route", routeText(a.route), "refused", result.Refused, "silent", result.Silent, "unreachable", unreachable)
 	if len(unreachable) == 0 || a.lastProgress.After(since) {
 		return
 	}
