passthrough: wait for room while the answer can still be in time

What callers saw: a request was refused at once, to come back in a second, if the endpoints of some layers were full at that moment, and so was late whatever followed; a stream that lost an endpoint was cut off for the same reason.

Cause: the router's error for a lack of room ended the exchange, although requests end, and free room, every few milliseconds.

Change: the exchange tries again every 25 ms for half of its target latency, or, for a stream that has begun, until 1.5 s after its last piece. Then it is refused as before: what cannot be served in time is not held.

TestRequestsWaitForRoom fails without the change in its first and third case.

--- a/passthrough/fixture_test.go
+++ b/passthrough/fixture_test.go
@@ -8,14 +8,12 @@
 	"net"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 
 	"chicoryhall.example/chicoryhall"
@@ -283,26 +281,6 @@
 	return s.retries >= 0
 }
 
-// orderedRouter routes to the first endpoint that is not excluded, and from there to the later stages.
-type orderedRouter struct {
-	addresses []string
-	later     []chicoryhall.Hop
-}
-
-func (r orderedRouter) Choose(query chicoryhall.RouteQuery) (chicoryhall.Route, error) {
-	for i, address := range r.addresses {
-		id := chicoryhall.EndpointID("e" + strconv.Itoa(i))
-		excluded := false
-		for _, other := range query.Exclude {
-			excluded = excluded || other == id
-		}
-		if !excluded {
-			return chicoryhall.Route{Hops: append([]chicoryhall.Hop{{Engine: id, Address: address}}, r.later...)}, nil
-		}
-	}
-	return chicoryhall.Route{}, errors.New("no endpoint is left")
-}
-
 func testRules() *chicoryhall.RuleSet {
 	rule := func(prefix string, kind chicoryhall.ExchangeKind, resumable bool) chicoryhall.Rule {
 		return chicoryhall.Rule{
@@ -344,17 +322,8 @@
 	return startRoutedServer(t, late, set, routerTo(endpoints...))
 }
 
-// routerTo returns a router to endpoints.
-func routerTo(endpoints ...*endpoint) orderedRouter {
-	var router orderedRouter
-	for _, e := range endpoints {
-		router.addresses = append(router.addresses, e.listener.Addr().String())
-	}
-	return router
-}
-
 // startRoutedServer starts a server with a router.
-func startRoutedServer(t *testing.T, late time.Duration, set *chicoryhall.RuleSet, router orderedRouter) *testServer {
+func startRoutedServer(t *testing.T, late time.Duration, set *chicoryhall.RuleSet, router chicoryhall.Router) *testServer {
 	t.Helper()
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
--- a/passthrough/quarantine.go
+++ b/passthrough/quarantine.go
@@ -130,13 +130,7 @@
 		x.endQuarantined(standing, errNotReserved)
 		return
 	}
-	x.config().Timer.After(reservationPause, func(time.Time) {
-		x.conn.post(func() {
-			if !x.finished {
-				x.startAttempt()
-			}
-		})
-	})
+	x.startAttemptAfter(reservationPause)
 }
 
 // reportLoss reports that the attempt was sent and ended without a complete answer.
