passthrough: a probe without any answer does not count, whatever was left out

Found on reading: if a daemon's own link fails, endpoints that had made progress shortly before are left out of the probe, so that the silent ones were fewer than the stages of the route and counted as out of reach. Streams would have moved, each for a retry, to endpoints that are as far away.

Now silent endpoints count only if one of those probed answers, or a piece of any answer arrives after the probe has begun.

--- a/passthrough/probe.go
+++ b/passthrough/probe.go
@@ -77,13 +77,13 @@
 	}
 	since := a.lastProgress
 	a.exchange.config().Prober.Probe(quiet, func(result ProbeResult) {
-		a.post(func() { a.onProbed(result, since, now) })
+		a.post(func() { a.onProbed(result, len(quiet), since, now) })
 	})
 }
 
 // onProbed ends the attempt, and all others of this daemon that use an endpoint that cannot be reached.
-func (a *attempt) onProbed(result ProbeResult, since, probedAt time.Time) {
-	unreachable := a.unreachable(result, probedAt)
+func (a *attempt) onProbed(result ProbeResult, probed int, since, probedAt time.Time) {
+	unreachable := a.unreachable(result, probed, probedAt)
 	a.exchange.config().Log.Log(event.EndpointsProbed, "request", a.exchange.callerHeaders.ID, "attempt", a.number, "quiet", probedAt.Sub(since),
 		"route", routeText(a.route), "refused", result.Refused, "silent", result.Silent, "unreachable", unreachable)
 	if len(unreachable) == 0 || a.lastProgress.After(since) {
@@ -134,13 +134,12 @@
 	a.fail(exchange.FailureLost, errors.Errorf("no progress for %s, and no connection to %s", quiet, left))
 }
 
-// unreachable returns the endpoints that a probe did not reach. If none of the route's endpoints has answered, nor any other
-// since the probe began, the cause may be the link of this daemon, so that only those count at whose address nothing
-// listens.
-func (a *attempt) unreachable(result ProbeResult, probedAt time.Time) []chicoryhall.EndpointID {
-	isCutOff := len(result.Silent) == len(a.route.Hops) && !a.exchange.server.progressedAfter(probedAt)
-	if isCutOff {
-		return result.Refused
+// unreachable returns those of the probed endpoints that cannot be reached. If none of them has answered, nor any other
+// endpoint since the probe began, the cause may be the link of this daemon, so that silent ones do not count.
+func (a *attempt) unreachable(result ProbeResult, probed int, probedAt time.Time) []chicoryhall.EndpointID {
+	mayBeCutOff := len(result.Silent) == probed && !a.exchange.server.progressedAfter(probedAt)
+	if mayBeCutOff {
+		return nil
 	}
 	return slices.Concat(result.Refused, result.Silent)
 }
