placement: a failing test for the choice of a repair (known red)

A slower endpoint that can fill the gap should go, and a gap of a few layers may wait longer if a neighbour can widen.

--- a/placement/repair_test.go
+++ b/placement/repair_test.go
@@ -57,6 +57,20 @@
 	}
 }
 
+// TestRepairSparesFastEndpoint loses the only holder of a short range while a fast endpoint and a slower one, either of
+// which could fill it, hold layers that others hold too.
+func TestRepairSparesFastEndpoint(t *testing.T) {
+	endpoints := append(endpointsHolding("fast", placement.LayerSpan{From: 0, To: 30}, placement.LayerSpan{From: 0, To: 29}),
+		endpointsHolding("middle", placement.LayerSpan{From: 29, To: 46}, placement.LayerSpan{From: 46, To: 63},
+			placement.LayerSpan{From: 46, To: 63}, placement.LayerSpan{From: 72, To: 80})...)
+	moved := placement.RepairRanges(mixedDocument(), endpoints)
+	must.MapLen(t, 1, moved)
+	for id, layers := range moved {
+		must.StrHasPrefix(t, "middle", string(id))
+		must.Eq(t, placement.LayerSpan{From: 63, To: 72}, layers)
+	}
+}
+
 // TestRepairKeepsEveryHeldLayer draws domains that have lost one to three endpoints. After the
 // repair every layer that had a holder must still have one, and the new ranges must fit into
 // memory.
