--- a/cmd/chicoryhall/platformdaemon/builder.go
+++ b/cmd/chicoryhall/platformdaemon/builder.go
@@ -64,8 +64,6 @@
 func (b *builder) placementOptions() placement.Options {
 	return placement.Options{
 		LeaseDuration: 3 * time.Second, LeaseMargin: 750 * time.Millisecond, LeaseCheckPeriod: time.Second, MaxConcurrentLoads: 64,
-		// The list of endpoints is at hand, so a check costs no calls.
-		OrderPeriod: 250 * time.Millisecond,
 		SingleRange: true,
 		IsPreferred: b.isPreferred,
 	}
@@ -104,7 +102,6 @@
 	metrics       *passthrough.Metrics
 	crashMetrics  *metrics.Set
 	quarantine    *quarantineService
-	prober        *prober
 }
 
 // build constructs the components in the order of their dependencies and adds them to the tree of supervisors.
@@ -207,8 +204,6 @@
 func (b *builder) buildInterfaces(supervisor *suture.Supervisor) {
 	b.metrics = passthrough.NewMetrics()
 	b.admission = admission.New(b.timer, b.documents, b.endpoints, b.members)
-	b.prober = newProber(b.timer)
-	supervisor.Add(b.prober)
 	b.server = passthrough.NewServer(passthrough.Config{
 		Address: b.settings.Listen.Callers, FailureDomain: b.settings.FailureDomain, Timer: b.timer,
 		Rules: b.rules, Documents: b.documents, Endpoints: b.endpoints,
@@ -219,8 +214,8 @@
 		Retries: retry.NewSlidingBudgets(retry.SlidingLimits{
 			Window: b.settings.Retries.Window, Ratio: b.settings.Retries.Ratio, Slack: b.settings.Retries.Slack,
 		}, b.timer.Now(), b.members.Alive),
-		Quarantine: b.quarantine, Prober: b.prober,
-		Dialect: platform.Dialect{}, OnStaleView: b.endpointsFeed.Refresh, Metrics: b.metrics, Log: b.log,
+		Quarantine: b.quarantine,
+		Dialect:    platform.Dialect{}, OnStaleView: b.endpointsFeed.Refresh, Metrics: b.metrics, Log: b.log,
 	})
 	supervisor.Add(b.server)
 	supervisor.Add(newStatusServer(b.settings.Listen.Ready, readyPath, passthrough.ReadyHandler(b.ready)))
--- a/cmd/chicoryhall/platformdaemon/crashes.go
+++ b/cmd/chicoryhall/platformdaemon/crashes.go
@@ -128,7 +128,7 @@
 
 func (c *crashes) probeNow(stage quarantine.Stage, onAlive func()) {
 	c.probes.Go(func() error {
-		switch probeEndpoint(context.Background(), stage.Address, crashProbeTimeout) {
+		switch probeEndpoint(context.Background(), stage.Address) {
 		case probeGone:
 			c.handleCrash(stage.Incarnation)
 		case probeAlive:
@@ -207,7 +207,7 @@
 	var probes errgroup.Group
 	for i, stage := range stages {
 		probes.Go(func() error {
-			results[i] = probeEndpoint(context.Background(), stage.Address, crashProbeTimeout)
+			results[i] = probeEndpoint(context.Background(), stage.Address)
 			return nil
 		})
 	}
--- a/event/requests.go
+++ b/event/requests.go
@@ -54,9 +54,6 @@
 	CrashAlertReceived = define(2048, log.InfoLevel, "alert of a suspect received",
 		"Another daemon has found that requests with the same content were lost in several crashes of endpoints, or that they are harmless after all; this daemon reads what it has reported.",
 		"Nothing.")
-	EndpointsProbed = define(2049, log.InfoLevel, "endpoints of a quiet stream probed",
-		"Nothing of a stream had arrived for some time, so connections were opened to those of its endpoints that had done no other work since. refused and silent name those that did not accept; silent ones count only if another endpoint answers.",
-		"Nothing; if an endpoint is named often, check it and the links to it.")
 	EndpointFailed = define(2500, log.WarnLevel, "endpoint failed a request",
 		"An endpoint refused or broke a connection or stopped responding; the request continues on another one.",
 		"Check the endpoint if it repeats.")
--- a/exchange/machine.go
+++ b/exchange/machine.go
@@ -123,9 +123,6 @@
 	return m.IsRepeatable() && m.possibleRuns < m.config.MaxRuns
 }
 
-// MayRetryLoss reports whether another attempt is allowed, apart from the retry budget, should the current one be lost.
-func (m *Machine) MayRetryLoss() bool { return m.IsRepeatable() && m.possibleRuns+1 < m.config.MaxRuns }
-
 // verdictWithoutRetry returns the verdict after a failure if no further attempt is made.
 func (m *Machine) verdictWithoutRetry(failure Failure) Verdict {
 	if failure == FailureAnswered && !m.answerStarted {
--- a/passthrough/answer.go
+++ b/passthrough/answer.go
@@ -40,7 +40,6 @@
 func (a *attempt) startStream() {
 	x := a.exchange
 	a.forwarding = true
-	a.scheduleCheck()
 	if x.machine.IsAnswerStarted() {
 		return
 	}
@@ -102,7 +101,6 @@
 func (a *attempt) reportProgress() {
 	now := a.exchange.config().Timer.Now()
 	a.lastProgress = now
-	a.exchange.server.lastProgress.Store(now.UnixNano())
 	if now.Sub(a.progressReportedAt) < progressReportPeriod {
 		return
 	}
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -58,8 +58,6 @@
 	// progressReportedAt is when progress was last reported.
 	lastProgress       time.Time
 	progressReportedAt time.Time
-	// probes records the probes of the route's endpoints.
-	probes probeRecord
 }
 
 // startAttempt chooses the endpoints and starts the attempt, or ends the exchange if it may not run. A suspect starts once
@@ -109,7 +107,7 @@
 	for _, hop := range route.Hops {
 		x.config().Endpoints.Begin(hop.Engine)
 	}
-	a.scheduleCheck()
+	x.checkTimer.wakeBy(a.stalledAt())
 	a.logStart(now)
 	x.server.pool.send(endpointRequest{
 		address: route.Hops[0].Address, method: x.head.Method, id: x.callerHeaders.ID, message: a.message(now), receiver: a,
--- a/passthrough/config.go
+++ b/passthrough/config.go
@@ -47,21 +47,6 @@
 	Lost(loss quarantine.Loss)
 }
 
-// Prober finds out whether endpoints accept connections.
-type Prober interface {
-	// Probe opens a connection to each of the given endpoints, or uses the result of a probe that has just been made. It
-	// does not block, and calls done once on another goroutine.
-	Probe(hops []chicoryhall.Hop, done func(ProbeResult))
-}
-
-// ProbeResult lists the endpoints that did not accept a connection.
-type ProbeResult struct {
-	// Refused are those at whose address nothing listens.
-	Refused []chicoryhall.EndpointID
-	// Silent are those that did not answer in time.
-	Silent []chicoryhall.EndpointID
-}
-
 // Config holds the dependencies and settings of a Server.
 type Config struct {
 	// Address is where the Server listens for callers, IP:PORT.
@@ -75,7 +60,6 @@
 	Admission     chicoryhall.Admission
 	Retries       Retries
 	Quarantine    Quarantine
-	Prober        Prober
 	Dialect       chicoryhall.Dialect
 	// OnStaleView is called when a missing route or a misdirected request suggests that the view of endpoints
 	// is out of date. It must not block.
--- a/passthrough/failure.go
+++ b/passthrough/failure.go
@@ -15,9 +15,6 @@
 
 // onNoRoute ends an exchange for which no route was found.
 func (x *callerExchange) onNoRoute(err error) {
-	if lacksRoom(err) && x.awaitRoom() {
-		return
-	}
 	if !lacksRoom(err) { // Endpoints are missing, which an outdated view may explain.
 		x.config().OnStaleView()
 	}
@@ -31,6 +28,15 @@
 	}
 }
 
+// lacksRoom reports whether a router's error means that there is a route but its endpoints are full.
+func lacksRoom(err error) bool {
+	var capacityErr interface {
+		error
+		LacksRoom() bool
+	}
+	return errors.As(err, &capacityErr) && capacityErr.LacksRoom()
+}
+
 // fail ends the attempt and applies the resulting verdict.
 func (a *attempt) fail(failure exchange.Failure, cause error) {
 	x := a.exchange
--- a/passthrough/quarantine.go
+++ b/passthrough/quarantine.go
@@ -130,7 +130,13 @@
 		x.endQuarantined(standing, errNotReserved)
 		return
 	}
-	x.startAttemptAfter(reservationPause)
+	x.config().Timer.After(reservationPause, func(time.Time) {
+		x.conn.post(func() {
+			if !x.finished {
+				x.startAttempt()
+			}
+		})
+	})
 }
 
 // reportLoss reports that the attempt was sent and ended without a complete answer.
--- a/passthrough/server.go
+++ b/passthrough/server.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"io"
-	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -54,8 +52,6 @@
 	refusing atomic.Bool
 	// shuttingDown is set when Serve ends: connections are closed and failed requests are not retried.
 	shuttingDown atomic.Bool
-	// lastProgress is when the last piece of any answer arrived, in Unix nanoseconds.
-	lastProgress atomic.Int64
 	// buffer is the read buffer of the event loop, which has one goroutine.
 	buffer []byte
 
@@ -161,22 +157,12 @@
 	s.mu.Unlock()
 }
 
-// exchangesInProgress returns the exchanges in progress.
-func (s *Server) exchangesInProgress() []*callerExchange {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Collect(maps.Keys(s.exchanges))
-}
-
 func (s *Server) removeExchange(x *callerExchange) {
 	s.mu.Lock()
 	delete(s.exchanges, x)
 	s.mu.Unlock()
 }
 
-// progressedAfter reports whether a piece of any answer has arrived after the given time.
-func (s *Server) progressedAfter(at time.Time) bool { return s.lastProgress.Load() > at.UnixNano() }
-
 // randomFloat returns a random number in [0,1).
 func (s *Server) randomFloat() float64 {
 	s.mu.Lock()
--- a/passthrough/stall.go
+++ b/passthrough/stall.go
@@ -28,21 +28,10 @@
 	return at
 }
 
-// scheduleCheck makes sure that onDue is called when the attempt has stalled or its endpoints are to be probed.
-func (a *attempt) scheduleCheck() {
-	a.exchange.checkTimer.wakeBy(a.stalledAt())
-	if at, due := a.probeAt(); due {
-		a.exchange.checkTimer.wakeBy(at)
-	}
-}
-
-// onDue fails the attempt if it has stalled, and probes its endpoints if it has been quiet for some time.
+// onDue fails the attempt if it has stalled.
 func (a *attempt) onDue(now time.Time) {
-	if now.Before(a.stalledAt()) {
-		if at, due := a.probeAt(); due && !now.Before(at) {
-			a.probe(now)
-		}
-		a.scheduleCheck()
+	if at := a.stalledAt(); now.Before(at) {
+		a.exchange.checkTimer.wakeBy(at)
 		return
 	}
 	a.suspectStalled(now)
--- a/placement/controller.go
+++ b/placement/controller.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"fmt"
-	"strings"
 	"sync"
 	"time"
 
@@ -18,8 +16,10 @@
 	"chicoryhall.example/chicoryhall/table"
 )
 
-// The limits of a Controller's calls.
+// orderPeriod is how often the holder of the lease sends orders. The others limit a Controller's
+// calls.
 const (
+	orderPeriod         = time.Second
 	tableCallTimeout    = 2 * time.Second
 	endpointCallTimeout = time.Second
 	maxEndpointCalls    = 16
@@ -38,9 +38,6 @@
 	// LeaseCheckPeriod is the time between two reads of the lease's row, or between two checks
 	// whether to renew it.
 	LeaseCheckPeriod time.Duration
-	// OrderPeriod is the time between two checks by the holder of the lease whether orders are due.
-	// It must not exceed LeaseCheckPeriod, as the lease is looked at in the same checks.
-	OrderPeriod time.Duration
 	// IsPreferred tells whether this daemon is a preferred holder of the lease; nil means always.
 	// Other daemons compete for it too, but check it only every nonPreferredFactor periods while
 	// they do not hold it, so that a preferred daemon usually takes it before them.
@@ -57,7 +54,7 @@
 func DefaultOptions() Options {
 	return Options{
 		LeaseDuration: 15 * time.Second, LeaseMargin: 5 * time.Second, MaxOrderDelay: 30 * time.Second,
-		LeaseCheckPeriod: 3 * time.Second, OrderPeriod: time.Second, MaxConcurrentLoads: 2,
+		LeaseCheckPeriod: 3 * time.Second, MaxConcurrentLoads: 2,
 	}
 }
 
@@ -105,7 +102,7 @@
 // Serve competes for the lease and sends orders until ctx ends.
 func (c *Controller) Serve(ctx context.Context) error {
 	wake := make(chan struct{}, 1)
-	ticks := c.config.Timer.Every(c.config.Options.OrderPeriod, func(time.Time) {
+	ticks := c.config.Timer.Every(orderPeriod, func(time.Time) {
 		select {
 		case wake <- struct{}{}:
 		default:
@@ -251,17 +248,8 @@
 	}
 	if err != nil {
 		c.planner.OrderFailed(order.Endpoint)
-		c.config.Log.Log(event.OrderFailed, "engine", order.Endpoint, "address", order.Address, "fence", c.fence, "layers", layersText(order.Layers), "error", err)
+		c.config.Log.Log(event.OrderFailed, "engine", order.Endpoint, "address", order.Address, "fence", c.fence, "error", err)
 		return
 	}
-	c.config.Log.Log(event.OrderSent, "engine", order.Endpoint, "fence", c.fence, "layers", layersText(order.Layers))
-}
-
-// layersText formats the layers of an order for logs.
-func layersText(layers []chicoryhall.LayerRange) string {
-	parts := make([]string, 0, len(layers))
-	for _, held := range layers {
-		parts = append(parts, fmt.Sprintf("%s@%s[%d,%d)", held.Model, held.Version, held.From, held.To))
-	}
-	return strings.Join(parts, " ")
+	c.config.Log.Log(event.OrderSent, "engine", order.Endpoint, "fence", c.fence, "holdings", len(order.Layers))
 }
--- a/placement/planneddocuments.go
+++ b/placement/planneddocuments.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// settlePeriod is how long the number of endpoints in a domain that is starting must not have
-	// grown before layers are planned. Endpoints that start together appear one after another.
+	// settlePeriod is how long the number of endpoints in a domain must not have grown before
+	// layers are planned. Endpoints that start together appear one after another. The period does
+	// not apply to a domain that holds a complete copy of the model.
 	settlePeriod = 1300 * time.Millisecond
 	// gapGracePeriod is how long layers must have been missing before other endpoints take them
 	// over, because an endpoint that crashed may be back by then.
@@ -141,7 +142,7 @@
 	}
 	state := d.observe(document, domain, endpoints, now)
 	isComplete := state.incompleteSince.IsZero()
-	if !isComplete && isStarting(endpoints) && now.Sub(state.grownAt) < settlePeriod {
+	if !isComplete && now.Sub(state.grownAt) < settlePeriod {
 		return
 	}
 	planned := PlanRanges(document, endpoints)
@@ -156,18 +157,6 @@
 	}
 }
 
-// isStarting reports whether most endpoints of a domain neither hold nor were assigned layers. In
-// any other domain, an endpoint without layers has been added or has restarted.
-func isStarting(endpoints []RangeEndpoint) bool {
-	empty := 0
-	for _, endpoint := range endpoints {
-		if endpoint.Held.Len() == 0 {
-			empty++
-		}
-	}
-	return 2*empty > len(endpoints)
-}
-
 // observe updates the state of a domain.
 func (d *PlannedDocuments) observe(document *chicoryhall.Document, domain chicoryhall.FailureDomain, endpoints []RangeEndpoint, now time.Time) domainState {
 	key := domainKey{service: document.Service, domain: domain}
