--- a/cmd/chicorystand/hall/control.go
+++ b/cmd/chicorystand/hall/control.go
@@ -37,7 +37,7 @@
 	})
 	mux.HandleFunc("POST /engines/{id}/crash", func(_ http.ResponseWriter, r *http.Request) {
 		if endpoint := p.byID(r.PathValue("id")); endpoint != nil {
-			endpoint.Crash(crashTime)
+			endpoint.Crash(endpoint.crashTime())
 		}
 	})
 	mux.HandleFunc("POST /engines/{id}/leave", func(_ http.ResponseWriter, r *http.Request) {
--- a/cmd/chicorystand/hall/endpoint.go
+++ b/cmd/chicorystand/hall/endpoint.go
@@ -29,6 +29,7 @@
 	settings EndpointSettings
 
 	mu       sync.Mutex
+	restarts int
 	born     int64 // time of the last start in Unix milliseconds
 	from, to int   // the layers held, without layer to
 	loading  bool
@@ -71,7 +72,25 @@
 }
 
 // register writes the endpoint's entry to the store, which lists it there.
-func (e *Endpoint) register() error { return e.platform.store.Put("servers", e.settings.ID, e.entry()) }
+func (e *Endpoint) register() error { return e.platform.store.Put("servers", e.id(), e.entry()) }
+
+// id returns the endpoint's present ID.
+func (e *Endpoint) id() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.settings.NewID || e.restarts == 0 {
+		return e.settings.ID
+	}
+	return fmt.Sprintf("%s-%d", e.settings.ID, e.restarts)
+}
+
+// crashTime returns the time from a crash to the restart.
+func (e *Endpoint) crashTime() time.Duration {
+	if e.settings.RestartMillis == 0 {
+		return crashTime
+	}
+	return time.Duration(e.settings.RestartMillis * float64(time.Millisecond))
+}
 
 // Crash aborts all running requests. The endpoint restarts without layers after downtime. If that is longer than
 // lapseTime, its entry is removed from the store after lapseTime. Crash returns false if the endpoint is dead already.
@@ -84,13 +103,15 @@
 	e.faults.Dead = true
 	e.from, e.to, e.sequence, e.running, e.used = 0, 0, 0, 0, 0
 	e.mu.Unlock()
+	id := e.id()
 	e.platform.after(lapseTime, func() {
 		if e.isUnresponsive() {
-			e.platform.store.Drop("servers", e.settings.ID)
+			e.platform.store.Drop("servers", id)
 		}
 	})
 	e.platform.after(downtime, func() {
 		e.mu.Lock()
+		e.restarts++
 		e.faults, e.born, e.loading = EndpointFaults{}, time.Now().UnixMilli(), false
 		e.mu.Unlock()
 		e.platform.stopOnError(e.register())
@@ -132,14 +153,14 @@
 	faults := e.faults
 	e.mu.Unlock()
 	switch {
-	case faults.Dead:
+	case faults.Dead && !e.settings.SilentAfterCrash:
 		panic(http.ErrAbortHandler)
-	case faults.Silent:
+	case faults.Silent, faults.Dead:
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
-	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != e.settings.ID {
-		w.Header().Set("Instance-Id", e.settings.ID)
+	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != e.id() {
+		w.Header().Set("Instance-Id", e.id())
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
--- a/cmd/chicorystand/hall/poison.go
+++ b/cmd/chicorystand/hall/poison.go
@@ -71,7 +71,7 @@
 			continue
 		}
 		arrival := &Arrival{
-			Content: r.URL.Path + " " + string(body), Request: r.Header.Get("Request-Id"), Endpoint: e.settings.ID,
+			Content: r.URL.Path + " " + string(body), Request: r.Header.Get("Request-Id"), Endpoint: e.id(),
 			AtMillis: time.Now().UnixMilli(),
 		}
 		e.platform.arrivals.add(arrival)
@@ -90,16 +90,18 @@
 		route = route[:1]
 	}
 	for _, endpoint := range route {
-		if endpoint.Crash(crashTime) {
+		id := endpoint.id()
+		if endpoint.Crash(endpoint.crashTime()) {
 			p.platform.arrivals.mu.Lock()
-			p.arrival.Crashed = append(p.arrival.Crashed, endpoint.settings.ID)
+			p.arrival.Crashed = append(p.arrival.Crashed, id)
 			p.platform.arrivals.mu.Unlock()
 		}
 	}
 	return true
 }
 
-// closedListener resets new connections while its endpoint is dead, as if nothing listened there.
+// closedListener resets new connections while its endpoint is dead, as if nothing listened there, unless it is to be silent
+// then.
 type closedListener struct {
 	net.Listener
 	endpoint *Endpoint
@@ -109,7 +111,7 @@
 func (l *closedListener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.Listener.Accept()
-		if err != nil || !l.endpoint.isDead() {
+		if err != nil || !l.endpoint.isDead() || l.endpoint.settings.SilentAfterCrash {
 			return conn, err
 		}
 		if tcp, ok := conn.(*net.TCPConn); ok {
--- a/cmd/chicorystand/hall/settings.go
+++ b/cmd/chicorystand/hall/settings.go
@@ -51,6 +51,12 @@
 	Slots       int     `yaml:"slots"`
 	// WorkMillis is the time that a plain endpoint takes for a request.
 	WorkMillis float64 `yaml:"workMillis,omitempty"`
+	// RestartMillis is the time from a crash to the restart, by default that of crashTime.
+	RestartMillis float64 `yaml:"restartMillis,omitempty"`
+	// NewID gives the endpoint a new ID at each restart.
+	NewID bool `yaml:"newId,omitempty"`
+	// SilentAfterCrash leaves connections unanswered until the endpoint restarts, where others are reset.
+	SilentAfterCrash bool `yaml:"silentAfterCrash,omitempty"`
 }
 
 // Load reads settings from a YAML file.
--- a/proof/soak_caller_test.go
+++ b/proof/soak_caller_test.go
@@ -63,6 +63,19 @@
 	results []soakResult
 	// bodyOf returns the body of the request with the given ID.
 	bodyOf func(id string) string
+	// kinds are those that run chooses from.
+	kinds []soakKind
+	// repeats is how often run sends a request again that failed, with another ID.
+	repeats int
+}
+
+// repeatMark separates the ID of a request from the number of the repeat.
+const repeatMark = "r"
+
+// bodyOfFirst returns a body of its own for each request, the same in each repeat.
+func bodyOfFirst(id string) string {
+	first, _, _ := strings.Cut(id, repeatMark)
+	return ownBody(first)
 }
 
 // sameBody and ownBody are the values of bodyOf for requests with equal and with different bodies.
@@ -106,11 +119,26 @@
 
 // send sends one request of a random kind on the open connection, or on a new one if there is none.
 func (c *soakCaller) send(id string) {
-	if c.connect() {
-		c.sendKind(id, soakKinds[c.random.IntN(len(soakKinds))])
+	if !c.connect() {
+		return
+	}
+	kind := c.kinds[c.random.IntN(len(c.kinds))]
+	c.sendKind(id, kind)
+	for repeat := 1; repeat <= c.repeats && c.mayRepeat(); repeat++ {
+		c.disconnect()
+		time.Sleep(time.Duration(50+c.random.IntN(100)) * time.Millisecond)
+		if c.connect() {
+			c.sendKind(fmt.Sprintf("%s%s%d", id, repeatMark, repeat), kind)
+		}
 	}
 }
 
+// mayRepeat reports whether the last request was not answered and may run again.
+func (c *soakCaller) mayRepeat() bool {
+	last := &c.results[len(c.results)-1]
+	return last.status != http.StatusOK && (last.kind.name == safeKind.name || last.status == http.StatusServiceUnavailable)
+}
+
 // sendKind sends one request on the open connection.
 func (c *soakCaller) sendKind(id string, kind soakKind) {
 	body := c.bodyOf(id)
@@ -155,13 +183,31 @@
 func startCallers(w *soakPlatform, count int, seed uint64, bodyOf func(string) string) *callers {
 	cs := &callers{end: make(chan struct{})}
 	for i := range count {
-		c := &soakCaller{platform: w, name: fmt.Sprintf("c%d", i), random: rand.New(rand.NewPCG(seed, uint64(i))), bodyOf: bodyOf}
-		cs.all = append(cs.all, c)
-		cs.done.Go(func() { c.run(cs.end) })
+		cs.start(&soakCaller{
+			platform: w, name: fmt.Sprintf("c%d", i), random: rand.New(rand.NewPCG(seed, uint64(i))), bodyOf: bodyOf, kinds: soakKinds,
+		})
 	}
 	return cs
 }
 
+// startRepeating starts callers of plain services that send again what failed.
+func startRepeating(w *soakPlatform, count int, seed uint64) *callers {
+	cs := &callers{end: make(chan struct{})}
+	for i := range count {
+		cs.start(&soakCaller{
+			platform: w, name: fmt.Sprintf("c%d", i), random: rand.New(rand.NewPCG(seed, uint64(i))), bodyOf: bodyOfFirst,
+			kinds: []soakKind{unsafeKind, safeKind}, repeats: 3,
+		})
+	}
+	return cs
+}
+
+// start makes a caller send requests until the callers are stopped.
+func (cs *callers) start(c *soakCaller) {
+	cs.all = append(cs.all, c)
+	cs.done.Go(func() { c.run(cs.end) })
+}
+
 // stop stops the callers and returns their results.
 func (cs *callers) stop() []soakResult {
 	close(cs.end)
--- a/proof/soak_crash_test.go
+++ b/proof/soak_crash_test.go
@@ -156,7 +156,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			w := newSoakPlatform(t, 2, 12, 4)
+			w := newSoakPlatform(t, twoDomains(2, 12, 4))
 			time.Sleep(3 * time.Second) // Until the engines have loaded their layers.
 			innocent := startCallers(w, 8, 1, ownBody)
 			crashing := startCrashing(w, c.requests, c.copies)
@@ -198,7 +198,7 @@
 // have ended, when the daemons can get to know what they must.
 func soakWithCrashingRequests(t *testing.T, seed uint64, daemons int, duration time.Duration) {
 	t.Helper()
-	w := newSoakPlatform(t, daemons, 12, 4)
+	w := newSoakPlatform(t, twoDomains(daemons, 12, 4))
 	time.Sleep(3 * time.Second) // Until the engines have loaded their layers.
 	innocent := startCallers(w, 4*daemons, seed, ownBody)
 	crashing := startCrashing(w, []crashingRequest{{streamKind, "crash-first a"}, {safeKind, "crash-first b"}}, 1)
--- a/proof/soak_platform_test.go
+++ b/proof/soak_platform_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -73,8 +74,21 @@
 		rule("stream", "stream", "model", 8000, 2, true), rule("unsafe", "unsafe", "plain", 2000, 1, false), rule("safe", "safe", "plain", 2000, 2, false))
 }
 
+// soakLayout is the size of a soakPlatform, and what its plain endpoints do after a crash.
+type soakLayout struct {
+	domains                 []string
+	daemons, engines, plain int // in each domain
+	// plainSettings are further settings of the plain endpoints.
+	plainSettings map[string]any
+}
+
+// twoDomains is the usual layout.
+func twoDomains(daemons, engines, plain int) soakLayout {
+	return soakLayout{domains: []string{"x", "y"}, daemons: daemons, engines: engines, plain: plain}
+}
+
 // newSoakPlatform starts the simulated platform, the proxy and the daemons.
-func newSoakPlatform(t *testing.T, daemonsPerDomain, enginesPerDomain, plainPerDomain int) *soakPlatform {
+func newSoakPlatform(t *testing.T, layout soakLayout) *soakPlatform {
 	t.Helper()
 	folder := t.TempDir()
 	w := &soakPlatform{control: freeAddress(t), proxy: freeAddress(t)}
@@ -95,12 +109,14 @@
 		},
 	}
 	var engines []map[string]any
-	for _, domain := range []string{"x", "y"} {
-		for i := range enginesPerDomain {
+	for _, domain := range layout.domains {
+		for i := range layout.engines {
 			engines = append(engines, soakEngine(fmt.Sprintf("%s-e%d", domain, i), domain, "model", freeAddress(t), i))
 		}
-		for i := range plainPerDomain {
-			engines = append(engines, soakEngine(fmt.Sprintf("%s-p%d", domain, i), domain, "plain", freeAddress(t), -1))
+		for i := range layout.plain {
+			plain := soakEngine(fmt.Sprintf("%s-p%d", domain, i), domain, "plain", freeAddress(t), -1)
+			maps.Copy(plain, layout.plainSettings)
+			engines = append(engines, plain)
 		}
 	}
 	for _, engine := range engines {
@@ -109,8 +125,8 @@
 	settings["engines"] = engines
 	start(t, "hall", "chicorystand", "hall", writeJSON(t, folder, "hall.yaml", settings))
 	eventually(t, "the stand-in answers", startTimeout, func() bool { return answers(w.control, "/ledger") })
-	for _, domain := range []string{"x", "y"} {
-		for i := range daemonsPerDomain {
+	for _, domain := range layout.domains {
+		for i := range layout.daemons {
 			name := fmt.Sprintf("%s-d%d", domain, i)
 			callers := freeAddress(t)
 			d := &soakDaemon{t: t, name: name, callers: link(callers), ready: freeAddress(t)}
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -126,7 +126,7 @@
 // endpoints ran.
 func soak(t *testing.T, seed uint64, daemons int, duration time.Duration) {
 	t.Helper()
-	w := newSoakPlatform(t, daemons, 5, 1)
+	w := newSoakPlatform(t, twoDomains(daemons, 5, 1))
 	time.Sleep(3 * time.Second) // Until the engines have loaded their layers.
 	cs := startCallers(w, 6*daemons, seed, sameBody)
 	history := injectFaults(w, seed, duration)
