quarantine: a crash is known where the address stays silent

Callers saw their service end again and again: a request that crashes its endpoints ran on each of them as soon as it was back. Cause: a crash counted only if the address refused a connection, or the list showed the same ID with another start. Where the address is silent until the next endpoint, under another ID, listens there, a probe proves nothing, so no incident was recorded and the request never became a suspect. The class: the lack of an answer was read as the lack of a crash.

Now an endpoint has ended as well if another one is listed at its address after the lost attempt began, as an address has one endpoint at a time, or if it is removed from the list and does not answer a probe. The time of the listing keeps an older row of the address from speaking against a newer endpoint.

--- a/cmd/chicoryhall/platformdaemon/crashes.go
+++ b/cmd/chicoryhall/platformdaemon/crashes.go
@@ -33,7 +33,9 @@
 	count     *metrics.Counter
 	// onExplained is called with a crash and the losses that it explains.
 	onExplained func(quarantine.Incarnation, []quarantine.Loss)
-	probes      errgroup.Group
+	// probeAddress opens a connection to an address.
+	probeAddress func(context.Context, string) crashProbe
+	probes       errgroup.Group
 
 	mu     sync.Mutex
 	losses *quarantine.Losses
@@ -44,7 +46,7 @@
 func newCrashes(timer chicoryhall.Timer, endpoints *watch.ListedEndpoints, set *metrics.Set, log *event.Logger) *crashes {
 	c := &crashes{
 		timer: timer, endpoints: endpoints, log: log, count: set.NewCounter("chicoryhall_endpoint_crashes_total"),
-		losses: quarantine.NewLosses(), probedAt: make(map[chicoryhall.EndpointID]time.Time),
+		probeAddress: probeEndpoint, losses: quarantine.NewLosses(), probedAt: make(map[chicoryhall.EndpointID]time.Time),
 	}
 	endpoints.Subscribe(c.onEndpoint)
 	return c
@@ -128,7 +130,7 @@
 
 func (c *crashes) probeNow(stage quarantine.Stage, onAlive func()) {
 	c.probes.Go(func() error {
-		switch probeEndpoint(context.Background(), stage.Address) {
+		switch c.probeAddress(context.Background(), stage.Address) {
 		case probeGone:
 			c.handleCrash(stage.Incarnation)
 		case probeAlive:
@@ -139,13 +141,17 @@
 	})
 }
 
-// onEndpoint handles a change of an endpoint in the list. Another incarnation shows that the one before has crashed. An
-// endpoint that was removed may still work, so it is probed.
+// onEndpoint handles a change of an endpoint in the list. Another incarnation, or another endpoint at its address, shows
+// that the one before has crashed. An endpoint that was removed may still work, so it is probed.
 func (c *crashes) onEndpoint(id chicoryhall.EndpointID, state chicoryhall.EndpointState) {
 	now := c.timer.Now()
+	address, listedAt := c.endpoints.ListedAt(id)
 	c.mu.Lock()
-	lost := c.losses.Unexplained(id, now)
+	lost, ended := c.losses.Unexplained(id, now), c.losses.Superseded(id, address, listedAt, now)
 	c.mu.Unlock()
+	for _, stage := range ended {
+		c.handleCrash(stage.Incarnation)
+	}
 	if len(lost) == 0 {
 		return
 	}
@@ -153,13 +159,23 @@
 	for _, stage := range lost {
 		switch {
 		case state == chicoryhall.EndpointDead:
-			c.probe(stage, now, func() {})
+			c.probeRemoved(stage)
 		case stage.Number != current:
 			c.handleCrash(stage.Incarnation)
 		}
 	}
 }
 
+// probeRemoved probes an endpoint that is no longer listed. It has crashed unless it answers.
+func (c *crashes) probeRemoved(stage quarantine.Stage) {
+	c.probes.Go(func() error {
+		if c.probeAddress(context.Background(), stage.Address) != probeAlive {
+			c.handleCrash(stage.Incarnation)
+		}
+		return nil
+	})
+}
+
 // handleCrash attributes the crash of an endpoint to the requests that were lost there.
 func (c *crashes) handleCrash(crash quarantine.Incarnation) {
 	lastProgress := c.endpoints.LastProgress(crash.Endpoint)
@@ -207,7 +223,7 @@
 	var probes errgroup.Group
 	for i, stage := range stages {
 		probes.Go(func() error {
-			results[i] = probeEndpoint(context.Background(), stage.Address)
+			results[i] = c.probeAddress(context.Background(), stage.Address)
 			return nil
 		})
 	}
--- a/proof/soak_crash_test.go
+++ b/proof/soak_crash_test.go
@@ -61,16 +61,18 @@
 // It does not count arrivals before the given time, until which faults may keep the daemons from knowing of the crashes.
 func checkArrivals(t *testing.T, all []arrival, from time.Time) {
 	t.Helper()
-	crashed, late := make(map[string]int), make(map[string]int)
+	crashed, late, times := make(map[string]int), make(map[string]int), make(map[string][]string)
 	for _, a := range all {
 		crashed[a.Content] += len(a.Crashed)
+		times[a.Content] = append(times[a.Content], fmt.Sprintf("%.2f", float64(a.AtMillis-all[0].AtMillis)/1000))
 		third, known := thirdCrash(all, a.Content)
 		if known && a.AtMillis > max(third, from.UnixMilli())+crashGrace.Milliseconds() {
 			late[a.Content]++
 		}
 	}
 	for content, count := range crashed {
-		t.Logf("%s: crashed %d endpoints, arrived %d times later than %s after the third crash", content, count, late[content], crashGrace)
+		t.Logf("%s: crashed %d endpoints, arrived %d times later than %s after the third crash, in all after seconds %v",
+			content, count, late[content], crashGrace, times[content])
 		if late[content] > maxLateArrivals {
 			t.Errorf("%s arrived %d times later than %s after it had crashed three endpoints; at most %d are allowed",
 				content, late[content], crashGrace, maxLateArrivals)
--- a/quarantine/losses.go
+++ b/quarantine/losses.go
@@ -120,11 +120,24 @@
 
 // Unexplained returns the stages at an endpoint that have losses without a known crash.
 func (l *Losses) Unexplained(id chicoryhall.EndpointID, now time.Time) []Stage {
+	return l.unexplained(now, func(stage Stage, _ *Loss) bool { return stage.Endpoint == id })
+}
+
+// Superseded returns the stages that have losses without a known crash and whose address belongs to an endpoint that was
+// listed after the lost attempts started. Theirs have ended, as an address has one endpoint at a time.
+func (l *Losses) Superseded(by chicoryhall.EndpointID, address string, listedAt, now time.Time) []Stage {
+	return l.unexplained(now, func(stage Stage, loss *Loss) bool {
+		return stage.Address == address && stage.Endpoint != by && loss.StartedAt.Before(listedAt)
+	})
+}
+
+// unexplained returns the stages that match and have losses without a known crash.
+func (l *Losses) unexplained(now time.Time, matches func(Stage, *Loss) bool) []Stage {
 	l.expire(now)
 	var stages []Stage
-	for _, loss := range l.recent {
-		for _, stage := range loss.Stages {
-			if _, known := l.crashes[stage.Incarnation]; stage.Endpoint == id && !known && !slices.Contains(stages, stage) {
+	for i := range l.recent {
+		for _, stage := range l.recent[i].Stages {
+			if matches(stage, &l.recent[i]) && !l.Crashed(stage.Incarnation) && !slices.Contains(stages, stage) {
 				stages = append(stages, stage)
 			}
 		}
--- a/watch/listed.go
+++ b/watch/listed.go
@@ -103,7 +103,7 @@
 		if change.Removed {
 			l.remove(change.Listing.ID, now)
 		} else {
-			l.add(change.Listing)
+			l.add(change.Listing, now)
 		}
 	}
 }
@@ -148,7 +148,7 @@
 }
 
 // add applies a new or changed listing.
-func (l *ListedEndpoints) add(listing chicoryhall.Listing) {
+func (l *ListedEndpoints) add(listing chicoryhall.Listing, now time.Time) {
 	l.mu.Lock()
 	e, known := l.entries[listing.ID]
 	if !known {
@@ -159,7 +159,7 @@
 	unchanged := !e.gone && e.missingSince.IsZero() && equalListings(e.listing, listing)
 	l.mu.Unlock()
 	if !unchanged {
-		l.change(listing.ID, "listed", func(e *listedEntry) { e.setListing(listing) })
+		l.change(listing.ID, "listed", func(e *listedEntry) { e.setListing(listing, now) })
 	}
 }
 
--- a/watch/listedentry.go
+++ b/watch/listedentry.go
@@ -11,6 +11,8 @@
 // listedEntry is the state of one endpoint in a ListedEndpoints.
 type listedEntry struct {
 	listing chicoryhall.Listing
+	// listedAt is when the endpoint was first listed at its address.
+	listedAt time.Time
 	// gone is set while the endpoint is not in use because it is not listed. The entry is kept until this daemon
 	// has no requests there.
 	gone bool
@@ -40,7 +42,10 @@
 }
 
 // setListing stores a listing. A restart of the endpoint clears its failures and leaving state.
-func (e *listedEntry) setListing(listing chicoryhall.Listing) {
+func (e *listedEntry) setListing(listing chicoryhall.Listing, now time.Time) {
+	if e.listedAt.IsZero() || listing.Address != e.listing.Address {
+		e.listedAt = now
+	}
 	restarted := e.gone || listing.Incarnation != e.listing.Incarnation || listing.Address != e.listing.Address
 	e.listing = listing
 	e.gone = false
--- a/watch/listedview.go
+++ b/watch/listedview.go
@@ -110,6 +110,18 @@
 	return time.Time{}
 }
 
+// ListedAt returns the address of a listed endpoint and when it was first listed there; the address is empty if it is not
+// listed.
+func (l *ListedEndpoints) ListedAt(id chicoryhall.EndpointID) (string, time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e, known := l.entries[id]
+	if !known || e.gone {
+		return "", time.Time{}
+	}
+	return e.listing.Address, e.listedAt
+}
+
 // ByAddress returns the endpoint that is listed at an address.
 func (l *ListedEndpoints) ByAddress(address string) (chicoryhall.EndpointID, bool) {
 	l.mu.Lock()
