quarantine: data that an endpoint sent before its crash does not hide the crash

Callers saw a further crash of their service: a trial's crash became known 1.5 s late, so the next trial had begun. Cause: the probe 50 ms after a loss was left out if the endpoint had made progress since. On a busy endpoint that is data sent before the crash and read after it. Seen in the logs of TestCrashingRequestIsStoppedInSmallService (unsafe): the loss of a trial at 28.156 s, the crash known at 29.660 s from the list.

Now the endpoint is looked at again 100 ms later and probed unless there was more progress. An endpoint that works gets no probe more.

--- a/cmd/chicoryhall/platformdaemon/crashes.go
+++ b/cmd/chicoryhall/platformdaemon/crashes.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	// crashProbeDelay is the time from a loss to the probe of its endpoints. An endpoint that makes progress meanwhile
-	// is not probed.
-	crashProbeDelay = 50 * time.Millisecond
+	// crashProbeDelay is the time from a loss to the probe of its endpoints. If there was progress meanwhile, this daemon
+	// may only have read late what an endpoint had sent before it crashed, so the probe waits for crashProbeRecheck.
+	crashProbeDelay   = 50 * time.Millisecond
+	crashProbeRecheck = 100 * time.Millisecond
 	// crashProbePause is the least time between two probes of one endpoint.
 	crashProbePause = 2 * time.Second
 	// massFailureWindow is the time within which crashes are assumed to have a common cause.
@@ -88,15 +89,26 @@
 }
 
 // probeSilent probes those stages whose endpoints have made no progress since a loss, and calls onAlive for each that
-// turns out to be alive.
+// turns out to be alive. Where there was some, it looks again later.
 func (c *crashes) probeSilent(stages []quarantine.Stage, lostAt, now time.Time, onAlive func()) {
 	for _, stage := range stages {
-		if !c.endpoints.LastProgress(stage.Endpoint).After(lostAt) {
+		if progress := c.endpoints.LastProgress(stage.Endpoint); !progress.After(lostAt) {
 			c.probe(stage, now, onAlive)
+		} else {
+			c.recheck(stage, progress, onAlive)
 		}
 	}
 }
 
+// recheck probes an endpoint after crashProbeRecheck unless it has made progress since the given time.
+func (c *crashes) recheck(stage quarantine.Stage, since time.Time, onAlive func()) {
+	c.timer.After(crashProbeRecheck, func(now time.Time) {
+		if !c.endpoints.LastProgress(stage.Endpoint).After(since) {
+			c.probe(stage, now, onAlive)
+		}
+	})
+}
+
 // probe probes an endpoint. If that was done recently, it does so again after a pause, as the endpoint may have crashed
 // since.
 func (c *crashes) probe(stage quarantine.Stage, now time.Time, onAlive func()) {
--- a/cmd/chicoryhall/platformdaemon/quarantine_test.go
+++ b/cmd/chicoryhall/platformdaemon/quarantine_test.go
@@ -22,7 +22,11 @@
 
 // newTestQuarantine returns the quarantine of a daemon whose Serve does not run.
 func newTestQuarantine(self chicoryhall.DaemonID, store *tabletest.Store) *quarantineService {
-	clock := timer.New()
+	return newTestQuarantineAt(timer.New(), self, store)
+}
+
+// newTestQuarantineAt is newTestQuarantine with a clock.
+func newTestQuarantineAt(clock chicoryhall.Timer, self chicoryhall.DaemonID, store *tabletest.Store) *quarantineService {
 	logger := event.NewLogger(io.Discard, "test", log.ErrorLevel)
 	endpoints := watch.NewListedEndpoints(watch.ListedConfig{Timer: clock, Log: logger})
 	evidence := quarantine.NewEvidence(self)
