quarantine: suspects are known at once, not after the pause between exchanges

Callers saw more endpoints crash than need be: copies of a request that two daemons knew to be suspect ran freely at the others. Cause: a daemon told the others of a suspect only with its next exchange of reports, and they read its report with their next one; the pause between two exchanges grows to 5 s while losses follow each other, as they do where a small service crashes under many requests.

Now an alert holds what the daemon knows of suspects, which costs no further call, and a daemon that sees a request become suspect by its own losses does not wait for the pause. A read drops only the alerts from before it. Alerts of older builds have no value and lead to a read, as before.

TestNewSuspectIsToldAtOnce fails without the second part.

--- a/cmd/chicoryhall/platformdaemon/crashreports.go
+++ b/cmd/chicoryhall/platformdaemon/crashreports.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"encoding/json"
 	"reflect"
 	"slices"
 	"strings"
@@ -36,8 +37,8 @@
 )
 
 // crashReports exchanges what the daemons know of crashes. Each daemon writes what it knows first hand to a row of its own,
-// its report, and reads the others' reports after a loss. Once a fingerprint is suspect, it alerts all daemons, so that
-// they read the reports as well.
+// its report, and reads the others' reports after a loss. Once a fingerprint is suspect, it alerts all daemons of what it
+// knows of it; they read the reports as well then.
 type crashReports struct {
 	self     chicoryhall.DaemonID
 	timer    chicoryhall.Timer
@@ -133,10 +134,18 @@
 	r.alertDue = true
 }
 
-// onAlert handles the alert of another daemon.
-func (r *crashReports) onAlert(from chicoryhall.DaemonID) {
-	r.log.Log(event.CrashAlertReceived, "from", from)
-	r.exchangeIn(0, r.timer.Now())
+// onAlert handles the alert of another daemon, which says what that daemon knows of suspects. The exchange that follows
+// shows the other reports.
+func (r *crashReports) onAlert(alert platform.Alert) {
+	now := r.timer.Now()
+	r.log.Log(event.CrashAlertReceived, "from", alert.Daemon)
+	var part quarantine.Report
+	if err := json.Unmarshal([]byte(alert.Value), &part); err == nil {
+		r.evidence.Alerted(alert.Daemon, part, now)
+	} else if alert.Value != "" {
+		r.log.Log(event.RowUnreadable, "row", platform.AlertKey(alert.Daemon), "error", err)
+	}
+	r.exchangeIn(0, now)
 }
 
 // retryUnless makes Serve exchange the reports again after a pause, unless the last call succeeded.
@@ -189,6 +198,7 @@
 
 // read reads the reports of all daemons and reports whether it succeeded.
 func (r *crashReports) read(ctx context.Context) bool {
+	begun := r.timer.Now()
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	rows, err := r.table.Rows(ctx, reportPrefix)
@@ -205,7 +215,7 @@
 		}
 		reports[chicoryhall.DaemonID(strings.TrimPrefix(row.Key, reportPrefix))] = report
 	}
-	r.evidence.Replace(reports, r.timer.Now())
+	r.evidence.Replace(reports, begun)
 	return true
 }
 
@@ -245,7 +255,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	if _, err := r.transact(ctx, table.Change{Key: platform.AlertKey(r.self), IfVersion: table.AnyVersion}); err != nil {
+	part := quarantine.Report{Involved: suspicious, Cleared: r.evidence.Own(r.timer.Now()).Cleared}
+	change := table.Change{Key: platform.AlertKey(r.self), IfVersion: table.AnyVersion, Value: table.EncodeValue(part)}
+	if _, err := r.transact(ctx, change); err != nil {
 		r.logFailure("alert the other daemons", err)
 		return false
 	}
--- a/cmd/chicoryhall/platformdaemon/quarantine.go
+++ b/cmd/chicoryhall/platformdaemon/quarantine.go
@@ -67,13 +67,14 @@
 
 // recordCrash records that attempts were lost in the crash of an endpoint. If other endpoints crashed at the same time,
 // the cause may be a common one, so that the crash proves nothing against an isolated suspect, unless it was involved in
-// many incidents.
+// many incidents. The loss of a trial and a new suspect are told to the other daemons at once.
 func (s *quarantineService) recordCrash(crash quarantine.Incarnation, lost []quarantine.Loss) {
 	now := s.timer.Now()
-	lostTrial := false
+	suspectsBefore := s.suspectsAmong(lost, now)
+	urgent := false
 	for _, loss := range lost {
 		isolated := loss.Isolated
-		lostTrial = lostTrial || isolated
+		urgent = urgent || isolated
 		if isolated && s.evidence.Standing(loss.Fingerprint, now).Incidents < maxUnreserved {
 			isolated = !s.crashes.crashedElsewhere(loss, now)
 		}
@@ -82,13 +83,24 @@
 			Later: loss.Explained, Isolated: isolated,
 		}, now)
 	}
-	if lostTrial {
+	if urgent || s.suspectsAmong(lost, now) > suspectsBefore {
 		s.reports.exchangeUrgentlyIn(lossDelay, now)
 	} else {
 		s.reports.exchangeIn(lossDelay, now)
 	}
 }
 
+// suspectsAmong returns how many of the lost requests are suspects.
+func (s *quarantineService) suspectsAmong(lost []quarantine.Loss, now time.Time) int {
+	suspects := 0
+	for _, loss := range lost {
+		if s.evidence.Standing(loss.Fingerprint, now).State != quarantine.StateFree {
+			suspects++
+		}
+	}
+	return suspects
+}
+
 // Passed clears a fingerprint of crashes. The other daemons are alerted if they may take it for a suspect.
 func (s *quarantineService) Passed(fingerprint quarantine.Fingerprint, crashes []quarantine.Incarnation) {
 	now := s.timer.Now()
--- a/cmd/chicoryhall/platformdaemon/quarantine_test.go
+++ b/cmd/chicoryhall/platformdaemon/quarantine_test.go
@@ -12,6 +12,7 @@
 
 	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/event"
+	"chicoryhall.example/chicoryhall/platform"
 	"chicoryhall.example/chicoryhall/quarantine"
 	"chicoryhall.example/chicoryhall/table/tabletest"
 	"chicoryhall.example/chicoryhall/timer"
@@ -201,3 +202,42 @@
 	sweeper.sweep(ctx)
 	must.MapEmpty(t, store.Snapshot())
 }
+
+// TestAlertTellsOfSuspect passes alerts to a daemon that does not read the reports, after crashes and after a clearance.
+func TestAlertTellsOfSuspect(t *testing.T) {
+	ctx := context.Background()
+	store := &tabletest.Store{}
+	one, two := newTestQuarantine("one", store), newTestQuarantine("two", store)
+	tell := func() {
+		value := store.Snapshot()[platform.AlertKey("one")].Value
+		two.reports.onAlert(platform.Alert{Daemon: "one", Value: value})
+	}
+	one.crash("a/1", "x")
+	one.crash("a/2", "y")
+	one.reports.exchange(ctx)
+	one.reports.exchange(ctx)
+	tell()
+	must.Eq(t, quarantine.StateSuspect, two.Standing(suspect, two.timer.Now()).State)
+	one.Passed(suspect, one.Standing(suspect, one.timer.Now()).Crashes)
+	one.reports.exchange(ctx)
+	tell()
+	must.Eq(t, quarantine.StateFree, two.Standing(suspect, two.timer.Now()).State)
+	two.reports.onAlert(platform.Alert{Daemon: "one", Value: "unreadable"})
+	two.reports.onAlert(platform.Alert{Daemon: "one"})
+	must.Eq(t, quarantine.StateFree, two.Standing(suspect, two.timer.Now()).State)
+}
+
+// TestNewSuspectIsToldAtOnce loses requests in crashes right after an exchange.
+func TestNewSuspectIsToldAtOnce(t *testing.T) {
+	ctx := context.Background()
+	store := &tabletest.Store{}
+	one := newTestQuarantine("one", store)
+	one.reports.exchange(ctx)
+	one.reports.pause = maxExchangePause
+	for i, endpoint := range []string{"x", "y", "z"} {
+		one.crash("a/"+endpoint, endpoint)
+		one.reports.exchangeIfWanted(ctx)
+		_, alerted := store.Snapshot()[platform.AlertKey("one")]
+		must.Eq(t, i > 0, alerted)
+	}
+}
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -37,6 +37,7 @@
 	mu      sync.Mutex
 	own     Report
 	others  map[chicoryhall.DaemonID]Report
+	alerts  map[chicoryhall.DaemonID]alert
 	knownAt map[Involvement]time.Time
 	// adopted is set once the report that an earlier process of this daemon left has been added to the own one.
 	adopted bool
@@ -47,11 +48,17 @@
 	staleAt  time.Time
 }
 
+// alert is what a daemon has told at the given time, before its report was read again.
+type alert struct {
+	report Report
+	at     time.Time
+}
+
 // NewEvidence returns Evidence without any report.
 func NewEvidence(self chicoryhall.DaemonID) *Evidence {
 	return &Evidence{
-		self: self, others: make(map[chicoryhall.DaemonID]Report), knownAt: make(map[Involvement]time.Time),
-		subjects: make(map[Fingerprint]*subject),
+		self: self, others: make(map[chicoryhall.DaemonID]Report), alerts: make(map[chicoryhall.DaemonID]alert),
+		knownAt: make(map[Involvement]time.Time), subjects: make(map[Fingerprint]*subject),
 	}
 }
 
@@ -112,13 +119,23 @@
 	e.changed = true
 }
 
-// Replace replaces the reports of all other daemons. The first call also adds the report that an earlier process of this
-// daemon has left to the own one.
+// Alerted adds the part of another daemon's report that it has alerted this one of. It replaces what an earlier alert of
+// that daemon has added.
+func (e *Evidence) Alerted(from chicoryhall.DaemonID, part Report, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.alerts[from] = alert{report: part, at: now}
+	e.changed = true
+}
+
+// Replace replaces the reports of all other daemons by those that were read from the given time on, and drops the alerts
+// before. The first call also adds the report that an earlier process of this daemon has left to the own one.
 func (e *Evidence) Replace(reports map[chicoryhall.DaemonID]Report, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.others = maps.Clone(reports)
 	delete(e.others, e.self)
+	maps.DeleteFunc(e.alerts, func(_ chicoryhall.DaemonID, one alert) bool { return !one.at.After(now) })
 	if !e.adopted {
 		e.adopted = true
 		for _, left := range reports[e.self].Involved {
@@ -233,11 +250,29 @@
 	e.dropUnneededClearances()
 }
 
-// involved returns the involvements of all reports.
-func (e *Evidence) involved() []Involvement {
-	all := slices.Clone(e.own.Involved)
+// reports returns the reports of all daemons in a fixed order, this one's first, and then the alerts.
+func (e *Evidence) reports() []Report {
+	all := []Report{e.own}
 	for _, daemon := range slices.Sorted(maps.Keys(e.others)) {
-		all = append(all, e.others[daemon].Involved...)
+		all = append(all, e.others[daemon])
+	}
+	for _, daemon := range slices.Sorted(maps.Keys(e.alerts)) {
+		all = append(all, e.alerts[daemon].report)
+	}
+	return all
+}
+
+// involved returns the involvements of all reports, each once.
+func (e *Evidence) involved() []Involvement {
+	var all []Involvement
+	known := make(map[Involvement]bool)
+	for _, report := range e.reports() {
+		for _, one := range report.Involved {
+			if !known[one] {
+				known[one] = true
+				all = append(all, one)
+			}
+		}
 	}
 	return all
 }
@@ -245,10 +280,7 @@
 // cleared returns the clearances of all reports.
 func (e *Evidence) cleared() map[Clearance]bool {
 	all := make(map[Clearance]bool)
-	for _, one := range e.own.Cleared {
-		all[one] = true
-	}
-	for _, report := range e.others {
+	for _, report := range e.reports() {
 		for _, one := range report.Cleared {
 			all[one] = true
 		}
