--- a/cmd/chicorystand/hall/control.go
+++ b/cmd/chicorystand/hall/control.go
@@ -16,6 +16,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ledger", func(rw http.ResponseWriter, _ *http.Request) { reply(rw, http.StatusOK, p.ledger.Entries()) })
 	mux.HandleFunc("GET /arrivals", func(rw http.ResponseWriter, _ *http.Request) { reply(rw, http.StatusOK, p.arrivals.entries()) })
+	mux.HandleFunc("GET /requests", func(rw http.ResponseWriter, _ *http.Request) { reply(rw, http.StatusOK, p.requests.entries()) })
 	mux.HandleFunc("POST /store", func(rw http.ResponseWriter, r *http.Request) {
 		var faults StoreFaults
 		if decode(rw, r, &faults) {
--- a/cmd/chicorystand/hall/endpoint.go
+++ b/cmd/chicorystand/hall/endpoint.go
@@ -21,6 +21,8 @@
 	Slow float64 `json:"slow"`
 	// CutEvery closes the connection in the middle of every CutEvery-th answer.
 	CutEvery int `json:"cutEvery"`
+	// Limit is the text of the header with which answers name a limit, in requests a second. They name none if it is empty.
+	Limit string `json:"limit"`
 }
 
 // Endpoint is one simulated endpoint: an engine or a plain endpoint.
@@ -170,6 +172,7 @@
 	case "/-/order":
 		e.order(w, r)
 	default:
+		e.platform.requests.add(RequestArrival{Endpoint: e.id(), AtMillis: time.Now().UnixMilli()})
 		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 		if e.settings.Kind == "" {
 			e.servePlain(w, r)
@@ -266,12 +269,16 @@
 	w.WriteHeader(status)
 }
 
-// setAnswerHeaders sets the headers that every successful answer has: the IDs of endpoint and request, and the load.
+// setAnswerHeaders sets the headers that every successful answer has: the IDs of endpoint and request, the load, and the
+// limit if there is one.
 func (e *Endpoint) setAnswerHeaders(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	w.Header().Set("Server-Seal", e.settings.ID+"."+r.Header.Get("Request-Id"))
 	w.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d", e.running, e.settings.Slots))
+	if e.faults.Limit != "" {
+		w.Header().Set("Server-Limit", e.faults.Limit)
+	}
 }
 
 // shouldCut counts an answer that starts now and reports whether the fault CutEvery cuts it off.
--- a/cmd/chicorystand/hall/ledger.go
+++ b/cmd/chicorystand/hall/ledger.go
@@ -1,6 +1,9 @@
 package hall
 
-import "sync"
+import (
+	"slices"
+	"sync"
+)
 
 // LedgerEntry records a request that an endpoint ran, a request with an invalid route, or an order that exceeds the
 // engine's memory.
@@ -32,3 +35,29 @@
 	defer l.mu.Unlock()
 	return append([]LedgerEntry{}, l.entries...)
 }
+
+// RequestArrival records that a request arrived at an endpoint, also if the endpoint refused it.
+type RequestArrival struct {
+	Endpoint string `json:"engine"`
+	// AtMillis is the Unix time in milliseconds.
+	AtMillis int64 `json:"atMillis"`
+}
+
+// requestArrivals records the arrivals of all requests.
+type requestArrivals struct {
+	mu  sync.Mutex
+	all []RequestArrival
+}
+
+func (r *requestArrivals) add(arrival RequestArrival) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all = append(r.all, arrival)
+}
+
+// entries returns a copy of all arrivals in their order.
+func (r *requestArrivals) entries() []RequestArrival {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.all)
+}
--- a/cmd/chicorystand/hall/platform.go
+++ b/cmd/chicorystand/hall/platform.go
@@ -26,6 +26,7 @@
 	store     *Store
 	ledger    Ledger
 	arrivals  arrivals
+	requests  requestArrivals
 	endpoints []*Endpoint
 	group     *errgroup.Group
 	ctx       context.Context
--- a/proof/soak_caller_test.go
+++ b/proof/soak_caller_test.go
@@ -202,6 +202,17 @@
 	return cs
 }
 
+// startCallersOf starts callers that send requests of one kind only, each with a body of its own.
+func startCallersOf(w *soakPlatform, count int, kind soakKind) *callers {
+	cs := &callers{end: make(chan struct{})}
+	for i := range count {
+		cs.start(&soakCaller{
+			platform: w, name: fmt.Sprintf("c%d", i), random: rand.New(rand.NewPCG(1, uint64(i))), bodyOf: ownBody, kinds: []soakKind{kind},
+		})
+	}
+	return cs
+}
+
 // start makes a caller send requests until the callers are stopped.
 func (cs *callers) start(c *soakCaller) {
 	cs.all = append(cs.all, c)
