pace: limits that endpoints state are kept by all daemons together

Operators saw an engine in need get two to three times the requests that it had named as its limit: nothing read the header. Cause: a new statement of endpoints that the daemon did not know. The class: a bound on an endpoint that has to hold over all daemons, which exchange no messages.

What exceeds the limit goes to other endpoints, or is refused at once with a time to return.

--- a/cmd/chicoryhall/platformdaemon/builder.go
+++ b/cmd/chicoryhall/platformdaemon/builder.go
@@ -14,6 +14,7 @@
 	"chicoryhall.example/chicoryhall/event"
 	"chicoryhall.example/chicoryhall/follow"
 	"chicoryhall.example/chicoryhall/membership"
+	"chicoryhall.example/chicoryhall/pace"
 	"chicoryhall.example/chicoryhall/passthrough"
 	"chicoryhall.example/chicoryhall/pipeline"
 	"chicoryhall.example/chicoryhall/placement"
@@ -102,6 +103,7 @@
 	metrics       *passthrough.Metrics
 	crashMetrics  *metrics.Set
 	quarantine    *quarantineService
+	limits        *pace.Limiter
 }
 
 // build constructs the components in the order of their dependencies and adds them to the tree of supervisors.
@@ -203,6 +205,7 @@
 
 func (b *builder) buildInterfaces(supervisor *suture.Supervisor) {
 	b.metrics = passthrough.NewMetrics()
+	b.limits = pace.New(pace.NewShares(b.members), b.endpoints, b.log)
 	b.admission = admission.New(b.timer, b.documents, b.endpoints, b.members)
 	b.server = passthrough.NewServer(passthrough.Config{
 		Address: b.settings.Listen.Callers, FailureDomain: b.settings.FailureDomain, Timer: b.timer,
@@ -214,6 +217,7 @@
 		Retries: retry.NewSlidingBudgets(retry.SlidingLimits{
 			Window: b.settings.Retries.Window, Ratio: b.settings.Retries.Ratio, Slack: b.settings.Retries.Slack,
 		}, b.timer.Now(), b.members.Alive),
+		Limits:     b.limits,
 		Quarantine: b.quarantine,
 		Dialect:    platform.Dialect{}, OnStaleView: b.endpointsFeed.Refresh, Metrics: b.metrics, Log: b.log,
 	})
--- a/dialect.go
+++ b/dialect.go
@@ -50,11 +50,22 @@
 	// Unsigned means that a successful answer lacks the signature header that endpoints add to
 	// complete answers, so that it may be incomplete.
 	Unsigned bool
+	// Limit is what the endpoint states of the requests that it takes.
+	Limit StatedLimit
 	// Misdirected means that another endpoint answers at the address, or that the endpoint lacks
 	// layers of the request's route.
 	Misdirected bool
 }
 
+// StatedLimit is what an answer says of the number of requests that its endpoint takes from all daemons together.
+type StatedLimit struct {
+	Kind LimitKind
+	// PerSecond is the number of requests a second, which may be 0, if Kind is LimitStated.
+	PerSecond float64
+	// Text is the statement as it was received.
+	Text string
+}
+
 // Dialect reads and writes the headers that a deployment's callers and endpoints use.
 type Dialect interface {
 	// ParseCaller reads a caller's headers.
--- a/enums.go
+++ b/enums.go
@@ -3,6 +3,7 @@
 //go:generate go tool enumer -type=Outcome -json -text -transform=kebab -trimprefix=Outcome -output=outcome_enumer.go
 //go:generate go tool enumer -type=ServiceKind -json -text -transform=lower -trimprefix=Service -output=servicekind_enumer.go
 //go:generate go tool enumer -type=EndpointState -json -text -transform=lower -trimprefix=Endpoint -output=endpointstate_enumer.go
+//go:generate go tool enumer -type=LimitKind -json -text -transform=lower -trimprefix=Limit -output=limitkind_enumer.go
 
 // Outcome is the final state of a request that is reported to its caller.
 type Outcome int
@@ -48,3 +49,16 @@
 	// Endpoints treat an address without listener as EndpointSuspect.
 	EndpointDead
 )
+
+// LimitKind tells whether an answer states a limit on its endpoint's requests.
+type LimitKind int
+
+// The kinds of statements.
+const (
+	// LimitNone means that the answer states no limit.
+	LimitNone LimitKind = iota
+	// LimitStated means that the answer states a limit.
+	LimitStated
+	// LimitUnreadable means that what the answer states is not a number of requests.
+	LimitUnreadable
+)
--- a/event/requests.go
+++ b/event/requests.go
@@ -54,6 +54,15 @@
 	CrashAlertReceived = define(2048, log.InfoLevel, "alert of a suspect received",
 		"Another daemon has found that requests with the same content were lost in several crashes of endpoints, or that they are harmless after all; this daemon reads what it has reported.",
 		"Nothing.")
+	EndpointLimitStated = define(2049, log.InfoLevel, "endpoint states a limit",
+		"An answer of the endpoint states how many requests a second it takes from all daemons together; share is this daemon's part of that. What exceeds it goes to other endpoints or is refused.",
+		"Find out why the endpoint takes fewer requests, if it should not.")
+	EndpointLimitEnded = define(2050, log.InfoLevel, "endpoint states no limit any more",
+		"The endpoint no longer states a limit, so this daemon sends it as many requests as before.",
+		"Nothing.")
+	EndpointLimitUnreadable = define(2051, log.WarnLevel, "endpoint's limit unreadable",
+		"What an answer of the endpoint states as its limit is not a number of requests a second; it is ignored.",
+		"Correct what the endpoint states.")
 	EndpointFailed = define(2500, log.WarnLevel, "endpoint failed a request",
 		"An endpoint refused or broke a connection or stopped responding; the request continues on another one.",
 		"Check the endpoint if it repeats.")
--- a/membership/tablemembers.go
+++ b/membership/tablemembers.go
@@ -68,6 +68,8 @@
 	// reported holds the entries last passed to the subscribers.
 	reported    map[chicoryhall.DaemonID]chicoryhall.Member
 	subscribers []func(chicoryhall.Member)
+	// known is set once the rows have been read.
+	known bool
 	// tableReachable is whether the last call to the table succeeded.
 	tableReachable bool
 	cachedCounts   memberCounts
@@ -88,6 +90,13 @@
 // Self returns this daemon's own entry.
 func (m *TableMembers) Self() chicoryhall.Member { return m.self }
 
+// Known reports whether the rows of the other daemons have been read since the start.
+func (m *TableMembers) Known() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.known
+}
+
 // Others returns every known daemon but this one, ordered by ID.
 func (m *TableMembers) Others() []chicoryhall.Member {
 	now := m.timer.Now()
@@ -219,6 +228,7 @@
 		}
 	}
 	m.rows = present
+	m.known = true
 	m.cachedCounts = memberCounts{}
 }
 
--- a/passthrough/answer.go
+++ b/passthrough/answer.go
@@ -9,6 +9,7 @@
 	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/exchange"
 	"chicoryhall.example/chicoryhall/http1"
+	"chicoryhall.example/chicoryhall/pace"
 )
 
 // handleHead handles the head of the answer. It starts to forward an event stream; any other answer is
@@ -22,6 +23,7 @@
 	if a.answerHeaders.Waiting > 0 { // Requests wait there, so the endpoint has no room, whatever it answers to this one.
 		a.exchange.config().Endpoints.Observe(a.route.Hops[0].Engine, chicoryhall.ObservedFull)
 	}
+	a.recordLimit()
 	a.reportProgress()
 	if response.StatusCode >= http.StatusMultipleChoices || a.answerHeaders.NotRun {
 		return
@@ -36,6 +38,17 @@
 	}
 }
 
+// recordLimit records what the answer says of the limit of the first endpoint, unless another endpoint has answered.
+func (a *attempt) recordLimit() {
+	if a.answerHeaders.Misdirected {
+		return
+	}
+	x := a.exchange
+	x.config().Limits.Record(pace.Statement{
+		Endpoint: a.route.Hops[0].Engine, Service: x.service, Limit: a.answerHeaders.Limit, AskedAt: a.startedAt, Refused: a.answerHeaders.NotRun,
+	}, x.config().Timer.Now())
+}
+
 // startStream forwards the head of a stream, unless the stream continues an earlier attempt's answer.
 func (a *attempt) startStream() {
 	x := a.exchange
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -78,10 +78,7 @@
 		x.refuse(http.StatusServiceUnavailable, retryAfterNoRules, "the service is not described")
 		return
 	}
-	route, err := x.config().Router.Choose(chicoryhall.RouteQuery{
-		Document: current.Document, FailureDomain: x.config().FailureDomain, Positions: x.callerHeaders.PromptTokens,
-		RemainingTokens: x.callerHeaders.AnswerTokens, Exclude: slices.Concat(x.excluded, x.reservedElsewhere), Now: x.config().Timer.Now(),
-	})
+	route, err := x.chooseRoute(current.Document)
 	switch {
 	case err != nil && len(x.reservedElsewhere) > 0:
 		x.reservedElsewhere = nil
--- a/passthrough/callerexchange.go
+++ b/passthrough/callerexchange.go
@@ -34,6 +34,8 @@
 	// retryAfterNoRoute is the Retry-After time if the router finds no route, because endpoints are missing or are
 	// all full.
 	retryAfterNoRoute = time.Second
+	// minRetryAfterLimited is the least Retry-After time if limits that endpoints state leave no route.
+	minRetryAfterLimited = 100 * time.Millisecond
 )
 
 // callerExchange is the exchange of one request and its answer. Its fields are only used in the mailbox of the
--- a/passthrough/config.go
+++ b/passthrough/config.go
@@ -5,6 +5,7 @@
 
 	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/event"
+	"chicoryhall.example/chicoryhall/pace"
 	"chicoryhall.example/chicoryhall/quarantine"
 	"chicoryhall.example/chicoryhall/routing"
 )
@@ -17,6 +18,17 @@
 	Take(service chicoryhall.ServiceName, now time.Time) bool
 }
 
+// Limits keeps this daemon's part of the limits that endpoints state.
+type Limits interface {
+	// Record records what an answer says.
+	Record(statement pace.Statement, now time.Time)
+	// Exhausted returns the endpoints of a service to which this daemon must not send now, and the time until it may send
+	// to one of them again.
+	Exhausted(service chicoryhall.ServiceName, now time.Time) ([]chicoryhall.EndpointID, time.Duration)
+	// Take counts a request to an endpoint. It returns false if the endpoint's limit does not allow one now.
+	Take(id chicoryhall.EndpointID, now time.Time) bool
+}
+
 // Endpoints is a chicoryhall.Endpoints that also records progress and reported loads.
 type Endpoints interface {
 	chicoryhall.Endpoints
@@ -59,6 +71,7 @@
 	Router        chicoryhall.Router
 	Admission     chicoryhall.Admission
 	Retries       Retries
+	Limits        Limits
 	Quarantine    Quarantine
 	Dialect       chicoryhall.Dialect
 	// OnStaleView is called when a missing route or a misdirected request suggests that the view of endpoints
--- a/passthrough/failure.go
+++ b/passthrough/failure.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -24,10 +25,20 @@
 	case x.machine.MayHaveRun():
 		x.answerError(http.StatusBadGateway, event.ExchangeFailed, "no endpoints to go on at: "+err.Error())
 	default:
-		x.refuse(http.StatusServiceUnavailable, retryAfterNoRoute, err.Error())
+		x.refuse(http.StatusServiceUnavailable, retryAfterOf(err), err.Error())
 	}
 }
 
+// retryAfterOf returns the time after which a request for which there is no route may be sent again. Other daemons may have
+// a part of a limit left, so it is never long.
+func retryAfterOf(err error) time.Duration {
+	var limited *limitedError
+	if errors.As(err, &limited) {
+		return min(retryAfterNoRoute, max(minRetryAfterLimited, limited.after))
+	}
+	return retryAfterNoRoute
+}
+
 // lacksRoom reports whether a router's error means that there is a route but its endpoints are full.
 func lacksRoom(err error) bool {
 	var capacityErr interface {
--- a/passthrough/fixture_test.go
+++ b/passthrough/fixture_test.go
@@ -19,6 +19,7 @@
 
 	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/event"
+	"chicoryhall.example/chicoryhall/pace"
 	"chicoryhall.example/chicoryhall/passthrough"
 	"chicoryhall.example/chicoryhall/routing"
 	"chicoryhall.example/chicoryhall/timer"
@@ -57,6 +58,7 @@
 	return chicoryhall.AnswerHeaders{
 		NotRun: response.Header.Get("Not-Run") != "", RequestID: chicoryhall.RequestID(response.Header.Get("Id")),
 		Unsigned: response.StatusCode == http.StatusOK && response.Header.Get("Signature") == "", Running: -1,
+		Limit: chicoryhall.StatedLimit{Text: response.Header.Get("Limit")},
 	}
 }
 
@@ -159,6 +161,43 @@
 	refuse    bool
 	// quarantine is the server's passthrough.Quarantine.
 	quarantine *fakeQuarantine
+	limits     *fakeLimits
+}
+
+// fakeLimits is a passthrough.Limits that allows each endpoint that is named in left so many requests.
+type fakeLimits struct {
+	mu       sync.Mutex
+	left     map[chicoryhall.EndpointID]int
+	recorded []pace.Statement
+}
+
+func (l *fakeLimits) Record(statement pace.Statement, _ time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	statement.AskedAt = time.Time{}
+	l.recorded = append(l.recorded, statement)
+}
+
+func (l *fakeLimits) Exhausted(chicoryhall.ServiceName, time.Time) (exhausted []chicoryhall.EndpointID, wait time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, left := range l.left {
+		if left == 0 {
+			exhausted = append(exhausted, id)
+		}
+	}
+	return exhausted, 300 * time.Millisecond
+}
+
+func (l *fakeLimits) Take(id chicoryhall.EndpointID, _ time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	left, limited := l.left[id]
+	if !limited {
+		return true
+	}
+	l.left[id] = left - 1
+	return left > 0
 }
 
 // logBuffer collects the server's log.
@@ -348,7 +387,7 @@
 	t.Helper()
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
-	w := &testServer{quarantine: &fakeQuarantine{}, address: free.Addr().String(), retries: 10, logs: &logBuffer{}, endpoints: &fakeEndpoints{inFlight: make(map[chicoryhall.EndpointID]int)}}
+	w := &testServer{quarantine: &fakeQuarantine{}, limits: &fakeLimits{}, address: free.Addr().String(), retries: 10, logs: &logBuffer{}, endpoints: &fakeEndpoints{inFlight: make(map[chicoryhall.EndpointID]int)}}
 	must.NoError(t, free.Close())
 	clock := timer.New()
 	current := routing.NewCurrentRules()
@@ -357,7 +396,7 @@
 	}
 	w.server = passthrough.NewServer(passthrough.Config{
 		Address: w.address, Timer: lateTimer{Service: clock, late: late}, Rules: current, Documents: w, Endpoints: w.endpoints, Router: router, Admission: w,
-		Retries: w, Quarantine: w.quarantine, Dialect: testDialect{}, OnStaleView: func() {}, Metrics: passthrough.NewMetrics(), Log: event.NewLogger(w.logs, "test", log.InfoLevel),
+		Retries: w, Limits: w.limits, Quarantine: w.quarantine, Dialect: testDialect{}, OnStaleView: func() {}, Metrics: passthrough.NewMetrics(), Log: event.NewLogger(w.logs, "test", log.InfoLevel),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var serving sync.WaitGroup
--- a/watch/listedview.go
+++ b/watch/listedview.go
@@ -122,6 +122,17 @@
 	return e.listing.Address, e.listedAt
 }
 
+// FailureDomain returns the failure domain of a listed endpoint.
+func (l *ListedEndpoints) FailureDomain(id chicoryhall.EndpointID) (chicoryhall.FailureDomain, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e, known := l.entries[id]
+	if !known || e.gone {
+		return "", false
+	}
+	return e.listing.FailureDomain, true
+}
+
 // ByAddress returns the endpoint that is listed at an address.
 func (l *ListedEndpoints) ByAddress(address string) (chicoryhall.EndpointID, bool) {
 	l.mu.Lock()
