passthrough: answer the first request of a connection while draining

What callers saw: a connection that opened while a daemon drained was closed before its first request arrived, so the request got no answer in place of a 503 that says when to come back. Callers of requests that may not be repeated could not know that it had not run.

Cause: once a draining server refuses requests, it closes connections between two requests every 20 ms, and took one without any request yet for such a connection.

Why this works: a connection counts as between two requests only after its first one; until then the timeout for a head limits the wait.

--- a/passthrough/connection.go
+++ b/passthrough/connection.go
@@ -42,6 +42,8 @@
 	// current is the exchange in progress, or nil.
 	current *callerExchange
 	closed  bool
+	// hasRequested is set once a request has been read completely.
+	hasRequested bool
 	// closing is set once no further request is accepted.
 	closing bool
 
@@ -155,6 +157,7 @@
 	x := newCallerExchange(conn, conn.head, conn.body)
 	conn.head, conn.body = nil, nil
 	conn.current = x
+	conn.hasRequested = true
 	x.start()
 	return nil
 }
@@ -211,9 +214,10 @@
 	_ = conn.socket.Close()
 }
 
-// closeIfIdle closes the connection if it is between two requests.
+// closeIfIdle closes the connection if it is between two requests. A connection that has just opened is not, as its first
+// request is on the way; closeAt limits the wait for it.
 func (conn *connection) closeIfIdle() {
-	if conn.current == nil && conn.head == nil && conn.reader.AtBoundary() && !conn.closing {
+	if conn.hasRequested && conn.current == nil && conn.head == nil && conn.reader.AtBoundary() && !conn.closing {
 		conn.close()
 	}
 }
