--- a/placement/repair_test.go
+++ b/placement/repair_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -44,6 +45,14 @@
 			endpointsHolding("fast", placement.LayerSpan{From: 0, To: 30}, placement.LayerSpan{From: 35, To: 55}, placement.LayerSpan{From: 55, To: 80}),
 			map[chicoryhall.EndpointID]placement.LayerSpan{"fastb": {From: 30, To: 55}},
 		},
+		{
+			"the slowest would have the least capacity",
+			slices.Concat(endpointsHolding("fast", placement.LayerSpan{From: 0, To: 30}, placement.LayerSpan{From: 0, To: 29}),
+				endpointsHolding("middle", placement.LayerSpan{From: 29, To: 46}, placement.LayerSpan{From: 46, To: 63},
+					placement.LayerSpan{From: 46, To: 63}, placement.LayerSpan{From: 72, To: 80}),
+				endpointsHolding("slow", placement.LayerSpan{From: 72, To: 80})),
+			map[chicoryhall.EndpointID]placement.LayerSpan{"middlec": {From: 63, To: 72}},
+		},
 		{
 			"no memory is left",
 			endpointsHolding("slow", placement.LayerSpan{From: 0, To: 11}),
