stand-ins: the timeout of a dial does not close the open connection

Callers of the daemons were not affected: the flaw was in stand-ins, the engines' connections to each other and the relay of the fault proxies.

Cause: nbio's asynchronous dial registers the connection with its event loop and sets the timer of the timeout after that. If the connection opens in between, its callback clears a timer that is not set yet, and the timer then closes the open connection when the timeout is over.

Now package dial opens connections with the standard library and hands them to the event loop, as the daemon does.

--- a/cmd/chicorystand/relay/pair.go
+++ b/cmd/chicorystand/relay/pair.go
@@ -65,10 +65,7 @@
 		_ = accepted.Close()
 		return nil
 	}
-	if err := p.relay.nbio.DialAsyncTimeout("tcp", target, dialTimeout, p.handleDialed); err != nil {
-		p.Close()
-		return errors.Wrapf(err, "dial %s", target)
-	}
+	p.relay.dialer.Start(target, p.target, p.handleDialed)
 	return nil
 }
 
@@ -109,18 +106,15 @@
 	}
 }
 
-// handleDialed uses the connection to the target, which nbio has established, or closes the pair if dialing failed.
+// handleDialed uses the connection to the target, or closes the pair if dialing failed.
 func (p *Pair) handleDialed(c *nbio.Conn, err error) {
 	if err != nil {
 		p.Close()
 		return
 	}
-	// nbio's asynchronous dial leaves Nagle's algorithm enabled, which delays small pieces.
-	_ = c.SetNoDelay(true)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.target.conn = c
-	c.SetSession(p.target)
 	if p.closed {
 		_ = c.Close()
 		return
--- a/cmd/chicorystand/relay/relay.go
+++ b/cmd/chicorystand/relay/relay.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/cmd/chicorystand/dial"
 	"chicoryhall.example/chicoryhall/cmd/chicorystand/shutdown"
 )
 
@@ -52,8 +53,9 @@
 
 // Relay copies data between pairs of connections.
 type Relay struct {
-	timer chicoryhall.Timer
-	nbio  *nbio.Engine
+	timer  chicoryhall.Timer
+	nbio   *nbio.Engine
+	dialer *dial.Dialer
 
 	mu    sync.Mutex
 	pairs map[*Pair]bool
@@ -62,6 +64,7 @@
 // New returns a Relay. Start makes it copy data.
 func New(timer chicoryhall.Timer) *Relay {
 	r := &Relay{timer: timer, nbio: nbio.NewEngine(nbio.Config{Network: "tcp"}), pairs: map[*Pair]bool{}}
+	r.dialer = dial.New(r.nbio, dialTimeout)
 	r.nbio.OnData(func(c *nbio.Conn, data []byte) {
 		if e, ok := c.Session().(*end); ok {
 			e.handleData(data)
@@ -86,7 +89,10 @@
 }
 
 // Stop closes all pairs.
-func (r *Relay) Stop() { shutdown.Engine(r.nbio) }
+func (r *Relay) Stop() {
+	r.dialer.Stop()
+	shutdown.Engine(r.nbio)
+}
 
 // AcceptLoop accepts connections and calls handle for each, one at a time, until ctx is done or the listener is closed.
 // It closes the listener when ctx is done. Any other failure to accept a connection ends it with an error.
--- a/cmd/chicorystand/stage/pool.go
+++ b/cmd/chicorystand/stage/pool.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/cmd/chicorystand/dial"
 	"chicoryhall.example/chicoryhall/cmd/chicorystand/shutdown"
 )
 
@@ -38,8 +39,9 @@
 	timer   chicoryhall.Timer
 	handler Handler
 	nbio    *nbio.Engine
+	dialer  *dial.Dialer
 
-	// stopMu is held for reading while nbio starts to dial, which it must not do once it stops.
+	// stopMu is held for reading while a dial starts, which it must not do once the pool stops.
 	stopMu  sync.RWMutex
 	stopped bool
 
@@ -58,6 +60,7 @@
 		dialed:   map[string]*Conn{},
 		accepted: map[*Conn]bool{},
 	}
+	p.dialer = dial.New(p.nbio, dialTimeout)
 	p.nbio.OnData(func(inner *nbio.Conn, data []byte) {
 		if c, ok := inner.Session().(*Conn); ok {
 			c.HandleData(data)
@@ -85,6 +88,7 @@
 	p.stopMu.Lock()
 	p.stopped = true
 	p.stopMu.Unlock()
+	p.dialer.Stop()
 	shutdown.Engine(p.nbio)
 }
 
@@ -167,29 +171,27 @@
 	return c
 }
 
-// startDial makes nbio dial the connection's address, unless the pool has been stopped.
+// startDial dials the connection's address, unless the pool has been stopped.
 func (p *ConnPool) startDial(c *Conn) error {
 	p.stopMu.RLock()
 	defer p.stopMu.RUnlock()
 	if p.stopped {
 		return errStopped
 	}
-	return p.nbio.DialAsyncTimeout("tcp", c.address, dialTimeout, func(inner *nbio.Conn, err error) {
+	p.dialer.Start(c.address, c, func(inner *nbio.Conn, err error) {
 		if err != nil {
 			p.ConnClosed(c)
 			return
 		}
-		// nbio's asynchronous dial leaves Nagle's algorithm enabled, which delays activations.
-		_ = inner.SetNoDelay(true)
 		p.upgrade(c, inner)
 	})
+	return nil
 }
 
 // upgrade requests the upgrade on an established connection. Conn.HandleData handles the response.
 func (p *ConnPool) upgrade(c *Conn, inner *nbio.Conn) {
 	c.mu.Lock()
 	c.inner = inner
-	inner.SetSession(c)
 	c.mu.Unlock()
 	_, _ = inner.Write([]byte("POST " + Path + " HTTP/1.1\r\nHost: " + c.address +
 		"\r\nConnection: Upgrade\r\nUpgrade: " + Protocol + "\r\nContent-Length: 0\r\n\r\n"))
