platform, watch: a store restored from a copy does not revive what is leaving

The store may return from a copy some seconds old; what was written since is gone, and versions are given out again.

Cause: an older row of the list was taken for the endpoint's present state, and a follower that happened to read the whole table anyway, or that slept between two requests, did not notice that the store had been away.

Rules do not go back, as before.

Evidence: the stand-in copies and restores its store now.

--- a/cmd/chicoryhall/platformdaemon/builder.go
+++ b/cmd/chicoryhall/platformdaemon/builder.go
@@ -144,6 +144,7 @@
 	b.endpoints = watch.NewListedEndpoints(watch.ListedConfig{
 		Timer: b.timer, Daemons: b.members.Alive, DomainDaemons: b.members.AliveInDomain, Document: b.document, Log: b.log,
 	})
+	b.store.SubscribeRestored(b.endpoints.Restored)
 	b.documents = routing.NewDocuments(b.rules, b.endpoints)
 	b.endpointsFeed = follow.New(follow.Config[chicoryhall.Listing]{
 		Name: "endpoints", Source: platform.NewListingSource(b.store, b.log), Sink: platform.ListingSink{ListedEndpoints: b.endpoints},
--- a/cmd/chicorystand/hall/control.go
+++ b/cmd/chicorystand/hall/control.go
@@ -24,9 +24,12 @@
 		}
 	})
 	mux.HandleFunc("POST /compact", func(http.ResponseWriter, *http.Request) { p.store.Compact() })
+	mux.HandleFunc("POST /copy", func(http.ResponseWriter, *http.Request) { p.store.Copy() })
+	mux.HandleFunc("POST /restore", func(http.ResponseWriter, *http.Request) { p.Restore() })
 	mux.HandleFunc("POST /configuration", func(rw http.ResponseWriter, r *http.Request) {
 		var text json.RawMessage
 		if decode(rw, r, &text) {
+			p.configuration.Store(&text)
 			p.stopOnError(p.store.Put("op", "config", text))
 		}
 	})
--- a/cmd/chicorystand/hall/platform.go
+++ b/cmd/chicorystand/hall/platform.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,6 +17,10 @@
 	lapseTime = 1500 * time.Millisecond
 	// stallPollPeriod is the time between two checks whether a failed stage works again.
 	stallPollPeriod = 20 * time.Millisecond
+	// restoreTime is how long the store is away before it is restored from a copy, and rewriteTime the time from then until
+	// the operator and the endpoints write again.
+	restoreTime = 200 * time.Millisecond
+	rewriteTime = time.Second
 	// listPause is the pause after each endpoint that lists itself at the start.
 	listPause = 20 * time.Millisecond
 )
@@ -28,8 +33,10 @@
 	arrivals  arrivals
 	requests  requestArrivals
 	endpoints []*Endpoint
-	group     *errgroup.Group
-	ctx       context.Context
+	// configuration is the one that the operator wrote last.
+	configuration atomic.Pointer[json.RawMessage]
+	group         *errgroup.Group
+	ctx           context.Context
 }
 
 // New returns a Platform that listens while Serve runs.
@@ -55,7 +62,9 @@
 			return err
 		}
 	}
-	if err := p.store.Put("op", "config", json.RawMessage(p.settings.Configuration)); err != nil {
+	first := json.RawMessage(p.settings.Configuration)
+	p.configuration.Store(&first)
+	if err := p.store.Put("op", "config", first); err != nil {
 		return errors.Wrap(err, "write the configuration")
 	}
 	p.group.Go(p.registerAll)
@@ -73,6 +82,34 @@
 	return nil
 }
 
+// Restore makes the store unavailable for restoreTime, after which it has the rows of its last copy. The operator and the
+// endpoints write theirs again rewriteTime later.
+func (p *Platform) Restore() {
+	p.store.SetFaults(StoreFaults{Refuse: true})
+	p.after(restoreTime, func() {
+		p.store.Restore()
+		p.store.SetFaults(StoreFaults{})
+		p.after(rewriteTime, func() {
+			p.stopOnError(p.store.Put("op", "config", *p.configuration.Load()))
+			p.store.Keep("servers", p.ids())
+			for _, endpoint := range p.endpoints {
+				if !endpoint.isUnresponsive() {
+					p.stopOnError(endpoint.register())
+				}
+			}
+		})
+	})
+}
+
+// ids returns the present IDs of all endpoints.
+func (p *Platform) ids() map[string]bool {
+	ids := make(map[string]bool)
+	for _, endpoint := range p.endpoints {
+		ids[endpoint.id()] = true
+	}
+	return ids
+}
+
 // listen serves an address with the handler until ctx is done.
 func (p *Platform) listen(address string, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address)
--- a/cmd/chicorystand/hall/store.go
+++ b/cmd/chicorystand/hall/store.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -62,8 +63,17 @@
 	compacted int64
 	version   int64
 	writes    int // successful writes while LoseAnswers is set
-	faults    StoreFaults
-	changed   chan struct{} // closed at the next change
+	// era counts the restores. copied is the copy that the next one restores.
+	era     int64
+	copied  storeCopy
+	faults  StoreFaults
+	changed chan struct{} // closed at the next change
+}
+
+// storeCopy is a copy of a store's rows.
+type storeCopy struct {
+	rows    map[rowKey]row
+	version int64
 }
 
 // NewStore returns an empty store.
@@ -96,6 +106,19 @@
 	}
 }
 
+// Keep removes all rows of a table but those with the given keys.
+func (s *Store) Keep(table string, keys map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key := range maps.Clone(s.rows) {
+		if key.table == table && !keys[key.key] {
+			s.version++
+			s.write(row{Table: table, Key: key.key, Version: s.version, Removed: true})
+		}
+	}
+	s.notifyFeeds()
+}
+
 // SetFaults replaces the store's faults.
 func (s *Store) SetFaults(faults StoreFaults) {
 	s.mu.Lock()
@@ -111,6 +134,23 @@
 	s.notifyFeeds()
 }
 
+// Copy copies the rows for a later Restore.
+func (s *Store) Copy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copied = storeCopy{rows: maps.Clone(s.rows), version: s.version}
+}
+
+// Restore replaces the rows by those of the last Copy. Later versions are given out again.
+func (s *Store) Restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.version = maps.Clone(s.copied.rows), s.copied.version
+	s.changes, s.compacted = nil, s.version
+	s.era++
+	s.notifyFeeds()
+}
+
 // write applies one change. The caller holds s.mu.
 func (s *Store) write(change row) {
 	key := rowKey{change.Table, change.Key}
@@ -136,6 +176,7 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	faults := s.faults
+	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
 	s.mu.Unlock()
 	time.Sleep(time.Duration(faults.DelayMillis) * time.Millisecond)
 	switch {
@@ -278,8 +319,8 @@
 	}
 }
 
-// since returns the changes of a table after a version. isIncomplete is set if the history no longer contains all
-// changes after that version. changed is closed at the next change. The caller holds s.mu.
+// since returns the changes of a table after a version. isIncomplete is set if the history does not contain all changes
+// after that version, or not that version. changed is closed at the next change. The caller holds s.mu.
 func (s *Store) since(table string, after int64) (answer rowsAnswer, isIncomplete bool, changed <-chan struct{}) {
 	answer = s.emptyAnswer()
 	for _, change := range s.changes {
@@ -287,7 +328,7 @@
 			answer.Rows = append(answer.Rows, change)
 		}
 	}
-	return answer, after < s.compacted, s.changed
+	return answer, after < s.compacted || after > s.version, s.changed
 }
 
 // reply answers with a JSON body.
--- a/watch/listed.go
+++ b/watch/listed.go
@@ -121,16 +121,24 @@
 	now := l.config.Timer.Now()
 	l.mu.Lock()
 	wasDown := l.platformDown
-	if wasDown {
-		l.platformDown = false
-		l.relistUntil = now.Add(relistTime)
-	}
+	l.platformDown = false
 	l.mu.Unlock()
 	if wasDown {
-		l.config.Timer.After(relistTime, l.dropMissing)
+		l.awaitRelisting(now)
 	}
 }
 
+// Restored records that the list has returned to an earlier state, after which the endpoints list themselves again.
+func (l *ListedEndpoints) Restored() { l.awaitRelisting(l.config.Timer.Now()) }
+
+// awaitRelisting keeps endpoints that are missing from the list until relistTime after now.
+func (l *ListedEndpoints) awaitRelisting(now time.Time) {
+	l.mu.Lock()
+	l.relistUntil = now.Add(relistTime)
+	l.mu.Unlock()
+	l.config.Timer.After(relistTime, l.dropMissing)
+}
+
 // dropMissing drops the endpoints that are missing from the list since the outage.
 func (l *ListedEndpoints) dropMissing(now time.Time) {
 	l.mu.Lock()
@@ -147,10 +155,14 @@
 	}
 }
 
-// add applies a new or changed listing.
+// add applies a new or changed listing. An endpoint that was leaving still is after an outage, unless it has started anew: the
+// store may have returned with an older row of it.
 func (l *ListedEndpoints) add(listing chicoryhall.Listing, now time.Time) {
 	l.mu.Lock()
 	e, known := l.entries[listing.ID]
+	if known && now.Before(l.relistUntil) && !e.restartedBy(listing) {
+		listing.Leaving = listing.Leaving || e.listing.Leaving
+	}
 	if !known {
 		// The call of change below lists the new endpoint, so that the subscribers are notified.
 		l.entries[listing.ID] = &listedEntry{listing: listing, gone: true}
--- a/watch/listed_test.go
+++ b/watch/listed_test.go
@@ -117,6 +117,41 @@
 	must.Eq(t, chicoryhall.EndpointDead, w.state("back"))
 }
 
+// TestListedEndpointLeavesThroughAnOutage lists an endpoint that was leaving as ready, right after an outage or later.
+func TestListedEndpointLeavesThroughAnOutage(t *testing.T) {
+	leaving, ready, restarted := listing("e"), listing("e"), listing("e")
+	leaving.Leaving = true
+	restarted.Incarnation = 2
+	cases := []struct {
+		name  string
+		after time.Duration
+		next  chicoryhall.Listing
+		want  chicoryhall.EndpointState
+	}{
+		{"an older row", 0, ready, chicoryhall.EndpointLeaving},
+		{"a new start", 0, restarted, chicoryhall.EndpointReady},
+		{"later", 3 * time.Second, ready, chicoryhall.EndpointReady},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newListedFixture()
+			w.Replace([]chicoryhall.Listing{leaving})
+			w.Unavailable()
+			w.Available()
+			w.clock.Advance(c.after)
+			w.Replace([]chicoryhall.Listing{c.next})
+			must.Eq(t, c.want, w.state("e"))
+
+			w = newListedFixture()
+			w.Replace([]chicoryhall.Listing{leaving})
+			w.Restored()
+			w.clock.Advance(c.after)
+			w.Replace([]chicoryhall.Listing{c.next})
+			must.Eq(t, c.want, w.state("e"))
+		})
+	}
+}
+
 func TestListedSuspicionGrowsAndEnds(t *testing.T) {
 	w := newListedFixture()
 	w.Replace([]chicoryhall.Listing{listing("e")})
--- a/watch/listedentry.go
+++ b/watch/listedentry.go
@@ -46,7 +46,7 @@
 	if e.listedAt.IsZero() || listing.Address != e.listing.Address {
 		e.listedAt = now
 	}
-	restarted := e.gone || listing.Incarnation != e.listing.Incarnation || listing.Address != e.listing.Address
+	restarted := e.restartedBy(listing)
 	e.listing = listing
 	e.gone = false
 	e.missingSince = time.Time{}
@@ -58,6 +58,11 @@
 	}
 }
 
+// restartedBy reports whether a listing shows that the endpoint has started anew.
+func (e *listedEntry) restartedBy(listing chicoryhall.Listing) bool {
+	return e.gone || listing.Incarnation != e.listing.Incarnation || listing.Address != e.listing.Address
+}
+
 // state returns the endpoint's state. Dead takes precedence over leaving, leaving over suspect, and suspect
 // over ready.
 func (e *listedEntry) state(now time.Time) chicoryhall.EndpointState {
