quarantine, membership: a store restored from a copy gets the daemons' rows again

Cause: the store had lost the reports on its crashes, and each daemon believed its own to be there. The next read of the reports then made the others forget what they had known. A daemon's own row came back only with its next heartbeat, up to 15 s later, and the shares of the others grew until then.

Now each daemon writes its report, its alert and its row again when the store's era rises, and a read in the ten seconds after that adds to what is known instead of replacing it. What is known of reservations is forgotten, as their versions are given out again.

TestRestoredReportsAreMerged, TestRestoredStoreGetsReportAgain and TestRestoredTableGetsRowAgain test the parts.

--- a/cmd/chicoryhall/platformdaemon/builder.go
+++ b/cmd/chicoryhall/platformdaemon/builder.go
@@ -139,6 +139,7 @@
 		CallerAddress: b.settings.Listen.Callers,
 	}
 	b.members = membership.NewTableMembers(self, b.table, b.timer, b.log)
+	b.store.SubscribeRestored(b.members.Restored)
 	supervisor.Add(b.members)
 	b.rules = routing.NewCurrentRules()
 	b.endpoints = watch.NewListedEndpoints(watch.ListedConfig{
@@ -188,6 +189,8 @@
 	evidence := quarantine.NewEvidence(b.settings.ID)
 	reports := newCrashReports(b.settings.ID, b.timer, b.table, evidence, b.log)
 	trials := newTrials(b.settings.ID, b.timer, b.table, b.log)
+	b.store.SubscribeRestored(reports.onRestored)
+	b.store.SubscribeRestored(trials.onRestored)
 	b.quarantine = newQuarantineService(evidence, crashes, reports, trials, b.timer, b.log)
 	sweeper := &rowSweeper{table: b.table, timer: b.timer, log: b.log}
 	sweeper.add(reportPrefix, daemonRowRetention)
--- a/cmd/chicoryhall/platformdaemon/crashreports.go
+++ b/cmd/chicoryhall/platformdaemon/crashreports.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
+	mathrand "math/rand/v2"
 	"reflect"
 	"slices"
 	"strings"
@@ -32,6 +33,8 @@
 	maxRetryPause = 3 * time.Second
 	// exchangeTimeout bounds one call to the store.
 	exchangeTimeout = time.Second
+	// rewriteSpread is the time over which the daemons write their rows again after the store was restored from a copy.
+	rewriteSpread = 500 * time.Millisecond
 	// expiryPeriod is the time between two searches for involvements that are too old.
 	expiryPeriod = time.Minute
 )
@@ -54,6 +57,8 @@
 	alertDue bool
 	// wantedSince is the earliest time at which an exchange may have begun to make another one needless.
 	wantedSince time.Time
+	// rewriteDue is set if the store may have lost the own report.
+	rewriteDue bool
 	// urgentSince is like wantedSince, for an exchange that does not wait for the end of the pause.
 	urgentSince time.Time
 
@@ -148,6 +153,30 @@
 	r.exchangeIn(0, now)
 }
 
+// onRestored makes Serve write the own report again, as the store has been restored from a copy. Daemons do so one after
+// another.
+func (r *crashReports) onRestored() {
+	now := r.timer.Now()
+	r.evidence.Restored(now)
+	r.mu.Lock()
+	r.rewriteDue = true
+	r.mu.Unlock()
+	r.exchangeUrgentlyIn(randomUpTo(rewriteSpread), now)
+}
+
+// forgetWritten makes the next exchange write the own report and an alert, if the store may have lost them.
+func (r *crashReports) forgetWritten() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.rewriteDue {
+		r.rewriteDue = false
+		r.written, r.alerted = quarantine.Report{}, nil
+	}
+}
+
+// randomUpTo returns a random duration of up to most.
+func randomUpTo(most time.Duration) time.Duration { return time.Duration(mathrand.Int64N(int64(most))) }
+
 // retryUnless makes Serve exchange the reports again after a pause, unless the last call succeeded.
 func (r *crashReports) retryUnless(succeeded bool) {
 	if succeeded {
@@ -188,6 +217,7 @@
 // reads before it writes: the report that an earlier process of this daemon has left would be lost otherwise.
 func (r *crashReports) exchange(ctx context.Context) {
 	r.exchangedAt = r.timer.Now()
+	r.forgetWritten()
 	succeeded := !r.evidence.Adopted() || r.write(ctx)
 	succeeded = succeeded && r.read(ctx) && r.write(ctx) && r.alert(ctx)
 	r.retryUnless(succeeded)
--- a/cmd/chicoryhall/platformdaemon/quarantine_test.go
+++ b/cmd/chicoryhall/platformdaemon/quarantine_test.go
@@ -241,3 +241,20 @@
 		must.Eq(t, i > 0, alerted)
 	}
 }
+
+// TestRestoredStoreGetsReportAgain restores the store from an empty copy.
+func TestRestoredStoreGetsReportAgain(t *testing.T) {
+	ctx := context.Background()
+	one := newTestQuarantine("one", &tabletest.Store{})
+	one.crash("a/1", "x")
+	one.crash("a/2", "y")
+	one.reports.exchange(ctx)
+	one.reports.exchange(ctx)
+	restored := &tabletest.Store{}
+	one.reports.table = restored
+	one.reports.exchange(ctx)
+	must.MapEmpty(t, restored.Snapshot())
+	one.reports.onRestored()
+	one.reports.exchange(ctx)
+	must.MapContainsKeys(t, restored.Snapshot(), []string{reportPrefix + "one", platform.AlertKey("one")})
+}
--- a/cmd/chicoryhall/platformdaemon/trials.go
+++ b/cmd/chicoryhall/platformdaemon/trials.go
@@ -44,6 +44,13 @@
 	}
 }
 
+// onRestored forgets the rows of others, whose versions the store gives out again after it was restored from a copy.
+func (t *trials) onRestored() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reservations = quarantine.NewReservations(t.self)
+}
+
 // wait waits for the calls in progress.
 func (t *trials) wait() { _ = t.releases.Wait() } // The functions return no errors.
 
--- a/membership/tablemembers.go
+++ b/membership/tablemembers.go
@@ -73,6 +73,9 @@
 	// tableReachable is whether the last call to the table succeeded.
 	tableReachable bool
 	cachedCounts   memberCounts
+
+	// restored is signalled when the table may have lost this daemon's row.
+	restored chan struct{}
 }
 
 // NewTableMembers returns a TableMembers that knows no other daemon until Serve runs.
@@ -81,6 +84,15 @@
 	return &TableMembers{
 		self: self, table: store, timer: timer, log: log,
 		rows: make(map[string]observedRow), reported: make(map[chicoryhall.DaemonID]chicoryhall.Member),
+		restored: make(chan struct{}, 1),
+	}
+}
+
+// Restored makes Serve write this daemon's row again, as the table has returned to an earlier state.
+func (m *TableMembers) Restored() {
+	select {
+	case m.restored <- struct{}{}:
+	default:
 	}
 }
 
@@ -151,8 +163,16 @@
 	m.writeOwnRow(ctx)
 	m.readRows(ctx)
 	readDue := make(chan struct{}, 1)
-	secondRead := m.timer.After(secondReadDelay, func(time.Time) { readDue <- struct{}{} })
-	defer secondRead.Cancel()
+	readAgain := func() chicoryhall.Subscription {
+		return m.timer.After(secondReadDelay, func(time.Time) {
+			select {
+			case readDue <- struct{}{}:
+			default:
+			}
+		})
+	}
+	secondRead := readAgain()
+	defer func() { secondRead.Cancel() }()
 	ticks := m.timer.Every(rowPeriod, func(time.Time) {
 		select {
 		case writeDue <- struct{}{}:
@@ -166,6 +186,10 @@
 			return ctx.Err()
 		case <-readDue:
 			m.readRows(ctx)
+		case <-m.restored:
+			m.writeOwnRow(ctx)
+			secondRead.Cancel()
+			secondRead = readAgain()
 		case <-writeDue:
 			m.writeOwnRow(ctx)
 			m.readRows(ctx)
--- a/membership/tablemembers_test.go
+++ b/membership/tablemembers_test.go
@@ -95,6 +95,31 @@
 	<-ended
 }
 
+// TestRestoredTableGetsRowAgain removes a daemon's row, as a restore of the table from a copy does.
+func TestRestoredTableGetsRowAgain(t *testing.T) {
+	store := &tabletest.Store{}
+	logger := event.NewLogger(io.Discard, "test", log.InfoLevel)
+	members := membership.NewTableMembers(chicoryhall.Member{ID: "a"}, store, timer.NewManual(time.Unix(1000, 0)), logger)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	must.False(t, members.Known())
+	runAsync(ended, func() error { return members.Serve(ctx) })
+	awaitRow := func() {
+		deadline := time.Now().Add(10 * time.Second)
+		for len(store.Snapshot()) == 0 || !members.Known() {
+			must.True(t, time.Now().Before(deadline))
+			time.Sleep(time.Millisecond)
+		}
+	}
+	awaitRow()
+	_, err := store.Transact(ctx, table.Transaction{Nonce: "n", Changes: []table.Change{{Key: "daemons/a", IfVersion: table.AnyVersion, Delete: true}}})
+	must.NoError(t, err)
+	members.Restored()
+	awaitRow()
+	cancel()
+	must.ErrorIs(t, <-ended, context.Canceled)
+}
+
 func runAsync(ended chan<- error, function func() error) {
 	go func() { ended <- function() }()
 }
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -13,6 +13,8 @@
 	// maxReported bounds the involvements, and the clearances, in one report, so that it fits into one row of a store. The
 	// oldest are dropped first, those of convicted fingerprints last.
 	maxReported = 100
+	// restoreTime is how long daemons may take to write their reports again after the store was restored from a copy.
+	restoreTime = 10 * time.Second
 )
 
 // Standing is what is known of requests with one fingerprint.
@@ -34,11 +36,13 @@
 type Evidence struct {
 	self chicoryhall.DaemonID
 
-	mu      sync.Mutex
-	own     Report
-	others  map[chicoryhall.DaemonID]Report
-	alerts  map[chicoryhall.DaemonID]alert
-	knownAt map[Involvement]time.Time
+	mu     sync.Mutex
+	own    Report
+	others map[chicoryhall.DaemonID]Report
+	alerts map[chicoryhall.DaemonID]alert
+	// mergeUntil is until when a read adds to what is known, as reports may be older than those read before.
+	mergeUntil time.Time
+	knownAt    map[Involvement]time.Time
 	// adopted is set once the report that an earlier process of this daemon left has been added to the own one.
 	adopted bool
 	// subjects holds what is known of each fingerprint. It is derived from the reports when it is needed, if changed is
@@ -133,7 +137,11 @@
 func (e *Evidence) Replace(reports map[chicoryhall.DaemonID]Report, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.others = maps.Clone(reports)
+	if now.Before(e.mergeUntil) {
+		e.others = mergeReports(e.others, reports)
+	} else {
+		e.others = maps.Clone(reports)
+	}
 	delete(e.others, e.self)
 	maps.DeleteFunc(e.alerts, func(_ chicoryhall.DaemonID, one alert) bool { return !one.at.After(now) })
 	if !e.adopted {
@@ -148,6 +156,37 @@
 	e.changed = true
 }
 
+// Restored records that the reports in the store have returned to an earlier state. For restoreTime the daemons write theirs
+// again, and Replace forgets nothing.
+func (e *Evidence) Restored(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.mergeUntil = now.Add(restoreTime)
+}
+
+// mergeReports returns reports with all that the known and the read ones contain.
+func mergeReports(known, read map[chicoryhall.DaemonID]Report) map[chicoryhall.DaemonID]Report {
+	merged := make(map[chicoryhall.DaemonID]Report, len(read))
+	maps.Copy(merged, read)
+	for daemon, before := range known {
+		report := read[daemon]
+		merged[daemon] = Report{
+			Involved: appendMissing(slices.Clone(report.Involved), before.Involved), Cleared: appendMissing(slices.Clone(report.Cleared), before.Cleared),
+		}
+	}
+	return merged
+}
+
+// appendMissing appends those items that a slice does not contain.
+func appendMissing[T comparable](items, more []T) []T {
+	for _, one := range more {
+		if !slices.Contains(items, one) {
+			items = append(items, one)
+		}
+	}
+	return items
+}
+
 // Adopted reports whether Replace has been called, so that Own contains what an earlier process has left.
 func (e *Evidence) Adopted() bool {
 	e.mu.Lock()
--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -214,3 +214,29 @@
 		}
 	})
 }
+
+// TestRestoredReportsAreMerged reads reports that are older than those read before, right after the store was restored from a
+// copy and later.
+func TestRestoredReportsAreMerged(t *testing.T) {
+	three := quarantine.Report{Involved: []quarantine.Involvement{lost(culprit, "c1", "a"), lost(culprit, "c2", "b"), lost(culprit, "c3", "c")}}
+	one := quarantine.Report{Involved: three.Involved[:1]}
+	cases := []struct {
+		name  string
+		older map[chicoryhall.DaemonID]quarantine.Report
+		after time.Duration
+		want  int
+	}{
+		{"an older report", reportsOf("other", one), time.Second, 3},
+		{"no report", nil, time.Second, 3},
+		{"later", reportsOf("other", one), time.Minute, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			e := quarantine.NewEvidence("self")
+			e.Replace(reportsOf("other", three), lossStart)
+			e.Restored(lossStart)
+			e.Replace(c.older, lossStart.Add(c.after))
+			must.Eq(t, c.want, e.Standing(culprit, lossStart.Add(c.after)).Incidents)
+		})
+	}
+}
