proof, hall: one reader of the stand-in's lists, one play of crashing requests

Logic that stood twice: the readers of the control endpoint's lists, the lists themselves, and the play of crashing requests beside others. The restored store's test now also checks that no other request is refused. Event 2048 says what alerts hold.

--- a/cmd/chicorystand/dial/dialer_test.go
+++ b/cmd/chicorystand/dial/dialer_test.go
@@ -25,7 +25,7 @@
 	must.NoError(t, loop.Start())
 	dialer := dial.New(loop, 100*time.Millisecond)
 	for range count {
-		dialer.Start(listener.Addr().String(), nil, func(conn *nbio.Conn, err error) {
+		dialer.Start(listener.Addr().String(), nil, func(_ *nbio.Conn, err error) {
 			if err == nil {
 				opened.Add(1)
 			}
--- a/cmd/chicorystand/hall/control.go
+++ b/cmd/chicorystand/hall/control.go
@@ -14,7 +14,7 @@
 // controlHandler returns the handler of the control endpoint, through which tests read the ledger and inject faults.
 func (p *Platform) controlHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /ledger", func(rw http.ResponseWriter, _ *http.Request) { reply(rw, http.StatusOK, p.ledger.Entries()) })
+	mux.HandleFunc("GET /ledger", func(rw http.ResponseWriter, _ *http.Request) { reply(rw, http.StatusOK, p.ledger.entries()) })
 	mux.HandleFunc("GET /arrivals", func(rw http.ResponseWriter, _ *http.Request) { reply(rw, http.StatusOK, p.arrivals.entries()) })
 	mux.HandleFunc("GET /requests", func(rw http.ResponseWriter, _ *http.Request) { reply(rw, http.StatusOK, p.requests.entries()) })
 	mux.HandleFunc("POST /store", func(rw http.ResponseWriter, r *http.Request) {
--- a/cmd/chicorystand/hall/ledger.go
+++ b/cmd/chicorystand/hall/ledger.go
@@ -1,12 +1,28 @@
 package hall
 
-import (
-	"slices"
-	"sync"
-)
+import "sync"
+
+// records is a list of what happened, in that order. It is safe for concurrent use.
+type records[T any] struct {
+	mu  sync.Mutex
+	all []T
+}
+
+func (r *records[T]) add(one T) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all = append(r.all, one)
+}
+
+// entries returns a copy of all records.
+func (r *records[T]) entries() []T {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]T{}, r.all...)
+}
 
 // LedgerEntry records a request that an endpoint ran, a request with an invalid route, or an order that exceeds the
-// engine's memory.
+// engine's memory. The daemons' answers are compared with these records.
 type LedgerEntry struct {
 	Request  string `json:"request"`
 	Endpoint string `json:"engine"`
@@ -16,48 +32,9 @@
 	Wrong string `json:"wrong,omitempty"`
 }
 
-// Ledger records what the endpoints actually ran, to be compared with the answers that callers received, and mistakes of
-// the daemons.
-type Ledger struct {
-	mu      sync.Mutex
-	entries []LedgerEntry
-}
-
-func (l *Ledger) add(entry LedgerEntry) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.entries = append(l.entries, entry)
-}
-
-// Entries returns a copy of all entries in the order in which they were added.
-func (l *Ledger) Entries() []LedgerEntry {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return append([]LedgerEntry{}, l.entries...)
-}
-
 // RequestArrival records that a request arrived at an endpoint, also if the endpoint refused it.
 type RequestArrival struct {
 	Endpoint string `json:"engine"`
 	// AtMillis is the Unix time in milliseconds.
 	AtMillis int64 `json:"atMillis"`
 }
-
-// requestArrivals records the arrivals of all requests.
-type requestArrivals struct {
-	mu  sync.Mutex
-	all []RequestArrival
-}
-
-func (r *requestArrivals) add(arrival RequestArrival) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.all = append(r.all, arrival)
-}
-
-// entries returns a copy of all arrivals in their order.
-func (r *requestArrivals) entries() []RequestArrival {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return slices.Clone(r.all)
-}
--- a/cmd/chicorystand/hall/platform.go
+++ b/cmd/chicorystand/hall/platform.go
@@ -29,9 +29,9 @@
 type Platform struct {
 	settings  Settings
 	store     *Store
-	ledger    Ledger
+	ledger    records[LedgerEntry]
 	arrivals  arrivals
-	requests  requestArrivals
+	requests  records[RequestArrival]
 	endpoints []*Endpoint
 	// configuration is the one that the operator wrote last.
 	configuration atomic.Pointer[json.RawMessage]
--- a/event/requests.go
+++ b/event/requests.go
@@ -52,7 +52,7 @@
 		"An endpoint ended while requests of this daemon ran on it; fingerprints names them by their content. One that is named at several such events may be the cause.",
 		"Look for a fingerprint that occurs again and again, here and in the events 2046, and check the logs of the endpoints.")
 	CrashAlertReceived = define(2048, log.InfoLevel, "alert of a suspect received",
-		"Another daemon has found that requests with the same content were lost in several crashes of endpoints, or that they are harmless after all; this daemon reads what it has reported.",
+		"Another daemon has found that requests with the same content were lost in several crashes of endpoints, or that they are harmless after all; the alert says what it knows, and this daemon reads the reports of all later.",
 		"Nothing.")
 	EndpointLimitStated = define(2049, log.InfoLevel, "endpoint states a limit",
 		"An answer of the endpoint states how many requests a second it takes from all daemons together; share is this daemon's part of that. What exceeds it goes to other endpoints or is refused.",
--- a/proof/soak_crash_test.go
+++ b/proof/soak_crash_test.go
@@ -1,15 +1,11 @@
 package proof
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"strings"
 	"testing"
 	"time"
-
-	"github.com/shoenig/test/must"
 )
 
 const (
@@ -32,13 +28,7 @@
 }
 
 func (w *soakPlatform) arrivals(t *testing.T) []arrival {
-	t.Helper()
-	response, err := (&http.Client{}).Get("http://" + w.control + "/arrivals")
-	must.NoError(t, err)
-	defer func() { _ = response.Body.Close() }()
-	var all []arrival
-	must.NoError(t, json.NewDecoder(response.Body).Decode(&all))
-	return all
+	return controlList[arrival](t, w, "/arrivals")
 }
 
 // thirdCrash returns when a content had crashed three endpoints, as a Unix time in milliseconds, and false if it crashed
@@ -161,21 +151,27 @@
 			w := newSoakPlatform(t, twoDomains(2, 12, 4))
 			time.Sleep(3 * time.Second) // Until the engines have loaded their layers.
 			innocent := startCallers(w, 8, 1, ownBody)
-			crashing := startCrashing(w, c.requests, c.copies)
-			time.Sleep(crashTestTime)
-			results := crashing.stop()
-			stopped := time.Now()
-			time.Sleep(quietTime)
-			checkResults(t, w, append(results, innocent.stop()...), stopped)
-			checkArrivals(t, w.arrivals(t), time.Time{})
-			checkQuarantined(t, w)
-			if t.Failed() {
-				t.Logf("logs: %s", w.keepLogs(t))
-			}
+			checkCrashing(t, w, innocent, startCrashing(w, c.requests, c.copies), crashTestTime)
 		})
 	}
 }
 
+// checkCrashing stops callers that crash endpoints after some time, and innocent ones later, and checks what they and the
+// endpoints got.
+func checkCrashing(t *testing.T, w *soakPlatform, innocent, crashing *callers, duration time.Duration) {
+	t.Helper()
+	time.Sleep(duration)
+	results := crashing.stop()
+	stopped := time.Now()
+	time.Sleep(quietTime)
+	checkResults(t, w, append(results, innocent.stop()...), stopped)
+	checkArrivals(t, w.arrivals(t), time.Time{})
+	checkQuarantined(t, w)
+	if t.Failed() {
+		t.Logf("logs: %s", w.keepLogs(t))
+	}
+}
+
 // waitForRecovery waits until quietTime has passed since the endpoints that crashed last have recovered, but not before
 // the given time. It returns the start of that quietTime.
 func waitForRecovery(t *testing.T, w *soakPlatform, earliest time.Time) time.Time {
--- a/proof/soak_limit_test.go
+++ b/proof/soak_limit_test.go
@@ -1,12 +1,8 @@
 package proof
 
 import (
-	"encoding/json"
-	"net/http"
 	"testing"
 	"time"
-
-	"github.com/shoenig/test/must"
 )
 
 const (
@@ -30,13 +26,8 @@
 // requestTimes returns when requests arrived at each endpoint, as Unix times in milliseconds.
 func (w *soakPlatform) requestTimes(t *testing.T) map[string][]int64 {
 	t.Helper()
-	response, err := (&http.Client{}).Get("http://" + w.control + "/requests")
-	must.NoError(t, err)
-	defer func() { _ = response.Body.Close() }()
-	var all []requestArrival
-	must.NoError(t, json.NewDecoder(response.Body).Decode(&all))
 	times := make(map[string][]int64)
-	for _, one := range all {
+	for _, one := range controlList[requestArrival](t, w, "/requests") {
 		times[one.Engine] = append(times[one.Engine], one.AtMillis)
 	}
 	return times
--- a/proof/soak_platform_test.go
+++ b/proof/soak_platform_test.go
@@ -197,14 +197,17 @@
 	Wrong   string `json:"wrong"`
 }
 
-func (w *soakPlatform) runs(t *testing.T) []soakRun {
+func (w *soakPlatform) runs(t *testing.T) []soakRun { return controlList[soakRun](t, w, "/ledger") }
+
+// controlList returns a list that the simulated platform keeps.
+func controlList[T any](t *testing.T, w *soakPlatform, path string) []T {
 	t.Helper()
-	response, err := (&http.Client{}).Get("http://" + w.control + "/ledger")
+	response, err := (&http.Client{}).Get("http://" + w.control + path)
 	must.NoError(t, err)
 	defer func() { _ = response.Body.Close() }()
-	var runs []soakRun
-	must.NoError(t, json.NewDecoder(response.Body).Decode(&runs))
-	return runs
+	var all []T
+	must.NoError(t, json.NewDecoder(response.Body).Decode(&all))
+	return all
 }
 
 // restart ends a daemon with a signal, waits until it has exited and starts it again.
--- a/proof/soak_restore_crash_test.go
+++ b/proof/soak_restore_crash_test.go
@@ -23,15 +23,6 @@
 		postControl(w.control, "/engines/"+id+"/crash", nil)
 		time.Sleep(time.Second)
 	}
-	time.Sleep(crashTestTime)
-	results := crashing.stop()
-	stopped := time.Now()
-	time.Sleep(quietTime)
-	checkResults(t, w, append(results, innocent.stop()...), stopped)
-	all := w.arrivals(t)
-	checkArrivals(t, all, time.Time{})
-	must.Eq(t, before, len(all))
-	if t.Failed() {
-		t.Logf("logs: %s", w.keepLogs(t))
-	}
+	checkCrashing(t, w, innocent, crashing, crashTestTime)
+	must.Eq(t, before, len(w.arrivals(t)))
 }
--- a/proof/soak_small_service_test.go
+++ b/proof/soak_small_service_test.go
@@ -34,17 +34,7 @@
 			w := newSoakPlatform(t, smallService(3*time.Second, c.silent))
 			innocent := startRepeating(w, 12, 1)
 			time.Sleep(time.Second)
-			crashing := startCrashing(w, c.requests, c.copies)
-			time.Sleep(2 * crashTestTime)
-			results := crashing.stop()
-			stopped := time.Now()
-			time.Sleep(quietTime)
-			checkResults(t, w, append(results, innocent.stop()...), stopped)
-			checkArrivals(t, w.arrivals(t), time.Time{})
-			checkQuarantined(t, w)
-			if t.Failed() {
-				t.Logf("logs: %s", w.keepLogs(t))
-			}
+			checkCrashing(t, w, innocent, startCrashing(w, c.requests, c.copies), 2*crashTestTime)
 		})
 	}
 }
