passthrough: log the parts of a prompt where attempts start and endpoints end

The dialect now reads the list of parts, all but the last, which is the request's own. Events 2046 and 2047 name them by fingerprints. A part counts at a crash as long as its answer has not gone on beyond its beginning. Nothing decides by them yet.

--- a/dialect.go
+++ b/dialect.go
@@ -18,6 +18,9 @@
 	// LastEvent is the ID of the last event that the caller has; a stream resumes after it. It is
 	// empty for a new stream.
 	LastEvent string
+	// SharedParts are the IDs of those parts of the prompt that other requests may share, each
+	// once. It lacks the last part, which is the request's own.
+	SharedParts []string
 }
 
 // EndpointHeaders is the information that the daemon adds when it forwards a caller's request.
--- a/event/requests.go
+++ b/event/requests.go
@@ -43,14 +43,14 @@
 	ExchangeAbandoned = define(2044, log.InfoLevel, "exchange abandoned",
 		"The caller's connection was closed, detail says how; the endpoint's work was cancelled.", "Nothing.")
 	ExchangeAdmitted = define(2046, log.InfoLevel, "exchange admitted",
-		"A request got a slot and was sent; the line gives its route, the expected timing and the assumed load of the first endpoint.",
+		"A request got a slot and was sent; the line gives its fingerprint, the parts of its prompt that others may share, its route, the expected timing and the assumed load of the first endpoint.",
 		"Nothing.")
 	AttemptEnded = define(2045, log.InfoLevel, "attempt ended without an answer",
 		"An attempt of a request forwarded by \"chicoryhall pass\" gave no complete, successful answer; failure says whether the request may have run.",
 		"Check the endpoints in route if it repeats.")
 	EndpointCrashed = define(2047, log.WarnLevel, "endpoint ended under requests",
-		"An endpoint ended while requests of this daemon ran on it; fingerprints names them by their content. One that is named at several such events may be the cause.",
-		"Look for a fingerprint that occurs again and again, here and in the events 2046, and check the logs of the endpoints.")
+		"An endpoint ended while requests of this daemon ran on it; fingerprints names them by their content, parts names the parts of their prompts. One that is named at several such events may be the cause.",
+		"Look for a fingerprint or a part that occurs again and again, here and in the events 2046, and check the logs of the endpoints.")
 	CrashAlertReceived = define(2048, log.InfoLevel, "alert of a suspect received",
 		"Another daemon has found that requests with the same content were lost in several crashes of endpoints, or that they are harmless after all; the alert says what it knows, and this daemon reads the reports of all later.",
 		"Nothing.")
--- a/passthrough/answer.go
+++ b/passthrough/answer.go
@@ -74,6 +74,7 @@
 func (a *attempt) handleBody(piece []byte) {
 	x := a.exchange
 	a.reportProgress()
+	a.recordPiece(x.config().Timer.Now())
 	if !a.forwarding {
 		a.buffered = append(a.buffered, piece...)
 		if len(a.buffered) > maxBufferedAnswer {
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -54,6 +54,11 @@
 	// forwarded as it arrives: an event stream, or an answer longer than maxBufferedAnswer.
 	buffered   []byte
 	forwarding bool
+	// pieces counts the pieces of the answer's body, the first of which arrived at firstPieceAt. wentOn is set once the answer
+	// has gone on beyond its beginning.
+	pieces       int
+	firstPieceAt time.Time
+	wentOn       bool
 	// lastProgress is when the attempt started, or when the head or the last piece of the body arrived.
 	// progressReportedAt is when progress was last reported.
 	lastProgress       time.Time
@@ -116,7 +121,7 @@
 	x := a.exchange
 	first := x.config().Endpoints.View(a.route.Hops[0].Engine)
 	x.config().Log.Log(event.ExchangeAdmitted, "request", x.callerHeaders.ID, "attempt", a.number, "service", x.service, "class", x.class.Name,
-		"organisation", x.organisation, "fingerprint", x.fingerprint, "rules", x.rulesVersion, "waited", now.Sub(x.startedAt), "left", x.deadline.Sub(now),
+		"organisation", x.organisation, "fingerprint", x.fingerprint, "parts", x.parts, "rules", x.rulesVersion, "waited", now.Sub(x.startedAt), "left", x.deadline.Sub(now),
 		"route", routeText(a.route), "expectedFirst", a.route.TimeToFirstToken, "expectedGap", a.route.TimePerToken,
 		"ownInFlight", first.InFlight, "othersBelieved", first.Load.Running, "resumeBehind", a.resumeAfter())
 }
--- a/passthrough/callerexchange.go
+++ b/passthrough/callerexchange.go
@@ -54,9 +54,11 @@
 	rulesVersion  int64
 	organisation  chicoryhall.Organisation
 	fingerprint   quarantine.Fingerprint
-	service       chicoryhall.ServiceName
-	class         chicoryhall.DocumentClass
-	deadline      time.Time
+	// parts are the fingerprints of the parts of its prompt that it may share with other requests.
+	parts    []quarantine.Fingerprint
+	service  chicoryhall.ServiceName
+	class    chicoryhall.DocumentClass
+	deadline time.Time
 
 	machine *exchange.Machine
 	permit  chicoryhall.Permit
@@ -131,6 +133,7 @@
 	x.fingerprint = x.fingerprintOf()
 	x.class = rule.Class(priority)
 	x.service = routing.ChooseTarget(rule, x.server.randomFloat())
+	x.parts = x.partFingerprints()
 	if standing := x.standing(); standing.State == quarantine.StateConvicted {
 		x.endQuarantined(standing, errCrashesEndpoints)
 		return
--- a/passthrough/quarantine.go
+++ b/passthrough/quarantine.go
@@ -22,6 +22,10 @@
 	// retryAfterUnsettled is the Retry-After time of a suspect that cannot run now: it may be known by then whether it
 	// caused a crash, or its endpoints may be free.
 	retryAfterUnsettled = time.Second
+	// The beginning of an answer is its first beginningPieces pieces and its first beginningTime. An endpoint that a part of
+	// the prompt crashes ends within it.
+	beginningPieces = 2
+	beginningTime   = 500 * time.Millisecond
 )
 
 var (
@@ -41,6 +45,16 @@
 	return quarantine.Fingerprint(hash.Sum64())
 }
 
+// partFingerprints returns the fingerprints of the parts of the prompt that other requests may share. The same part has
+// another fingerprint at another service, whose endpoints it may not crash.
+func (x *callerExchange) partFingerprints() []quarantine.Fingerprint {
+	parts := make([]quarantine.Fingerprint, 0, len(x.callerHeaders.SharedParts))
+	for _, id := range x.callerHeaders.SharedParts {
+		parts = append(parts, quarantine.Fingerprint(xxhash.Sum64String(strconv.Quote(string(x.service))+id)))
+	}
+	return parts
+}
+
 // standing returns what is known of requests with the content of this one.
 func (x *callerExchange) standing() quarantine.Standing {
 	return x.config().Quarantine.Standing(x.fingerprint, x.config().Timer.Now())
@@ -143,11 +157,31 @@
 func (a *attempt) reportLoss(cause quarantine.LossCause) {
 	x := a.exchange
 	x.config().Quarantine.Lost(quarantine.Loss{
-		Fingerprint: x.fingerprint, Attempt: x.attemptID(a.number), Stages: a.stages,
+		Fingerprint: x.fingerprint, Parts: a.unprovenParts(), Attempt: x.attemptID(a.number), Stages: a.stages,
 		Position: x.position(), Cause: cause, StartedAt: a.startedAt, LostAt: x.config().Timer.Now(),
 	})
 }
 
+// unprovenParts returns the parts of the prompt, unless the answer has gone on beyond its beginning: they are harmless then.
+func (a *attempt) unprovenParts() []quarantine.Fingerprint {
+	if a.wentOn {
+		return nil
+	}
+	return a.exchange.parts
+}
+
+// recordPiece records that a piece of the answer has arrived. The answer has gone on beyond its beginning after
+// beginningPieces and beginningTime.
+func (a *attempt) recordPiece(now time.Time) {
+	if a.pieces == 0 {
+		a.firstPieceAt = now
+	}
+	a.pieces++
+	if a.pieces > beginningPieces && now.Sub(a.firstPieceAt) >= beginningTime {
+		a.wentOn = true
+	}
+}
+
 // isTrial reports whether the attempt was the trial of a suspect.
 func (a *attempt) isTrial() bool { return a.standing.State == quarantine.StateSuspect }
 
--- a/quarantine/losses.go
+++ b/quarantine/losses.go
@@ -49,6 +49,8 @@
 // Loss is an attempt that was sent and ended without a complete answer.
 type Loss struct {
 	Fingerprint Fingerprint
+	// Parts are those of the prompt that the answer had not yet shown to be harmless.
+	Parts []Fingerprint
 	// Attempt identifies the attempt among all of all daemons.
 	Attempt string
 	// Stages are those of the route that the attempt ran on.
