--- a/cmd/chicorystand/hall/poison.go
+++ b/cmd/chicorystand/hall/poison.go
@@ -18,12 +18,20 @@
 	crashLater = "crash-later "
 )
 
+// crashPart begins the IDs of parts of a prompt that crash the endpoint that gets the request, once it has sent
+// crashPartEvents events.
+const (
+	crashPart       = "dead"
+	crashPartEvents = 1
+)
+
 // crashLaterEvents is the number of events that a crashLater request generates before it crashes the endpoint.
 const crashLaterEvents = 4
 
 // Arrival records that a request that crashes endpoints arrived at one, also if the endpoint refused it.
 type Arrival struct {
-	// Content is the request's path and body, which are the same in each repeat.
+	// Content is the request's path and body, which are the same in each repeat, or the part of its prompt that crashes
+	// endpoints.
 	Content  string `json:"content"`
 	Request  string `json:"request"`
 	Endpoint string `json:"engine"`
@@ -61,31 +69,52 @@
 	platform *Platform
 	kind     string
 	arrival  *Arrival
+	// events counts the events that the request has begun to generate in this run.
+	events int
 }
 
 // readPoison reads the body of a request and records its arrival if it crashes endpoints.
 func (e *Endpoint) readPoison(r *http.Request) *poison {
 	body, _ := io.ReadAll(r.Body) // A body that ends early crashes nothing.
 	for _, kind := range []string{crashFirst, crashRoute, crashLater} {
-		if !strings.HasPrefix(string(body), kind) {
-			continue
-		}
-		arrival := &Arrival{
-			Content: r.URL.Path + " " + string(body), Request: r.Header.Get("Request-Id"), Endpoint: e.id(),
-			AtMillis: time.Now().UnixMilli(),
+		if strings.HasPrefix(string(body), kind) {
+			return e.newPoison(kind, r.URL.Path+" "+string(body), r)
 		}
-		e.platform.arrivals.add(arrival)
-		return &poison{platform: e.platform, kind: kind, arrival: arrival}
+	}
+	if part, found := poisonedPart(r.Header.Get("Prompt-Prefix")); found {
+		return e.newPoison(crashPart, "part "+part, r)
 	}
 	return nil
 }
 
+// poisonedPart returns the first part of a prompt that crashes endpoints. The last part is the request's own and crashes none.
+func poisonedPart(list string) (string, bool) {
+	parts := strings.Split(list, ",")
+	for _, part := range parts[:len(parts)-1] {
+		if id, _, _ := strings.Cut(part, ":"); strings.HasPrefix(id, crashPart) {
+			return id, true
+		}
+	}
+	return "", false
+}
+
+// newPoison returns the poison of a request and records its arrival.
+func (e *Endpoint) newPoison(kind, content string, r *http.Request) *poison {
+	arrival := &Arrival{Content: content, Request: r.Header.Get("Request-Id"), Endpoint: e.id(), AtMillis: time.Now().UnixMilli()}
+	e.platform.arrivals.add(arrival)
+	return &poison{platform: e.platform, kind: kind, arrival: arrival}
+}
+
 // onEvent crashes endpoints if the time for that has come: the request is about to generate the event with the given
 // number, starting from 1, at the endpoints of its route. It reports whether it crashed any.
 func (p *poison) onEvent(number int, route []*Endpoint) bool {
 	if p == nil || p.kind == crashLater && number <= crashLaterEvents {
 		return false
 	}
+	p.events++
+	if p.kind == crashPart && p.events <= crashPartEvents {
+		return false
+	}
 	if p.kind != crashRoute {
 		route = route[:1]
 	}
--- a/proof/soak_caller_test.go
+++ b/proof/soak_caller_test.go
@@ -63,6 +63,8 @@
 	results []soakResult
 	// bodyOf returns the body of the request with the given ID.
 	bodyOf func(id string) string
+	// partsOf returns the list of the parts of the prompt of the request with the given ID, or is nil if requests name none.
+	partsOf func(id string) string
 	// kinds are those that run chooses from.
 	kinds []soakKind
 	// repeats is how often run sends a request again that failed, with another ID.
@@ -143,8 +145,12 @@
 func (c *soakCaller) sendKind(id string, kind soakKind) {
 	body := c.bodyOf(id)
 	result := soakResult{id: id, kind: kind, daemon: c.daemon, sentAt: time.Now()}
-	text := fmt.Sprintf("POST /%s/a HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nApi-Key: k\r\nDeadline-Ms: %d\r\nToken-Count: 100,%d\r\nContent-Length: %d\r\n\r\n%s",
-		kind.name, id, kind.timeout.Milliseconds(), kind.tokens, len(body), body)
+	parts := ""
+	if c.partsOf != nil {
+		parts = "Prompt-Prefix: " + c.partsOf(id) + "\r\n"
+	}
+	text := fmt.Sprintf("POST /%s/a HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nApi-Key: k\r\nDeadline-Ms: %d\r\nToken-Count: 100,%d\r\n%sContent-Length: %d\r\n\r\n%s",
+		kind.name, id, kind.timeout.Milliseconds(), kind.tokens, parts, len(body), body)
 	_ = c.conn.SetDeadline(time.Now().Add(kind.timeout + 4*time.Second)) // An error would also occur in the write.
 	isLast := true
 	if _, err := io.WriteString(c.conn, text); err != nil {
--- a/proof/soak_platform_test.go
+++ b/proof/soak_platform_test.go
@@ -80,6 +80,8 @@
 	daemons, engines, plain int // in each domain
 	// plainSettings are further settings of the plain endpoints.
 	plainSettings map[string]any
+	// engineSettings are further settings of the engines.
+	engineSettings map[string]any
 }
 
 // twoDomains is the usual layout.
@@ -111,7 +113,9 @@
 	var engines []map[string]any
 	for _, domain := range layout.domains {
 		for i := range layout.engines {
-			engines = append(engines, soakEngine(fmt.Sprintf("%s-e%d", domain, i), domain, "model", freeAddress(t), i))
+			engine := soakEngine(fmt.Sprintf("%s-e%d", domain, i), domain, "model", freeAddress(t), i)
+			maps.Copy(engine, layout.engineSettings)
+			engines = append(engines, engine)
 		}
 		for i := range layout.plain {
 			plain := soakEngine(fmt.Sprintf("%s-p%d", domain, i), domain, "plain", freeAddress(t), -1)
