--- a/cmd/chicoryhall/platformdaemon/builder.go
+++ b/cmd/chicoryhall/platformdaemon/builder.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"io"
+	"net"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -186,6 +187,7 @@
 func (b *builder) buildQuarantine(supervisor *suture.Supervisor) {
 	b.crashMetrics = metrics.NewSet()
 	crashes := newCrashes(b.timer, b.endpoints, b.crashMetrics, b.log)
+	crashes.probeAddress = newEndpointProbe(net.ParseIP(b.settings.SourceIP))
 	evidence := quarantine.NewEvidence(b.settings.ID)
 	reports := newCrashReports(b.settings.ID, b.timer, b.table, evidence, b.log)
 	trials := newTrials(b.settings.ID, b.timer, b.table, b.log)
@@ -212,7 +214,7 @@
 	b.limits = pace.New(pace.NewShares(b.members), b.endpoints, b.log)
 	b.admission = admission.New(b.timer, b.documents, b.endpoints, b.members)
 	b.server = passthrough.NewServer(passthrough.Config{
-		Address: b.settings.Listen.Callers, FailureDomain: b.settings.FailureDomain, Timer: b.timer,
+		Address: b.settings.Listen.Callers, FailureDomain: b.settings.FailureDomain, SourceIP: net.ParseIP(b.settings.SourceIP), Timer: b.timer,
 		Rules: b.rules, Documents: b.documents, Endpoints: b.endpoints,
 		Router: pipeline.New(b.endpoints, pipeline.Options{
 			Policy: pipeline.PolicyShortest, Seed: b.seed(), CrossDomainCost: crossingCost, MaxBias: routeSpread,
--- a/cmd/chicoryhall/platformdaemon/crashes.go
+++ b/cmd/chicoryhall/platformdaemon/crashes.go
@@ -47,7 +47,7 @@
 func newCrashes(timer chicoryhall.Timer, endpoints *watch.ListedEndpoints, set *metrics.Set, log *event.Logger) *crashes {
 	c := &crashes{
 		timer: timer, endpoints: endpoints, log: log, count: set.NewCounter("chicoryhall_endpoint_crashes_total"),
-		probeAddress: probeEndpoint, losses: quarantine.NewLosses(), probedAt: make(map[chicoryhall.EndpointID]time.Time),
+		probeAddress: newEndpointProbe(nil), losses: quarantine.NewLosses(), probedAt: make(map[chicoryhall.EndpointID]time.Time),
 	}
 	endpoints.Subscribe(c.onEndpoint)
 	return c
--- a/cmd/chicoryhall/platformdaemon/crashprobe.go
+++ b/cmd/chicoryhall/platformdaemon/crashprobe.go
@@ -28,11 +28,20 @@
 	probeGone
 )
 
-// probeEndpoint opens a connection to an address and closes it without sending anything.
-func probeEndpoint(ctx context.Context, address string) crashProbe {
+// newEndpointProbe returns a function that opens a connection from an IP address, unless that is nil, to an endpoint's
+// address and closes it without sending anything.
+func newEndpointProbe(source net.IP) func(context.Context, string) crashProbe {
+	dialer := &net.Dialer{KeepAlive: -1}
+	if source != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: source}
+	}
+	return func(ctx context.Context, address string) crashProbe { return probeEndpoint(ctx, dialer, address) }
+}
+
+func probeEndpoint(ctx context.Context, dialer *net.Dialer, address string) crashProbe {
 	ctx, cancel := context.WithTimeout(ctx, crashProbeTimeout)
 	defer cancel()
-	conn, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", address)
+	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
 		return probeGone
 	}
--- a/cmd/chicoryhall/platformdaemon/crashprobe_test.go
+++ b/cmd/chicoryhall/platformdaemon/crashprobe_test.go
@@ -43,7 +43,7 @@
 			if c.closed {
 				must.NoError(t, listener.Close())
 			}
-			must.Eq(t, c.want, probeEndpoint(context.Background(), listener.Addr().String()))
+			must.Eq(t, c.want, newEndpointProbe(nil)(context.Background(), listener.Addr().String()))
 			_ = listener.Close()
 			must.ErrorIs(t, accepting.Wait(), net.ErrClosed)
 		})
--- a/cmd/chicorystand/hall/control.go
+++ b/cmd/chicorystand/hall/control.go
@@ -23,6 +23,12 @@
 			p.store.SetFaults(faults)
 		}
 	})
+	mux.HandleFunc("POST /cut", func(rw http.ResponseWriter, r *http.Request) {
+		var cut Cut
+		if decode(rw, r, &cut) {
+			p.cuts.apply(cut)
+		}
+	})
 	mux.HandleFunc("POST /compact", func(http.ResponseWriter, *http.Request) { p.store.Compact() })
 	mux.HandleFunc("POST /copy", func(http.ResponseWriter, *http.Request) { p.store.Copy() })
 	mux.HandleFunc("POST /restore", func(http.ResponseWriter, *http.Request) { p.Restore() })
--- a/cmd/chicorystand/hall/platform.go
+++ b/cmd/chicorystand/hall/platform.go
@@ -33,6 +33,7 @@
 	arrivals  arrivals
 	requests  records[RequestArrival]
 	endpoints []*Endpoint
+	cuts      *cuts
 	// configuration is the one that the operator wrote last.
 	configuration atomic.Pointer[json.RawMessage]
 	group         *errgroup.Group
@@ -41,7 +42,7 @@
 
 // New returns a Platform that listens while Serve runs.
 func New(settings Settings) *Platform {
-	p := &Platform{settings: settings, store: NewStore()}
+	p := &Platform{settings: settings, store: NewStore(), cuts: newCuts()}
 	for _, one := range settings.Endpoints {
 		p.endpoints = append(p.endpoints, &Endpoint{platform: p, settings: one, born: time.Now().UnixMilli()})
 	}
--- a/cmd/chicorystand/hall/poison.go
+++ b/cmd/chicorystand/hall/poison.go
@@ -130,7 +130,7 @@
 }
 
 // closedListener resets new connections while its endpoint is dead, as if nothing listened there, unless it is to be silent
-// then.
+// then. It resets those of daemons that are cut off as well.
 type closedListener struct {
 	net.Listener
 	endpoint *Endpoint
@@ -140,8 +140,14 @@
 func (l *closedListener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.Listener.Accept()
-		if err != nil || !l.endpoint.isDead() || l.endpoint.settings.SilentAfterCrash {
-			return conn, err
+		if err != nil {
+			return nil, err
+		}
+		if !l.endpoint.isDead() || l.endpoint.settings.SilentAfterCrash {
+			if open := l.endpoint.platform.cuts.accept(conn); open != nil {
+				return open, nil
+			}
+			continue
 		}
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0) // Makes Close reset the connection.
--- a/passthrough/config.go
+++ b/passthrough/config.go
@@ -1,6 +1,7 @@
 package passthrough
 
 import (
+	"net"
 	"time"
 
 	"chicoryhall.example/chicoryhall"
@@ -69,16 +70,18 @@
 	// Address is where the Server listens for callers, IP:PORT.
 	Address       string
 	FailureDomain chicoryhall.FailureDomain
-	Timer         chicoryhall.Timer
-	Rules         *routing.CurrentRules
-	Documents     chicoryhall.Documents
-	Endpoints     Endpoints
-	Router        chicoryhall.Router
-	Admission     chicoryhall.Admission
-	Retries       Retries
-	Limits        Limits
-	Quarantine    Quarantine
-	Dialect       chicoryhall.Dialect
+	// SourceIP is the IP address that connections to endpoints come from, or nil if the system chooses one.
+	SourceIP   net.IP
+	Timer      chicoryhall.Timer
+	Rules      *routing.CurrentRules
+	Documents  chicoryhall.Documents
+	Endpoints  Endpoints
+	Router     chicoryhall.Router
+	Admission  chicoryhall.Admission
+	Retries    Retries
+	Limits     Limits
+	Quarantine Quarantine
+	Dialect    chicoryhall.Dialect
 	// OnStaleView is called when a missing route or a misdirected request suggests that the view of endpoints
 	// is out of date. It must not block.
 	OnStaleView func()
--- a/passthrough/pool.go
+++ b/passthrough/pool.go
@@ -59,16 +59,22 @@
 	loop    *nbio.Engine
 	dialect chicoryhall.Dialect
 	metrics *Metrics
+	// source is the address that connections come from, or nil.
+	source  net.Addr
 	dials   errgroup.Group
 	stopped atomic.Bool
 	idle    *idle.Connections[*endpointConnection]
 }
 
 func newPool(config *Config, loop *nbio.Engine) *pool {
-	return &pool{
+	p := &pool{
 		timer: config.Timer, loop: loop, dialect: config.Dialect, metrics: config.Metrics,
 		idle: idle.New[*endpointConnection](maxIdlePerEndpoint),
 	}
+	if config.SourceIP != nil {
+		p.source = &net.TCPAddr{IP: config.SourceIP}
+	}
+	return p
 }
 
 func (p *pool) stop() {
@@ -95,7 +101,7 @@
 		request.receiver.onFailure(net.ErrClosed, false)
 		return
 	}
-	dialer := net.Dialer{Timeout: dialTimeout, Control: controlSocket, KeepAlive: -1}
+	dialer := net.Dialer{Timeout: dialTimeout, Control: controlSocket, KeepAlive: -1, LocalAddr: p.source}
 	dialed, err := dialer.Dial("tcp", request.address)
 	if err != nil {
 		request.receiver.onFailure(err, false)
--- a/proof/soak_platform_test.go
+++ b/proof/soak_platform_test.go
@@ -34,6 +34,8 @@
 	settings string
 	callers  string
 	ready    string
+	// source is the IP address that its connections to endpoints come from.
+	source string
 	*process
 }
 
@@ -56,7 +58,7 @@
   slack: 200
   window: 10s
 stopTimeout: 4s
-`
+%s`
 
 const soakRule = `{"name":"%s","host":"h","pathPrefix":"/%s/","kind":"%s","timeoutMs":%d,"targetLatencyMs":300,"priority":1,` +
 	`"service":"%s","maxAttempts":%d,"anonymous":false,"sticky":false,"resumable":%t,"gapAimMs":150}`
@@ -80,6 +82,8 @@
 	daemons, engines, plain int // in each domain
 	// plainSettings are further settings of the plain endpoints.
 	plainSettings map[string]any
+	// ownSources gives each daemon an IP address of its own for its connections to endpoints, so that it can be cut off.
+	ownSources bool
 	// engineSettings are further settings of the engines.
 	engineSettings map[string]any
 }
@@ -134,7 +138,12 @@
 			name := fmt.Sprintf("%s-d%d", domain, i)
 			callers := freeAddress(t)
 			d := &soakDaemon{t: t, name: name, callers: link(callers), ready: freeAddress(t)}
-			text := fmt.Sprintf(soakDaemonSettings, name, domain, callers, d.ready, freeAddress(t), link(store))
+			further := ""
+			if layout.ownSources {
+				d.source = fmt.Sprintf("127.0.0.%d", 10+len(w.daemons))
+				further = "sourceIP: " + d.source + "\n"
+			}
+			text := fmt.Sprintf(soakDaemonSettings, name, domain, callers, d.ready, freeAddress(t), link(store), further)
 			d.settings = filepath.Join(folder, name+".yaml")
 			must.NoError(t, os.WriteFile(d.settings, []byte(text), 0o600))
 			w.daemons = append(w.daemons, d)
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -143,12 +143,17 @@
 // restarted only by this goroutine, never by a function that ends a fault, so that no daemon is restarted twice at the same
 // time.
 func injectFaults(w *soakPlatform, seed uint64, duration time.Duration) []string {
+	return injectFaultsOf(w, soakFaults, seed, duration)
+}
+
+// injectFaultsOf is injectFaults with a choice of faults.
+func injectFaultsOf(w *soakPlatform, faults []soakFault, seed uint64, duration time.Duration) []string {
 	random := rand.New(rand.NewPCG(seed, seed))
 	var history []string
 	var pendingEnds sync.WaitGroup
 	startTime := time.Now()
 	for time.Since(startTime) < duration {
-		fault := soakFaults[random.IntN(len(soakFaults))]
+		fault := faults[random.IntN(len(faults))]
 		history = append(history, fmt.Sprintf("%.1f s %s", time.Since(startTime).Seconds(), fault.name))
 		if end := fault.begin(w, random); end != nil {
 			length := time.Duration(300+random.IntN(1500)) * time.Millisecond
--- a/settings/platformdaemon.go
+++ b/settings/platformdaemon.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"net"
 	"os"
 	"time"
 
@@ -29,6 +30,8 @@
 	Listen        PlatformDaemonListen      `yaml:"listen"`
 	Store         PlatformDaemonStore       `yaml:"store"`
 	Retries       PlatformDaemonRetries     `yaml:"retries"`
+	// SourceIP is the IP address that connections to endpoints come from. If it is empty, the system chooses one.
+	SourceIP string `yaml:"sourceIP,omitempty"`
 	// StopTimeout bounds the time from SIGTERM to the end of the process, unlike a DrainTimeout. Requests still in progress
 	// shortly before its end are cut off.
 	StopTimeout time.Duration `yaml:"stopTimeout"`
@@ -106,6 +109,9 @@
 	if slack := d.Retries.Slack; file.IsValid("retries.slack") && (slack < 0 || slack > maxRetrySlack) {
 		file.AddError("retries.slack", "%g is out of range; write a number of requests from 0 to %d", slack, maxRetrySlack)
 	}
+	if d.SourceIP != "" && net.ParseIP(d.SourceIP) == nil {
+		file.AddError("sourceIP", "%q is no IP address", d.SourceIP)
+	}
 	if _, err := log.ParseLevel(d.LogLevel); d.LogLevel != "" && err != nil {
 		file.AddError("logLevel", "%q is not known; write one of: debug, info, warn, error", d.LogLevel)
 	}
