passthrough, relay: daemons that reach no endpoints hand requests over

Cause: a daemon took what it cannot reach for what does not exist. Nothing but its own traffic decided, although the store still listed the endpoints.

Now a circuit breaker for each service opens when nothing comes from its endpoints any more while the store lists them, and requests go, as their callers sent them, to a daemon that reaches them, over an address of its own with the receiver's key. The receiver decides all that concerns endpoints, and answers through the first daemon. At most one hop; runs, time and rules that are left go along; what may have run is never called not run.

--- a/cmd/chicoryhall/platformdaemon/builder.go
+++ b/cmd/chicoryhall/platformdaemon/builder.go
@@ -1,6 +1,7 @@
 package platformdaemon
 
 import (
+	"crypto/rand"
 	"hash/fnv"
 	"io"
 	"net"
@@ -21,6 +22,7 @@
 	"chicoryhall.example/chicoryhall/placement"
 	"chicoryhall.example/chicoryhall/platform"
 	"chicoryhall.example/chicoryhall/quarantine"
+	"chicoryhall.example/chicoryhall/relay"
 	"chicoryhall.example/chicoryhall/retry"
 	"chicoryhall.example/chicoryhall/routing"
 	"chicoryhall.example/chicoryhall/settings"
@@ -105,6 +107,7 @@
 	crashMetrics  *metrics.Set
 	quarantine    *quarantineService
 	limits        *pace.Limiter
+	relays        *relays
 }
 
 // build constructs the components in the order of their dependencies and adds them to the tree of supervisors.
@@ -137,7 +140,10 @@
 func (b *builder) buildKnowledge(supervisor *suture.Supervisor) {
 	self := chicoryhall.Member{
 		ID: b.settings.ID, Region: b.settings.Region, FailureDomain: b.settings.FailureDomain,
-		CallerAddress: b.settings.Listen.Callers,
+		CallerAddress: b.settings.Listen.Callers, PeerAddress: b.settings.Listen.Peers,
+	}
+	if self.PeerAddress != "" {
+		self.PeerKey = rand.Text()
 	}
 	b.members = membership.NewTableMembers(self, b.table, b.timer, b.log)
 	b.store.SubscribeRestored(b.members.Restored)
@@ -212,7 +218,10 @@
 func (b *builder) buildInterfaces(supervisor *suture.Supervisor) {
 	b.metrics = passthrough.NewMetrics()
 	b.limits = pace.New(pace.NewShares(b.members), b.endpoints, b.log)
-	b.admission = admission.New(b.timer, b.documents, b.endpoints, b.members)
+	guests := relay.NewGuests(b.members, b.timer)
+	b.relays = newRelays(b.members.Self(), b.timer, b.endpoints, guests, b.log, newEndpointProbe(net.ParseIP(b.settings.SourceIP)))
+	supervisor.Add(b.relays)
+	b.admission = admission.New(b.timer, b.documents, b.endpoints, guests)
 	b.server = passthrough.NewServer(passthrough.Config{
 		Address: b.settings.Listen.Callers, FailureDomain: b.settings.FailureDomain, SourceIP: net.ParseIP(b.settings.SourceIP), Timer: b.timer,
 		Rules: b.rules, Documents: b.documents, Endpoints: b.endpoints,
@@ -223,7 +232,8 @@
 		Retries: retry.NewSlidingBudgets(retry.SlidingLimits{
 			Window: b.settings.Retries.Window, Ratio: b.settings.Retries.Ratio, Slack: b.settings.Retries.Slack,
 		}, b.timer.Now(), b.members.Alive),
-		Limits:     b.limits,
+		Limits: b.limits,
+		Relays: b.relays, PeerAddress: b.settings.Listen.Peers,
 		Quarantine: b.quarantine,
 		Dialect:    platform.Dialect{}, OnStaleView: b.endpointsFeed.Refresh, Metrics: b.metrics, Log: b.log,
 	})
--- a/cmd/chicoryhall/platformdaemon/status.go
+++ b/cmd/chicoryhall/platformdaemon/status.go
@@ -71,6 +71,7 @@
 	b.metrics.Write(w)
 	b.crashMetrics.WritePrometheus(w)
 	b.quarantine.writeMetrics(w)
+	b.relays.writeMetrics(w)
 	metrics.WriteGaugeUint64(w, "chicoryhall_limited_endpoints", uint64(b.limits.Count()))
 	metrics.WriteCounterUint64(w, "chicoryhall_log_lines_dropped_total", uint64(b.logWriter.Dropped()))
 	metrics.WriteGaugeUint64(w, "chicoryhall_daemons_alive", uint64(b.members.Alive()))
--- a/dialect.go
+++ b/dialect.go
@@ -75,6 +75,11 @@
 	ParseCaller(header http.Header) (CallerHeaders, error)
 	// Forward returns the headers to send to the endpoint, made from those of the caller.
 	Forward(header http.Header, terms EndpointHeaders) http.Header
+	// HandOver returns the headers with which another daemon gets a caller's request that waits for another time, and that
+	// resumes after an event if lastEvent is not empty.
+	HandOver(header http.Header, remaining time.Duration, lastEvent string) http.Header
+	// SetAnswerID sets the ID of the request that an answer belongs to.
+	SetAnswerID(header http.Header, id RequestID)
 	// ParseAnswer reads the headers of an endpoint's answer.
 	ParseAnswer(response *http.Response) AnswerHeaders
 }
--- a/event/requests.go
+++ b/event/requests.go
@@ -72,4 +72,15 @@
 	CallFailed = define(2502, log.WarnLevel, "call failed",
 		"An endpoint of a plain service did not answer a call.",
 		"Check the endpoint if it repeats.")
+	RequestHandedOver = define(2052, log.InfoLevel, "request handed to another daemon",
+		"This daemon reaches no endpoints of the service, so the daemon named by peer runs the request; its lines with the same request ID say how.",
+		"Check event 2053.")
+	EndpointsOutOfReach = define(2053, log.WarnLevel, "endpoints out of reach",
+		"This daemon reaches none of the service's endpoints, although they are listed and thus alive. Other daemons get the service's requests until event 2054.",
+		"Check the network between this VM and the endpoints, if other daemons do not say the same.")
+	EndpointsReached = define(2054, log.InfoLevel, "endpoints reached again",
+		"A request has reached an endpoint of the service again; this daemon serves its callers itself.", "Nothing.")
+	PeerRefused = define(2055, log.WarnLevel, "request of another daemon refused",
+		"A request at the address for other daemons did not carry this daemon's key, which changes at each start.",
+		"Check who sent it, unless the daemon has just started.")
 )
--- a/exchange/machine.go
+++ b/exchange/machine.go
@@ -99,6 +99,10 @@
 	return m.verdictWithoutRetry(failure)
 }
 
+// RunsToGrant returns how often somebody else who takes over the request may run it. One run is kept back, if there are more,
+// for the case that this one is lost.
+func (m *Machine) RunsToGrant() int { return max(1, m.config.MaxRuns-m.possibleRuns-1) }
+
 // FinalVerdict returns the verdict on a request that is not sent again, for example after its deadline. If an
 // attempt is still running, the request may have run.
 func (m *Machine) FinalVerdict(running bool) Verdict {
--- a/members.go
+++ b/members.go
@@ -27,6 +27,8 @@
 	// PeerAddress is the daemon's address for its peers, CallerAddress the one for callers.
 	PeerAddress   string `json:"peerAddress"`
 	CallerAddress string `json:"callerAddress"`
+	// PeerKey is the secret that peers without TLS show to this daemon; it is empty if there is none.
+	PeerKey string `json:"peerKey,omitempty"`
 	// Incarnation is a number that increases when the daemon restarts or refutes a suspicion.
 	Incarnation int64 `json:"incarnation"`
 	// StartIncarnation is the incarnation with which the process started. It tells processes of the
--- a/membership/tablemembers.go
+++ b/membership/tablemembers.go
@@ -36,6 +36,8 @@
 type memberRow struct {
 	FailureDomain chicoryhall.FailureDomain `json:"failureDomain"`
 	Region        chicoryhall.Region        `json:"region"`
+	PeerAddress   string                    `json:"peer,omitempty"`
+	PeerKey       string                    `json:"peerKey,omitempty"`
 	// StartIncarnation is the time of the daemon's start in Unix milliseconds.
 	StartIncarnation int64 `json:"run"`
 }
@@ -209,7 +211,10 @@
 func (m *TableMembers) writeOwnRow(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, rowTimeout)
 	defer cancel()
-	value := memberRow{FailureDomain: m.self.FailureDomain, Region: m.self.Region, StartIncarnation: m.self.StartIncarnation}
+	value := memberRow{
+		FailureDomain: m.self.FailureDomain, Region: m.self.Region, PeerAddress: m.self.PeerAddress, PeerKey: m.self.PeerKey,
+		StartIncarnation: m.self.StartIncarnation,
+	}
 	change := table.Change{Key: m.key(), Value: table.EncodeValue(value), IfVersion: table.AnyVersion}
 	_, err := m.table.Transact(ctx, table.Transaction{Nonce: rand.Text(), Changes: []table.Change{change}})
 	m.noteResult("write the daemon's row", err)
@@ -306,6 +311,8 @@
 		ID:               chicoryhall.DaemonID(strings.TrimPrefix(observed.row.Key, rowPrefix)),
 		Region:           observed.value.Region,
 		FailureDomain:    observed.value.FailureDomain,
+		PeerAddress:      observed.value.PeerAddress,
+		PeerKey:          observed.value.PeerKey,
 		Incarnation:      observed.value.StartIncarnation,
 		StartIncarnation: observed.value.StartIncarnation,
 		State:            state,
--- a/passthrough/answer.go
+++ b/passthrough/answer.go
@@ -10,13 +10,14 @@
 	"chicoryhall.example/chicoryhall/exchange"
 	"chicoryhall.example/chicoryhall/http1"
 	"chicoryhall.example/chicoryhall/pace"
+	"chicoryhall.example/chicoryhall/relay"
 )
 
 // handleHead handles the head of the answer. It starts to forward an event stream; any other answer is
 // buffered at first.
 func (a *attempt) handleHead(response *http.Response) {
 	a.response = response
-	a.answerHeaders = a.exchange.config().Dialect.ParseAnswer(response)
+	a.answerHeaders = a.parseAnswer(response)
 	if a.answerHeaders.Running >= 0 {
 		a.exchange.config().Endpoints.ReportRunning(a.route.Hops[0].Engine, a.answerHeaders.Running)
 	}
@@ -43,7 +44,7 @@
 
 // recordLimit records what the answer says of the limit of the first endpoint, unless another endpoint has answered.
 func (a *attempt) recordLimit() {
-	if a.answerHeaders.Misdirected {
+	if a.answerHeaders.Misdirected || a.peer != nil {
 		return
 	}
 	x := a.exchange
@@ -92,7 +93,7 @@
 	if x.events != nil {
 		var err error
 		if out, err = x.events.Feed(nil, piece); err != nil {
-			x.config().Endpoints.Observe(a.route.Hops[0].Engine, chicoryhall.ObservedBrokenConnection)
+			a.observeFirst(chicoryhall.ObservedBrokenConnection)
 			a.excludeFirst()
 			a.fail(exchange.FailureLost, err)
 			return
@@ -123,7 +124,7 @@
 	}
 	a.progressReportedAt = now
 	working := a.route.Hops
-	if a.answerHeaders.NotRun {
+	if a.answerHeaders.NotRun && a.peer == nil {
 		working = working[:1]
 	}
 	for _, hop := range working {
@@ -136,6 +137,8 @@
 	x := a.exchange
 	status := a.response.StatusCode
 	switch {
+	case a.reply != relay.ReplyNone:
+		a.handlePeerEnd()
 	case a.answerHeaders.NotRun:
 		a.handleRefusal()
 	case a.forwarding && x.events != nil && !x.events.AtBoundary():
@@ -146,7 +149,7 @@
 	case impliesNotRun(status):
 		a.excludeFirst()
 		a.fail(exchange.FailureLost, errors.Errorf("the endpoint answered with status %d and did not say that it ran nothing", status))
-	case status >= http.StatusInternalServerError:
+	case status >= http.StatusInternalServerError && a.peer == nil:
 		a.checkProven(true)
 		a.excludeFirst()
 		a.fail(exchange.FailureAnswered, errors.Errorf("the endpoint answered with status %d", status))
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -11,6 +11,7 @@
 	"chicoryhall.example/chicoryhall/event"
 	"chicoryhall.example/chicoryhall/http1"
 	"chicoryhall.example/chicoryhall/quarantine"
+	"chicoryhall.example/chicoryhall/relay"
 )
 
 const (
@@ -35,7 +36,12 @@
 	exchange *callerExchange
 	number   int
 	route    chicoryhall.Route
-	conn     *endpointConnection
+	// peer is the daemon that the request is handed to, instead of the endpoints of a route. peerOutcome is what that has
+	// shown of it, and reply what its own answer means.
+	peer        *relay.Peer
+	peerOutcome relay.Outcome
+	reply       relay.Reply
+	conn        *endpointConnection
 	// stages are those of the route at the start of the attempt.
 	stages []quarantine.Stage
 	// standing is what was known of the request's content at the start of the attempt.
@@ -63,7 +69,9 @@
 	wentOn       bool
 	// lastProgress is when the attempt started, or when the head or the last piece of the body arrived.
 	// progressReportedAt is when progress was last reported.
-	lastProgress       time.Time
+	lastProgress time.Time
+	// silenceChecked is set once checkSilence has run.
+	silenceChecked     bool
 	progressReportedAt time.Time
 }
 
@@ -80,9 +88,12 @@
 		return
 	case quarantine.StateFree, quarantine.StateSuspect:
 	}
+	if x.mustRelay() && x.handOver() {
+		return
+	}
 	current, known := x.config().Documents.Current(x.service)
 	if !known {
-		x.refuse(http.StatusServiceUnavailable, retryAfterNoRules, "the service is not described")
+		x.refuseUnable(retryAfterNoRules, "the service is not described")
 		return
 	}
 	route, err := x.chooseRoute(current.Document)
@@ -160,6 +171,9 @@
 	for _, hop := range a.route.Hops {
 		a.exchange.config().Endpoints.End(hop.Engine)
 	}
+	if a.peer != nil {
+		a.exchange.config().Relays.Release(a.peer.ID, a.exchange.service, a.peerOutcome)
+	}
 	a.endTrial(a.trialOutcome())
 	if abandon && a.conn != nil {
 		a.conn.abandon(a)
--- a/passthrough/callerexchange.go
+++ b/passthrough/callerexchange.go
@@ -13,6 +13,7 @@
 	"chicoryhall.example/chicoryhall/exchange"
 	"chicoryhall.example/chicoryhall/http1"
 	"chicoryhall.example/chicoryhall/quarantine"
+	"chicoryhall.example/chicoryhall/relay"
 	"chicoryhall.example/chicoryhall/routing"
 )
 
@@ -71,6 +72,11 @@
 	// reserve endpoints failed, or zero.
 	reservedElsewhere []chicoryhall.EndpointID
 	reservingSince    time.Time
+	// ticket is that of the daemon that has handed over the request, or nil. peers are the daemons that it was handed to by
+	// this one. refusal is what a refusal means to the daemon that has handed it over.
+	ticket  *relay.Ticket
+	peers   []chicoryhall.DaemonID
+	refusal relay.Reply
 	// events tracks the events of a streamed answer; it is nil for other answers.
 	events   *exchange.EventSplitter
 	finished bool
@@ -91,6 +97,7 @@
 	timer := conn.server.config.Timer
 	x := &callerExchange{
 		conn: conn, server: conn.server, head: head, body: body, startedAt: timer.Now(), nonce: strconv.FormatUint(rand.Uint64(), 36),
+		refusal: relay.ReplyLoad,
 	}
 	x.checkTimer = wakeupTimer{timer: timer, post: conn.post, wake: x.onDue}
 	return x
@@ -109,16 +116,23 @@
 		x.refuse(http.StatusBadRequest, 0, err.Error())
 		return
 	}
+	if x.conn.isPeer && !x.acceptTicket() {
+		return
+	}
 	if x.server.refusing.Load() {
-		x.refuse(http.StatusServiceUnavailable, retryAfterDraining, "the daemon has stopped")
+		x.refuseUnable(retryAfterDraining, "the daemon has stopped")
 		return
 	}
 	table, known := x.config().Rules.Table()
 	if !known {
-		x.refuse(http.StatusServiceUnavailable, retryAfterNoRules, "no rules are known yet")
+		x.refuseUnable(retryAfterNoRules, "no rules are known yet")
 		return
 	}
 	x.rulesVersion = table.Version()
+	if x.ticket != nil && x.rulesVersion < x.ticket.Rules {
+		x.refuseUnable(retryAfterNoRules, "the rules are older than those of the daemon that handed over the request")
+		return
+	}
 	rule, found := table.Match(x.head.Host, x.head.URL.Path)
 	if !found {
 		x.refuse(http.StatusNotFound, 0, "no rule for the host and path")
@@ -138,6 +152,10 @@
 		x.endQuarantined(standing, errCrashesEndpoints)
 		return
 	}
+	if x.ticket != nil && x.config().Relays.IsOutOfReach(x.service) {
+		x.refuseUnable(retryAfterRefused, "this daemon reaches no endpoints of the service either")
+		return
+	}
 	x.setDeadline()
 	x.requestAdmission()
 }
@@ -179,8 +197,13 @@
 // requestAdmission asks for admission; the exchange goes on once it is granted or refused.
 func (x *callerExchange) requestAdmission() {
 	// The rule's MaxAttempts bounds only attempts that may have run; the Machine itself bounds the others.
-	x.machine = exchange.New(exchange.Config{Kind: x.rule.Kind, Resumable: x.rule.Resumable, MaxRuns: x.rule.MaxAttempts})
-	x.config().Retries.CountRequest(x.service, x.startedAt)
+	x.machine = exchange.New(exchange.Config{Kind: x.rule.Kind, Resumable: x.rule.Resumable, MaxRuns: x.maxRuns()})
+	if x.ticket == nil { // The daemon that has handed it over has counted it.
+		x.config().Retries.CountRequest(x.service, x.startedAt)
+	}
+	if x.mustRelay() && x.handOver() {
+		return
+	}
 	query := chicoryhall.AdmissionQuery{
 		Service: x.service, Class: x.class.Name, Organisation: x.organisation, Deadline: x.deadline,
 		ExpectedDuration: x.expectedDuration(), Tokens: x.callerHeaders.PromptTokens + x.callerHeaders.AnswerTokens, MaxWait: x.maxAdmissionWait(),
@@ -189,7 +212,7 @@
 		x.conn.post(func() { x.onAdmitted(permit) })
 	}, func(after time.Duration, reason string) {
 		x.conn.post(func() {
-			if !x.finished {
+			if !x.finished && !x.handOverWithoutRoute() {
 				x.refuse(http.StatusServiceUnavailable, after, reason)
 			}
 		})
@@ -287,6 +310,7 @@
 }
 
 func (x *callerExchange) writeAnswer(status int, header http.Header, kind *event.Event, reason string) {
+	x.markOwnAnswer(header, status)
 	x.closeAfterAnswer = x.closesConnection()
 	x.conn.writeWhole(status, header, []byte(reason+"\n"), x.closeAfterAnswer)
 	x.finish(kind, status, reason)
--- a/passthrough/config.go
+++ b/passthrough/config.go
@@ -68,18 +68,22 @@
 // Config holds the dependencies and settings of a Server.
 type Config struct {
 	// Address is where the Server listens for callers, IP:PORT.
-	Address       string
+	Address string
+	// PeerAddress is where it listens for other daemons, IP:PORT, or empty.
+	PeerAddress   string
 	FailureDomain chicoryhall.FailureDomain
 	// SourceIP is the IP address that connections to endpoints come from, or nil if the system chooses one.
-	SourceIP   net.IP
-	Timer      chicoryhall.Timer
-	Rules      *routing.CurrentRules
-	Documents  chicoryhall.Documents
-	Endpoints  Endpoints
-	Router     chicoryhall.Router
-	Admission  chicoryhall.Admission
-	Retries    Retries
-	Limits     Limits
+	SourceIP  net.IP
+	Timer     chicoryhall.Timer
+	Rules     *routing.CurrentRules
+	Documents chicoryhall.Documents
+	Endpoints Endpoints
+	Router    chicoryhall.Router
+	Admission chicoryhall.Admission
+	Retries   Retries
+	Limits    Limits
+	// Relays is used only if PeerAddress is set.
+	Relays     Relays
 	Quarantine Quarantine
 	Dialect    chicoryhall.Dialect
 	// OnStaleView is called when a missing route or a misdirected request suggests that the view of endpoints
--- a/passthrough/connection.go
+++ b/passthrough/connection.go
@@ -33,6 +33,8 @@
 type connection struct {
 	server *Server
 	socket *nbio.Conn
+	// isPeer is set if another daemon has opened the connection, at the address for daemons.
+	isPeer bool
 	box    *mailbox.Box[message]
 	reader *http1.Reader[*http.Request]
 
@@ -173,8 +175,7 @@
 		conn.linger()
 		return
 	}
-	_, _, idle := conn.server.limits()
-	conn.setCloseTimeout(idle)
+	conn.setCloseTimeout(conn.idleTimeout())
 	// The reader must not be called recursively: this function may have been called by it.
 	conn.post(func() {
 		if conn.current == nil && !conn.closing && !conn.closed {
@@ -183,6 +184,15 @@
 	})
 }
 
+// idleTimeout returns how long the connection may be idle between two requests.
+func (conn *connection) idleTimeout() time.Duration {
+	if conn.isPeer {
+		return peerIdleTimeout
+	}
+	_, _, idle := conn.server.limits()
+	return idle
+}
+
 // linger closes the connection after lingerTime, so that the caller can read its last answer.
 func (conn *connection) linger() { conn.setCloseTimeout(lingerTime) }
 
@@ -217,7 +227,7 @@
 // closeIfIdle closes the connection if it is between two requests. A connection that has just opened is not, as its first
 // request is on the way; closeAt limits the wait for it.
 func (conn *connection) closeIfIdle() {
-	if conn.hasRequested && conn.current == nil && conn.head == nil && conn.reader.AtBoundary() && !conn.closing {
+	if !conn.isPeer && conn.hasRequested && conn.current == nil && conn.head == nil && conn.reader.AtBoundary() && !conn.closing {
 		conn.close()
 	}
 }
--- a/passthrough/doc.go
+++ b/passthrough/doc.go
@@ -10,6 +10,10 @@
 // which handles them one at a time. Exchanges therefore need no locks, and no
 // goroutine waits for an answer.
 //
+// Where this daemon reaches no endpoints of a service, package relay chooses another daemon,
+// and the attempt sends the request there as its caller sent it. A Server takes such requests
+// at an address of its own, and handles them like a caller's.
+//
 // Headers that are not part of HTTP itself are read and written by a
 // chicoryhall.Dialect.
 package passthrough
--- a/passthrough/failure.go
+++ b/passthrough/failure.go
@@ -12,12 +12,17 @@
 	"chicoryhall.example/chicoryhall/event"
 	"chicoryhall.example/chicoryhall/exchange"
 	"chicoryhall.example/chicoryhall/quarantine"
+	"chicoryhall.example/chicoryhall/relay"
 )
 
 // onNoRoute ends an exchange for which no route was found.
 func (x *callerExchange) onNoRoute(err error) {
 	if !lacksRoom(err) { // Endpoints are missing, which an outdated view may explain.
 		x.config().OnStaleView()
+		x.refusal = relay.ReplyUnable
+	}
+	if x.handOverWithoutRoute() {
+		return
 	}
 	switch {
 	case x.machine.IsAnswerStarted():
@@ -57,9 +62,9 @@
 	a.end(true)
 	x.current = nil
 	x.config().Log.Log(event.AttemptEnded, "request", x.callerHeaders.ID, "attempt", a.number, "failure", failure, "sent", a.sent,
-		"route", routeText(a.route), "took", x.config().Timer.Now().Sub(a.startedAt), "error", cause)
+		"route", routeText(a.route), "peer", a.peerID(), "took", x.config().Timer.Now().Sub(a.startedAt), "error", cause)
 	// A suspect is not sent again at once: whether it caused a crash may be known when its caller returns.
-	verdict := x.machine.OnFailure(failure, func() bool { return !a.isTrial() && x.takeRetry() })
+	verdict := x.machine.OnFailure(failure, func() bool { return !a.isTrial() && a.mayGoElsewhere(failure) })
 	x.applyVerdict(verdict, a, cause)
 }
 
@@ -117,6 +122,10 @@
 // handleConnectionFailure handles a connection that failed before the answer was complete; sent says whether
 // bytes of the request may have gone out.
 func (a *attempt) handleConnectionFailure(err error, sent bool) {
+	if a.peer != nil {
+		a.handlePeerFailure(err, sent)
+		return
+	}
 	x := a.exchange
 	first := a.route.Hops[0].Engine
 	a.excludeFirst()
@@ -136,6 +145,9 @@
 		observed = chicoryhall.ObservedBrokenConnection
 	}
 	x.config().Endpoints.Observe(first, observed)
+	if observed == chicoryhall.ObservedSilence {
+		a.reportSilence()
+	}
 	x.server.pool.closeIdleConnections(a.route.Hops[0].Address)
 	a.fail(exchange.FailureUnsent, err)
 }
--- a/passthrough/fixture_test.go
+++ b/passthrough/fixture_test.go
@@ -57,6 +57,19 @@
 	return out
 }
 
+func (testDialect) HandOver(header http.Header, remaining time.Duration, lastEvent string) http.Header {
+	out := header.Clone()
+	out.Set("Wait", remaining.String())
+	if lastEvent != "" {
+		out.Set("Last", lastEvent)
+	}
+	return out
+}
+
+func (testDialect) SetAnswerID(header http.Header, id chicoryhall.RequestID) {
+	header.Set("Id", string(id))
+}
+
 func (testDialect) ParseAnswer(response *http.Response) chicoryhall.AnswerHeaders {
 	return chicoryhall.AnswerHeaders{
 		NotRun: response.Header.Get("Not-Run") != "", RequestID: chicoryhall.RequestID(response.Header.Get("Id")),
@@ -165,6 +178,9 @@
 	// quarantine is the server's passthrough.Quarantine.
 	quarantine *fakeQuarantine
 	limits     *fakeLimits
+	// relays is the server's passthrough.Relays, and peerAddress where it listens for other daemons.
+	relays      *fakeRelays
+	peerAddress string
 }
 
 // fakeLimits is a passthrough.Limits that allows each endpoint that is named in left so many requests.
@@ -391,6 +407,10 @@
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	w := &testServer{quarantine: &fakeQuarantine{}, limits: &fakeLimits{}, address: free.Addr().String(), retries: 10, logs: &logBuffer{}, endpoints: &fakeEndpoints{inFlight: make(map[chicoryhall.EndpointID]int)}}
+	freePeer, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	w.relays, w.peerAddress = &fakeRelays{key: "key"}, freePeer.Addr().String()
+	must.NoError(t, freePeer.Close())
 	must.NoError(t, free.Close())
 	clock := timer.New()
 	current := routing.NewCurrentRules()
@@ -399,7 +419,7 @@
 	}
 	w.server = passthrough.NewServer(passthrough.Config{
 		Address: w.address, Timer: lateTimer{Service: clock, late: late}, Rules: current, Documents: w, Endpoints: w.endpoints, Router: router, Admission: w,
-		Retries: w, Limits: w.limits, Quarantine: w.quarantine, Dialect: testDialect{}, OnStaleView: func() {}, Metrics: passthrough.NewMetrics(), Log: event.NewLogger(w.logs, "test", log.InfoLevel),
+		Retries: w, Limits: w.limits, Relays: w.relays, PeerAddress: w.peerAddress, Quarantine: w.quarantine, Dialect: testDialect{}, OnStaleView: func() {}, Metrics: passthrough.NewMetrics(), Log: event.NewLogger(w.logs, "test", log.InfoLevel),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var serving sync.WaitGroup
--- a/passthrough/metrics.go
+++ b/passthrough/metrics.go
@@ -16,6 +16,7 @@
 	connections      *metrics.Counter
 	refusedExchanges *metrics.Counter
 	quarantined      *metrics.Counter
+	handedOver       *metrics.Counter
 }
 
 // NewMetrics returns Metrics with all counters at zero.
@@ -25,6 +26,7 @@
 		set:              set,
 		connections:      set.NewCounter("chicoryhall_endpoint_connections_total"),
 		quarantined:      set.NewCounter("chicoryhall_quarantine_refused_total"),
+		handedOver:       set.NewCounter("chicoryhall_exchanges_handed_over_total"),
 		refusedExchanges: set.NewCounter("chicoryhall_exchanges_refused_total"),
 	}
 }
@@ -37,6 +39,9 @@
 // requestQuarantined counts a request that is not run because requests with its content crash endpoints.
 func (m *Metrics) requestQuarantined() { m.quarantined.Inc() }
 
+// requestHandedOver counts a request that another daemon runs.
+func (m *Metrics) requestHandedOver() { m.handedOver.Inc() }
+
 // messageRefused counts an answer to a message that is not a valid request.
 func (m *Metrics) messageRefused(status int) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("chicoryhall_messages_refused_total{status=\"%d\"}", status)).Inc()
--- a/passthrough/quarantine.go
+++ b/passthrough/quarantine.go
@@ -156,6 +156,9 @@
 
 // reportLoss reports that the attempt was sent and ended without a complete answer.
 func (a *attempt) reportLoss(cause quarantine.LossCause) {
+	if a.peer != nil { // The daemon that runs the request reports it.
+		return
+	}
 	x := a.exchange
 	x.config().Quarantine.Lost(quarantine.Loss{
 		Fingerprint: x.fingerprint, Parts: a.unprovenParts(), Subject: a.standing.Subject, Attempt: x.attemptID(a.number), Stages: a.stages,
--- a/passthrough/server.go
+++ b/passthrough/server.go
@@ -72,8 +72,12 @@
 	}
 	logging.SetLevel(logging.LevelNone)
 	nbio.MaxOpenFiles = maxConnections
+	addresses := []string{config.Address}
+	if config.PeerAddress != "" {
+		addresses = append(addresses, config.PeerAddress)
+	}
 	s.loop = nbio.NewEngine(nbio.Config{
-		Name: "passthrough", Network: "tcp", Addrs: []string{config.Address}, NPoller: 1,
+		Name: "passthrough", Network: "tcp", Addrs: addresses, NPoller: 1,
 		ReadBufferSize: readBuffer, MaxWriteBufferSize: maxWriteBuffer, Listen: listen,
 	})
 	s.pool = newPool(&s.config, s.loop)
@@ -199,6 +203,7 @@
 		return
 	}
 	conn := newConnection(s, socket)
+	conn.isPeer = s.config.PeerAddress != "" && socket.LocalAddr().String() == s.config.PeerAddress
 	socket.SetSession(conn)
 	s.mu.Lock()
 	s.connections[socket] = conn
--- a/proof/soak_part_test.go
+++ b/proof/soak_part_test.go
@@ -7,8 +7,6 @@
 	"syscall"
 	"testing"
 	"time"
-
-	"github.com/shoenig/test/must"
 )
 
 const (
@@ -179,7 +177,9 @@
 			before, _ := servedShare(soundResults, calmFrom, crashFrom)
 			after, sent := servedShare(soundResults, known.Add(soundGrace), stopped)
 			t.Logf("sound requests served: %.2f before, %.2f of %d from %s after crash %d", before, after, sent, soundGrace, partCrashes)
-			must.GreaterEq(t, minSoundShare*before, after)
+			if after < minSoundShare*before {
+				t.Errorf("sound requests were served too rarely")
+			}
 			if t.Failed() {
 				t.Logf("logs: %s", w.keepLogs(t))
 			}
--- a/proof/soak_platform_test.go
+++ b/proof/soak_platform_test.go
@@ -49,8 +49,7 @@
 listen:
   callers: %s
   ready: %s
-  metrics: %s
-store:
+  metrics: %sstore:
   address: %s
   deafTimeout: 3s
 retries:
@@ -138,12 +137,13 @@
 			name := fmt.Sprintf("%s-d%d", domain, i)
 			callers := freeAddress(t)
 			d := &soakDaemon{t: t, name: name, callers: link(callers), ready: freeAddress(t)}
-			further := ""
+			further, peers := "", ""
 			if layout.ownSources {
 				d.source = fmt.Sprintf("127.0.0.%d", 10+len(w.daemons))
 				further = "sourceIP: " + d.source + "\n"
+				peers = "  peers: " + freeAddress(t) + "\n"
 			}
-			text := fmt.Sprintf(soakDaemonSettings, name, domain, callers, d.ready, freeAddress(t), link(store), further)
+			text := fmt.Sprintf(soakDaemonSettings, name, domain, callers, d.ready, freeAddress(t)+"\n"+peers, link(store), further)
 			d.settings = filepath.Join(folder, name+".yaml")
 			must.NoError(t, os.WriteFile(d.settings, []byte(text), 0o600))
 			w.daemons = append(w.daemons, d)
--- a/proof/soak_stranded_test.go
+++ b/proof/soak_stranded_test.go
@@ -7,8 +7,6 @@
 	"syscall"
 	"testing"
 	"time"
-
-	"github.com/shoenig/test/must"
 )
 
 const (
@@ -109,8 +107,9 @@
 			atCut, sent := servedAt(results, began.Add(cutGrace), ended.Add(-time.Second), isCut)
 			atOthers, sentOthers := servedAt(results, began.Add(cutGrace), ended.Add(-time.Second), func(d string) bool { return !isCut(d) })
 			t.Logf("served at the daemons cut off %.2f of %d, at the others %.2f of %d", atCut, sent, atOthers, sentOthers)
-			must.Greater(t, 0, sent)
-			must.GreaterEq(t, minCutShare*atOthers, atCut)
+			if sent == 0 || atCut < minCutShare*atOthers {
+				t.Errorf("the daemons cut off served %.2f of %d; at least two thirds of %.2f are wanted", atCut, sent, atOthers)
+			}
 			if t.Failed() {
 				t.Logf("logs: %s", w.keepLogs(t))
 			}
--- a/settings/platformdaemon.go
+++ b/settings/platformdaemon.go
@@ -46,6 +46,9 @@
 	Callers string `yaml:"callers"`
 	// Ready is the address at which the platform asks whether this daemon accepts callers.
 	Ready string `yaml:"ready"`
+	// Peers is the address for other daemons of the deployment, which hand over requests. If it is empty, this daemon takes
+	// none and hands none over.
+	Peers string `yaml:"peers,omitempty"`
 	// Metrics is the address at which the metrics are served in the Prometheus text format.
 	Metrics string `yaml:"metrics"`
 }
@@ -109,6 +112,9 @@
 	if slack := d.Retries.Slack; file.IsValid("retries.slack") && (slack < 0 || slack > maxRetrySlack) {
 		file.AddError("retries.slack", "%g is out of range; write a number of requests from 0 to %d", slack, maxRetrySlack)
 	}
+	if d.Listen.Peers != "" {
+		file.CheckAddress("listen.peers", d.Listen.Peers)
+	}
 	if d.SourceIP != "" && net.ParseIP(d.SourceIP) == nil {
 		file.AddError("sourceIP", "%q is no IP address", d.SourceIP)
 	}
