relay: daemons that have answered get requests first

Cause: a daemon knew only its own failures, and each excludes a daemon for half a second at first. With few requests a second it never learns enough.

Daemons that have answered for the service within 5 s go before those that have not, by a weight of 4.

Evidence: the case "those that have answered first" of TestPeersAreChosen asks for what the code before does not do.

--- a/relay/peers.go
+++ b/relay/peers.go
@@ -15,6 +15,10 @@
 	maxExclusion = 4 * time.Second
 	// otherDomainWeight multiplies the load of peers in other failure domains, as bytes between domains cost more.
 	otherDomainWeight = 1.5
+	// unprovenWeight multiplies the load of peers that have not answered a request for the service for provenTime. Where many
+	// daemons are cut off, most of them are unable.
+	unprovenWeight = 4
+	provenTime     = 5 * time.Second
 	// maxInFlight bounds the requests that one peer has from this daemon at a time.
 	maxInFlight = 256
 )
@@ -71,6 +75,8 @@
 	// unreached and unable hold the peers that failed lately, in general and for one service.
 	unreached map[chicoryhall.DaemonID]*exclusion
 	unable    map[ability]*exclusion
+	// answeredAt is when each peer last answered a request.
+	answeredAt map[ability]time.Time
 	// turn varies the choice among peers that are equally loaded.
 	turn int
 }
@@ -80,6 +86,7 @@
 	return &Peers{
 		members: members, domain: members.Self().FailureDomain, inFlight: make(map[chicoryhall.DaemonID]int),
 		unreached: make(map[chicoryhall.DaemonID]*exclusion), unable: make(map[ability]*exclusion),
+		answeredAt: make(map[ability]time.Time),
 	}
 }
 
@@ -97,7 +104,7 @@
 		if !p.isCandidate(member, service, excluded, now) {
 			continue
 		}
-		if load := p.load(member); !found || load < bestLoad {
+		if load := p.load(member, service, now); !found || load < bestLoad {
 			best, found, bestLoad = peerOf(member), true, load
 		}
 	}
@@ -112,8 +119,11 @@
 }
 
 // load returns the weighted number of requests that a peer would have with one more.
-func (p *Peers) load(member chicoryhall.Member) float64 {
+func (p *Peers) load(member chicoryhall.Member, service chicoryhall.ServiceName, now time.Time) float64 {
 	load := float64(p.inFlight[member.ID] + 1)
+	if answeredAt, known := p.answeredAt[ability{peer: member.ID, service: service}]; !known || now.Sub(answeredAt) > provenTime {
+		load *= unprovenWeight
+	}
 	if member.FailureDomain != p.domain {
 		load *= otherDomainWeight
 	}
@@ -147,10 +157,13 @@
 	case OutcomeAnswered:
 		delete(p.unreached, peer)
 		delete(p.unable, key)
+		p.answeredAt[key] = now
 	case OutcomeUnable:
+		delete(p.answeredAt, key)
 		delete(p.unreached, peer)
 		extend(p.unable, key, now)
 	case OutcomeLost:
+		delete(p.answeredAt, key)
 		extend(p.unreached, peer, now)
 	}
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -37,8 +37,8 @@
 }
 
 func TestPeersAreChosen(t *testing.T) {
-	dead, old := member("dead", "x"), member("old", "x")
-	dead.State, old.PeerKey = chicoryhall.MemberDead, ""
+	dead, old, guest := member("dead", "x"), member("old", "x"), member("guest", "x")
+	dead.State, old.PeerKey, guest.State = chicoryhall.MemberDead, "", chicoryhall.MemberSuspect
 	released := func(outcome relay.Outcome) func(*relay.Peers) {
 		return func(p *relay.Peers) { p.Release("near", service, outcome, start) }
 	}
@@ -59,6 +59,10 @@
 		{"again after a while", []chicoryhall.Member{member("near", "x")}, released(relay.OutcomeLost), service, nil, 500 * time.Millisecond, "near"},
 		{"none that were unable", []chicoryhall.Member{member("near", "x")}, released(relay.OutcomeUnable), service, nil, 0, ""},
 		{"those for another service", []chicoryhall.Member{member("near", "x")}, released(relay.OutcomeUnable), "other", nil, 0, "near"},
+		{"those that have answered first", []chicoryhall.Member{member("near", "x"), member("far", "y")}, func(p *relay.Peers) {
+			p.Release("far", service, relay.OutcomeAnswered, start)
+		}, service, nil, 0, "far"},
+		{"none that hand over requests themselves", []chicoryhall.Member{guest, member("far", "y")}, nil, service, nil, 0, "far"},
 		{"those that answered", []chicoryhall.Member{member("near", "x")}, released(relay.OutcomeAnswered), service, nil, 0, "near"},
 	}
 	for _, c := range cases {
