passthrough: a trial of endpoints that were out of reach is not handed over

Cause: a request took the trial when it asked for admission and asked again when it started; the breaker, still open, then sent it elsewhere, so that no trial ever reached an endpoint. On small deployments requests that found no daemon to take them reached the endpoints by chance.

The exchange remembers that it is the trial until its attempt has failed.

Evidence: TestTrialReachesTheEndpoints fails without the change.

--- a/cmd/chicoryhall/platformdaemon/relays.go
+++ b/cmd/chicoryhall/platformdaemon/relays.go
@@ -39,7 +39,7 @@
 	probeAddress func(context.Context, string) crashProbe,
 ) *relays {
 	return &relays{
-		self: self, timer: timer, endpoints: endpoints, breakers: relay.NewBreakers(), peers: relay.NewPeers(guests.Members), guests: guests,
+		self: self, timer: timer, endpoints: endpoints, breakers: relay.NewBreakers(), peers: relay.NewPeers(guests), guests: guests,
 		log: log, probeAddress: probeAddress,
 	}
 }
@@ -63,9 +63,9 @@
 	return isOpen
 }
 
-// MustRelay reports whether the endpoints of a service are out of reach and the request does not have to try them again.
-func (r *relays) MustRelay(service chicoryhall.ServiceName, isRepeatable bool) bool {
-	return r.IsOutOfReach(service) && !r.breakers.TakeTrial(service, isRepeatable, r.timer.Now())
+// TakeTrial reports whether a request has to try the endpoints of a service that are out of reach.
+func (r *relays) TakeTrial(service chicoryhall.ServiceName, isRepeatable bool) bool {
+	return r.breakers.TakeTrial(service, isRepeatable, r.timer.Now())
 }
 
 // NoRoute reports whether the reason for the lack of a route is that the endpoints of the service are out of reach. If that is
--- a/passthrough/callerexchange.go
+++ b/passthrough/callerexchange.go
@@ -77,6 +77,8 @@
 	ticket  *relay.Ticket
 	peers   []chicoryhall.DaemonID
 	refusal relay.Reply
+	// isReachTrial is set while the request tries endpoints that were out of reach.
+	isReachTrial bool
 	// events tracks the events of a streamed answer; it is nil for other answers.
 	events   *exchange.EventSplitter
 	finished bool
--- a/passthrough/failure.go
+++ b/passthrough/failure.go
@@ -60,7 +60,7 @@
 		a.reportLoss(a.lossCause)
 	}
 	a.end(true)
-	x.current = nil
+	x.current, x.isReachTrial = nil, false
 	x.config().Log.Log(event.AttemptEnded, "request", x.callerHeaders.ID, "attempt", a.number, "failure", failure, "sent", a.sent,
 		"route", routeText(a.route), "peer", a.peerID(), "took", x.config().Timer.Now().Sub(a.startedAt), "error", cause)
 	// A suspect is not sent again at once: whether it caused a crash may be known when its caller returns.
--- a/passthrough/relay.go
+++ b/passthrough/relay.go
@@ -16,7 +16,7 @@
 
 const (
 	// maxHandOvers is the number of daemons that one request is handed to, one after another.
-	maxHandOvers = 3
+	maxHandOvers = 5
 	// handOverMargin is how much earlier than here the request's deadline passes at the daemon that runs it, so that its answer
 	// arrives in time.
 	handOverMargin = 20 * time.Millisecond
@@ -29,11 +29,11 @@
 
 // Relays decides when requests are handed to another daemon, and to which. Its methods do not block.
 type Relays interface {
-	// MustRelay reports whether requests to a service have to be handed over, as this daemon reaches none of its endpoints. One
-	// of them may have to try the endpoints again.
-	MustRelay(service chicoryhall.ServiceName, isRepeatable bool) bool
-	// IsOutOfReach reports whether this daemon reaches none of the endpoints of a service.
+	// IsOutOfReach reports whether this daemon reaches none of the endpoints of a service, so that requests have to be handed
+	// over.
 	IsOutOfReach(service chicoryhall.ServiceName) bool
+	// TakeTrial reports whether a request to such a service has to try the endpoints nevertheless, as they may be back.
+	TakeTrial(service chicoryhall.ServiceName, isRepeatable bool) bool
 	// NoRoute reports that there is no route to a service, and returns whether requests to it have to be handed over.
 	NoRoute(service chicoryhall.ServiceName) bool
 	// Silent reports that an endpoint did not answer a request.
@@ -193,7 +193,11 @@
 
 // mustRelay reports whether the request has to be handed over before its endpoints are tried.
 func (x *callerExchange) mustRelay() bool {
-	return x.relays() && x.config().Relays.MustRelay(x.service, x.machine.IsRepeatable())
+	if !x.relays() || x.isReachTrial || !x.config().Relays.IsOutOfReach(x.service) {
+		return false
+	}
+	x.isReachTrial = x.config().Relays.TakeTrial(x.service, x.machine.IsRepeatable())
+	return !x.isReachTrial
 }
 
 // handOverWithoutRoute hands the request over if there is no route as the endpoints are out of reach. If another daemon has
