passthrough: a request that reached no endpoint is handed over

Cause: the breaker stays closed as long as any endpoint makes progress, and open connections do. A request that found its endpoints refusing had no other way.

It is handed over now if its last attempt did not reach the endpoint. As it has not been sent, it cannot have run.

Evidence: TestUnsentRequestIsHandedOver fails without the change.

--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -188,6 +188,7 @@
 			return
 		}
 		a.conn, a.sent = conn, true
+		a.exchange.isUnsent = a.exchange.isUnsent && a.peer != nil
 	})
 }
 
--- a/passthrough/callerexchange.go
+++ b/passthrough/callerexchange.go
@@ -79,6 +79,8 @@
 	refusal relay.Reply
 	// isReachTrial is set while the request tries endpoints that were out of reach.
 	isReachTrial bool
+	// isUnsent is set if the last attempt at an endpoint has not reached it.
+	isUnsent bool
 	// events tracks the events of a streamed answer; it is nil for other answers.
 	events   *exchange.EventSplitter
 	finished bool
--- a/passthrough/failure.go
+++ b/passthrough/failure.go
@@ -21,7 +21,7 @@
 		x.config().OnStaleView()
 		x.refusal = relay.ReplyUnable
 	}
-	if x.handOverWithoutRoute() {
+	if x.handOverWithoutRoute() || x.handOverUnsent() {
 		return
 	}
 	switch {
@@ -88,6 +88,9 @@
 		}
 		x.startAttempt()
 	case exchange.VerdictNotRun:
+		if x.handOverUnsent() {
+			return
+		}
 		x.refuse(http.StatusServiceUnavailable, retryAfterRefused, "endpoints refused or were not reached: "+cause.Error())
 	case exchange.VerdictPassOn:
 		x.forwardAnswer(a)
@@ -135,6 +138,7 @@
 		a.fail(exchange.FailureLost, err)
 		return
 	}
+	x.isUnsent = true
 	observed := chicoryhall.ObservedSilence
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		observed = chicoryhall.ObservedRefusedConnection
--- a/passthrough/relay.go
+++ b/passthrough/relay.go
@@ -218,6 +218,16 @@
 	}
 }
 
+// handOverUnsent hands over a request that did not reach the endpoint that was chosen last, also if others make progress: a
+// partition may refuse new connections while open ones live on.
+func (x *callerExchange) handOverUnsent() bool {
+	if !x.isUnsent {
+		return false
+	}
+	x.refusal = relay.ReplyUnable
+	return x.relays() && x.handOver()
+}
+
 // relays reports whether this daemon may hand over the request.
 func (x *callerExchange) relays() bool { return x.ticket == nil && x.config().PeerAddress != "" }
 
--- a/passthrough/relay_test.go
+++ b/passthrough/relay_test.go
@@ -191,6 +191,17 @@
 	}
 }
 
+// TestUnsentRequestIsHandedOver refuses connections to the endpoint while others may show progress there.
+func TestUnsentRequestIsHandedOver(t *testing.T) {
+	closed := newEndpoint(t, answerWith("never"))
+	must.NoError(t, closed.listener.Close())
+	w := startServer(t, testRules(), closed)
+	w.relays.peers = []relay.Peer{peerAt("peer", newEndpoint(t, answerWith("elsewhere")))}
+	got := w.ask(t, requestText("POST", "/unsafe/a", "1", "x"))
+	must.Eq(t, 200, got.status)
+	must.Eq(t, "elsewhere", got.body)
+}
+
 // TestReceiverRefusesWhatItCannotRun hands requests to a real server that cannot run them, beside another one that can.
 func TestReceiverRefusesWhatItCannotRun(t *testing.T) {
 	cases := []struct {
