--- a/passthrough/fixture_test.go
+++ b/passthrough/fixture_test.go
@@ -19,65 +19,11 @@
 
 	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/event"
-	"chicoryhall.example/chicoryhall/pace"
 	"chicoryhall.example/chicoryhall/passthrough"
 	"chicoryhall.example/chicoryhall/routing"
 	"chicoryhall.example/chicoryhall/timer"
 )
 
-// testDialect is a chicoryhall.Dialect with one header for each field.
-type testDialect struct{}
-
-func (testDialect) ParseCaller(header http.Header) (chicoryhall.CallerHeaders, error) {
-	callerHeaders := chicoryhall.CallerHeaders{
-		ID: chicoryhall.RequestID(header.Get("Id")), Credential: header.Get("Key"), LastEvent: header.Get("Last"),
-	}
-	if text := header.Get("Parts"); text != "" {
-		callerHeaders.SharedParts = strings.Split(text, ",")
-	}
-	if text := header.Get("Wait"); text != "" {
-		wait, err := time.ParseDuration(text)
-		if err != nil {
-			return callerHeaders, err
-		}
-		callerHeaders.Timeout = wait
-	}
-	return callerHeaders, nil
-}
-
-func (testDialect) Forward(header http.Header, endpointHeaders chicoryhall.EndpointHeaders) http.Header {
-	out := header.Clone()
-	out.Del("Key")
-	out.Set("Wait", endpointHeaders.RemainingTime.String())
-	out.Set("Endpoint", string(endpointHeaders.Endpoint))
-	out.Set("Organisation", string(endpointHeaders.Organisation))
-	if endpointHeaders.LastEvent != "" {
-		out.Set("Last", endpointHeaders.LastEvent)
-	}
-	return out
-}
-
-func (testDialect) HandOver(header http.Header, remaining time.Duration, lastEvent string) http.Header {
-	out := header.Clone()
-	out.Set("Wait", remaining.String())
-	if lastEvent != "" {
-		out.Set("Last", lastEvent)
-	}
-	return out
-}
-
-func (testDialect) SetAnswerID(header http.Header, id chicoryhall.RequestID) {
-	header.Set("Id", string(id))
-}
-
-func (testDialect) ParseAnswer(response *http.Response) chicoryhall.AnswerHeaders {
-	return chicoryhall.AnswerHeaders{
-		NotRun: response.Header.Get("Not-Run") != "", RequestID: chicoryhall.RequestID(response.Header.Get("Id")),
-		Unsigned: response.StatusCode == http.StatusOK && response.Header.Get("Signature") == "", Running: -1,
-		Limit: chicoryhall.StatedLimit{Text: response.Header.Get("Limit")},
-	}
-}
-
 // endpoint is a test endpoint; it records the requests and answers them with a responder.
 type endpoint struct {
 	listener net.Listener
@@ -183,42 +129,6 @@
 	peerAddress string
 }
 
-// fakeLimits is a passthrough.Limits that allows each endpoint that is named in left so many requests.
-type fakeLimits struct {
-	mu       sync.Mutex
-	left     map[chicoryhall.EndpointID]int
-	recorded []pace.Statement
-}
-
-func (l *fakeLimits) Record(statement pace.Statement, _ time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	statement.AskedAt = time.Time{}
-	l.recorded = append(l.recorded, statement)
-}
-
-func (l *fakeLimits) Exhausted(chicoryhall.ServiceName, time.Time) (exhausted []chicoryhall.EndpointID, wait time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for id, left := range l.left {
-		if left == 0 {
-			exhausted = append(exhausted, id)
-		}
-	}
-	return exhausted, 300 * time.Millisecond
-}
-
-func (l *fakeLimits) Take(id chicoryhall.EndpointID, _ time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	left, limited := l.left[id]
-	if !limited {
-		return true
-	}
-	l.left[id] = left - 1
-	return left > 0
-}
-
 // logBuffer collects the server's log.
 type logBuffer struct {
 	mu   sync.Mutex
--- a/passthrough/limit_test.go
+++ b/passthrough/limit_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -12,6 +14,42 @@
 	"chicoryhall.example/chicoryhall/pace"
 )
 
+// fakeLimits is a passthrough.Limits that allows each endpoint that is named in left so many requests.
+type fakeLimits struct {
+	mu       sync.Mutex
+	left     map[chicoryhall.EndpointID]int
+	recorded []pace.Statement
+}
+
+func (l *fakeLimits) Record(statement pace.Statement, _ time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	statement.AskedAt = time.Time{}
+	l.recorded = append(l.recorded, statement)
+}
+
+func (l *fakeLimits) Exhausted(chicoryhall.ServiceName, time.Time) (exhausted []chicoryhall.EndpointID, wait time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, left := range l.left {
+		if left == 0 {
+			exhausted = append(exhausted, id)
+		}
+	}
+	return exhausted, 300 * time.Millisecond
+}
+
+func (l *fakeLimits) Take(id chicoryhall.EndpointID, _ time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	left, limited := l.left[id]
+	if !limited {
+		return true
+	}
+	l.left[id] = left - 1
+	return left > 0
+}
+
 // TestRequestsBeyondLimitGoElsewhere sends three requests to a server whose endpoints allow so many each. A negative number
 // means that another request takes the last one after the choice of a route.
 func TestRequestsBeyondLimitGoElsewhere(t *testing.T) {
