passthrough: the largest request that callers may send can be handed over

Callers whose request head is just within the limit got 431 from a daemon that reaches no endpoints: the ticket made the head too large for the receiver. Connections of daemons have room for the ticket now.

Evidence: TestLargestRequestIsHandedOver, 431 before and 200 after. The number of daemons that a request is handed to is four, as a request that ran nowhere is given up after four attempts anyway.

--- a/passthrough/connection.go
+++ b/passthrough/connection.go
@@ -59,12 +59,16 @@
 }
 
 func newConnection(s *Server, socket *nbio.Conn) *connection {
-	conn := &connection{server: s, socket: socket}
+	isPeer := s.config.PeerAddress != "" && socket.LocalAddr().String() == s.config.PeerAddress
+	conn := &connection{server: s, socket: socket, isPeer: isPeer}
 	conn.box = mailbox.New(conn.handle, func(m message) message {
 		m.data = slices.Clone(m.data)
 		return m
 	})
 	limits, _, _ := s.limits()
+	if isPeer {
+		limits.Head += ticketBytes
+	}
 	conn.reader = http1.NewRequestReader(conn, limits)
 	conn.closeTimer = wakeupTimer{timer: s.config.Timer, post: conn.post, wake: conn.onCloseDue}
 	return conn
--- a/passthrough/relay.go
+++ b/passthrough/relay.go
@@ -16,10 +16,12 @@
 
 const (
 	// maxHandOvers is the number of daemons that one request is handed to, one after another.
-	maxHandOvers = 5
+	maxHandOvers = 4
 	// handOverMargin is how much earlier than here the request's deadline passes at the daemon that runs it, so that its answer
 	// arrives in time.
 	handOverMargin = 20 * time.Millisecond
+	// ticketBytes is the size that a ticket's headers add at most to the head of a request that was within its limit.
+	ticketBytes = 1 << 10
 	// peerIdleTimeout is how long an idle connection from a daemon stays open. It is longer than daemons keep theirs, so that
 	// no request crosses the close.
 	peerIdleTimeout = 3 * endpointIdleTimeout
--- a/passthrough/relay_test.go
+++ b/passthrough/relay_test.go
@@ -278,3 +278,14 @@
 	must.NoError(t, conn.Close())
 	<-left
 }
+
+// TestLargestRequestIsHandedOver sends a request whose head is just within the limit of both daemons.
+func TestLargestRequestIsHandedOver(t *testing.T) {
+	receiver := startServer(t, testRules(), newEndpoint(t, answerWith("hello")))
+	w := startSender(t, receiver.peer("receiver"))
+	text := requestText("POST", "/unsafe/a", "1", "x")
+	padding := 2048 - len(text) - len("Pad: \r\n")
+	got := w.ask(t, strings.Replace(text, "\r\n", "\r\nPad: "+strings.Repeat("p", padding)+"\r\n", 1))
+	must.Eq(t, 200, got.status)
+	must.Eq(t, "hello", got.body)
+}
--- a/passthrough/server.go
+++ b/passthrough/server.go
@@ -203,7 +203,6 @@
 		return
 	}
 	conn := newConnection(s, socket)
-	conn.isPeer = s.config.PeerAddress != "" && socket.LocalAddr().String() == s.config.PeerAddress
 	socket.SetSession(conn)
 	s.mu.Lock()
 	s.connections[socket] = conn
--- a/relay/outcome_enumer.go
+++ b/relay/outcome_enumer.go
@@ -24,10 +24,10 @@
 // Re-run the stringer command to generate them again.
 func _OutcomeNoOp() {
 	var x [1]struct{}
-	_ = x[OutcomeNone-0]
-	_ = x[OutcomeAnswered-1]
-	_ = x[OutcomeUnable-2]
-	_ = x[OutcomeLost-3]
+	_ = x[OutcomeNone-(0)]
+	_ = x[OutcomeAnswered-(1)]
+	_ = x[OutcomeUnable-(2)]
+	_ = x[OutcomeLost-(3)]
 }
 
 var _OutcomeValues = []Outcome{OutcomeNone, OutcomeAnswered, OutcomeUnable, OutcomeLost}
--- a/relay/reply_enumer.go
+++ b/relay/reply_enumer.go
@@ -24,10 +24,10 @@
 // Re-run the stringer command to generate them again.
 func _ReplyNoOp() {
 	var x [1]struct{}
-	_ = x[ReplyNone-0]
-	_ = x[ReplyLoad-1]
-	_ = x[ReplyUnable-2]
-	_ = x[ReplyUnknown-3]
+	_ = x[ReplyNone-(0)]
+	_ = x[ReplyLoad-(1)]
+	_ = x[ReplyUnable-(2)]
+	_ = x[ReplyUnknown-(3)]
 }
 
 var _ReplyValues = []Reply{ReplyNone, ReplyLoad, ReplyUnable, ReplyUnknown}
