--- a/cmd/chicoryhall/daemon/process_test.go
+++ b/cmd/chicoryhall/daemon/process_test.go
@@ -91,11 +91,17 @@
 	lastTestPort  = 32000
 )
 
+// givenAddresses holds the addresses that freeAddress has returned, whose processes may not listen yet.
+var givenAddresses sync.Map
+
 // freeAddress returns a loopback address on which nothing listens.
 func freeAddress(t testing.TB) string {
 	t.Helper()
 	for {
 		address := fmt.Sprintf("127.0.0.1:%d", firstTestPort+rand.IntN(lastTestPort-firstTestPort))
+		if _, given := givenAddresses.LoadOrStore(address, true); given {
+			continue
+		}
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
