--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -373,10 +373,15 @@
 	}
 }
 
-// markRivals marks the incidents that other fingerprints may explain, and notes when the next isolated incident settles.
+// markRivals marks the incidents that other fingerprints may explain, where that decides, and notes when the next isolated
+// incident settles.
 func (e *Evidence) markRivals(involvedIn map[Incarnation][]Involvement, now time.Time) {
 	for fingerprint, known := range e.subjects {
+		decides := known.isPart && known.weight() >= convictionContents
 		for _, one := range known.incidents {
+			if !one.isolated && !decides {
+				continue
+			}
 			for _, crash := range one.crashes {
 				for _, other := range involvedIn[crash] {
 					if other.Fingerprint != fingerprint {
@@ -403,11 +408,18 @@
 func (e *Evidence) markExplained(involvedIn map[Incarnation][]Involvement, now time.Time) {
 	convicted := make(map[Fingerprint]bool)
 	for fingerprint := range e.subjects {
-		convicted[fingerprint] = e.isConvicted(fingerprint, now)
+		if e.isConvicted(fingerprint, now) {
+			convicted[fingerprint] = true
+		}
+	}
+	if len(convicted) == 0 {
+		return
 	}
-	causedByConvicted := func(crash Incarnation) bool {
-		return slices.ContainsFunc(involvedIn[crash], func(one Involvement) bool { return convicted[one.Fingerprint] })
+	caused := make(map[Incarnation]bool)
+	for crash, involved := range involvedIn {
+		caused[crash] = slices.ContainsFunc(involved, func(one Involvement) bool { return convicted[one.Fingerprint] })
 	}
+	causedByConvicted := func(crash Incarnation) bool { return caused[crash] }
 	for fingerprint, known := range e.subjects {
 		for _, one := range known.incidents {
 			one.explained = !convicted[fingerprint] && slices.ContainsFunc(one.crashes, causedByConvicted)
