passthrough: failing tests for endpoints that fall silent and go on (known red)

Callers of a stream whose endpoint is silent for a second and goes on get 502 or a broken connection after 0.60 s where no other attempt is possible: one endpoint, no retry or attempt left, others full, failing or silent, a stream that may run once. The tests play each of these with a silence of 1 s before the head, after it, between events and inside an event, and in answers with a length.

--- /dev/null
+++ b/passthrough/silence_test.go
@@ -0,0 +1,214 @@
+package passthrough_test
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"chicoryhall.example/chicoryhall"
+)
+
+// silentTime is how long the endpoints of these tests fall silent before they go on. It is longer than the time after which
+// a stream counts as stalled, and shorter than the timeout of the rules.
+const silentTime = time.Second
+
+// silenceMoment is when an endpoint falls silent during its answer.
+type silenceMoment struct {
+	name string
+	// events is the number of events that come before, and part the beginning of the next one. If events is -1, the endpoint
+	// falls silent before the head.
+	events int
+	part   string
+}
+
+var silenceMoments = []silenceMoment{
+	{"before the head", -1, ""},
+	{"after the head", 0, ""},
+	{"between events", 3, ""},
+	{"inside an event", 3, "id: 4\nda"},
+}
+
+// pausingStream returns a responder that streams six events and falls silent at a moment, for silentTime.
+func pausingStream(at silenceMoment) responder {
+	return func(conn net.Conn, _ int, request *http.Request) bool {
+		if at.events < 0 {
+			time.Sleep(silentTime)
+		}
+		if !send(conn, streamHead(request)) {
+			return false
+		}
+		for id := 1; id <= 6; id++ {
+			text := eventText(id)
+			if id == at.events+1 {
+				if at.part != "" && !send(conn, chunk(at.part)) {
+					return false
+				}
+				text = strings.TrimPrefix(text, at.part)
+				time.Sleep(silentTime)
+			}
+			if !send(conn, chunk(text)) {
+				return false
+			}
+		}
+		return endWhole(conn)
+	}
+}
+
+// pausingBody falls silent in the middle of an answer with a length.
+func pausingBody(conn net.Conn, _ int, request *http.Request) bool {
+	whole := wholeAnswer(request, "hello")
+	if !send(conn, whole[:len(whole)-2]) {
+		return false
+	}
+	time.Sleep(silentTime)
+	return send(conn, whole[len(whole)-2:])
+}
+
+// pausingHead falls silent before an answer with a length.
+func pausingHead(conn net.Conn, _ int, request *http.Request) bool {
+	time.Sleep(silentTime)
+	return send(conn, wholeAnswer(request, "hello"))
+}
+
+func sixEvents() string {
+	var want strings.Builder
+	for id := 1; id <= 6; id++ {
+		want.WriteString(eventText(id))
+	}
+	return want.String()
+}
+
+// onlyOneAttempt returns testRules with a maximum of one attempt.
+func onlyOneAttempt() *chicoryhall.RuleSet {
+	set := testRules()
+	for i := range set.Rules {
+		set.Rules[i].MaxAttempts = 1
+	}
+	return set
+}
+
+// TestSilentEndpointThatGoesOnCompletesItsAnswer guards against answers that end early because their endpoint was silent for
+// a while. Nobody else can go on with them.
+func TestSilentEndpointThatGoesOnCompletesItsAnswer(t *testing.T) {
+	unsent := func(net.Conn, int, *http.Request) bool { return false }
+	cases := []struct {
+		name   string
+		target string
+		rules  *chicoryhall.RuleSet
+		// retries is the number of retries that the budget holds.
+		retries int
+		// others answer at the other endpoints.
+		others []responder
+	}{
+		{"resumable, no other endpoint", "/stream/a", testRules(), 10, nil},
+		{"resumable, no retry left", "/stream/a", testRules(), 0, []responder{streamEvents(6, "", endWhole)}},
+		{"resumable, no attempt left", "/stream/a", onlyOneAttempt(), 10, []responder{streamEvents(6, "", endWhole)}},
+		{"resumable, others are full", "/stream/a", testRules(), 10, []responder{answerNotRun, answerNotRun}},
+		{"resumable, others are out of retries", "/stream/a", testRules(), 1, []responder{answerNotRun, streamEvents(6, "", endWhole)}},
+		{"resumable, the other one fails", "/stream/a", testRules(), 10, []responder{answerFailure}},
+		{"resumable, the other one breaks off", "/stream/a", testRules(), 10, []responder{unsent}},
+		{"resumable, the other one is silent", "/stream/a", testRules(), 10, []responder{endSilentResponder}},
+		{"not resumable", "/once/a", testRules(), 10, []responder{streamEvents(6, "", endWhole)}},
+	}
+	for _, c := range cases {
+		for _, moment := range silenceMoments {
+			t.Run(c.name+", "+moment.name, func(t *testing.T) {
+				t.Parallel()
+				endpoints := []*endpoint{newEndpoint(t, pausingStream(moment))}
+				for _, respond := range c.others {
+					endpoints = append(endpoints, newEndpoint(t, respond))
+				}
+				w := startServer(t, c.rules, endpoints...)
+				w.setRetries(c.retries)
+				got := w.ask(t, requestText("POST", c.target, "1", "x"))
+				must.NoError(t, got.err)
+				must.Eq(t, http.StatusOK, got.status)
+				must.Eq(t, singleLine(sixEvents()), singleLine(got.body))
+				must.Eq(t, "e0", got.header.Get("Signature"))
+				w.waitIdle(t)
+			})
+		}
+	}
+}
+
+// endSilentResponder never answers.
+func endSilentResponder(conn net.Conn, _ int, _ *http.Request) bool { return endSilent(conn) }
+
+func (s *testServer) setRetries(retries int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retries = retries
+}
+
+// TestSilenceDoesNotEndAnswersWithLength is the same for answers that are no streams.
+func TestSilenceDoesNotEndAnswersWithLength(t *testing.T) {
+	cases := []struct {
+		name    string
+		target  string
+		respond responder
+	}{
+		{"safe, before the head", "/safe/a", pausingHead},
+		{"safe, in the body", "/safe/a", pausingBody},
+		{"unsafe, before the head", "/unsafe/a", pausingHead},
+		{"unsafe, in the body", "/unsafe/a", pausingBody},
+		{"stream without events, in the body", "/once/a", pausingBody},
+		{"resumable stream without events, in the body", "/stream/a", pausingBody},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			w := startServer(t, testRules(), newEndpoint(t, c.respond))
+			got := w.ask(t, requestText("POST", c.target, "1", "x"))
+			must.NoError(t, got.err)
+			must.Eq(t, http.StatusOK, got.status)
+			must.Eq(t, "hello", got.body)
+			w.waitIdle(t)
+		})
+	}
+}
+
+// TestStreamGoesOnAtWhicheverEndpointIsFirst checks that a stream whose endpoint has stalled runs elsewhere, and that whichever
+// endpoint goes on first completes it, with each event once.
+func TestStreamGoesOnAtWhicheverEndpointIsFirst(t *testing.T) {
+	cases := []struct {
+		name string
+		// delay is the time that the second endpoint needs before its head.
+		delay time.Duration
+		// signature tells who wrote the head of an answer that had not begun before.
+		signature string
+	}{
+		{"the second one", 0, "e1"},
+		{"the first one", 2 * silentTime, "e0"},
+	}
+	for _, c := range cases {
+		for _, moment := range silenceMoments {
+			t.Run(c.name+", "+moment.name, func(t *testing.T) {
+				t.Parallel()
+				second := newEndpoint(t, func(conn net.Conn, number int, request *http.Request) bool {
+					time.Sleep(c.delay)
+					return streamEvents(6, "", endWhole)(conn, number, request)
+				})
+				w := startServer(t, testRules(), newEndpoint(t, pausingStream(moment)), second)
+				startedAt := time.Now()
+				got := w.ask(t, requestText("POST", "/stream/a", "1", "x"))
+				must.NoError(t, got.err)
+				must.Eq(t, singleLine(sixEvents()), singleLine(got.body))
+				must.Len(t, 1, second.requests())
+				if c.delay == 0 {
+					must.Less(t, silentTime, time.Since(startedAt))
+				}
+				if moment.events < 0 {
+					must.Eq(t, c.signature, got.header.Get("Signature"))
+				}
+				if moment.events > 0 {
+					must.Eq(t, "3", second.requests()[0].Header.Get("Last"))
+				}
+				w.waitIdle(t)
+			})
+		}
+	}
+}
