passthrough: a stalled attempt goes on beside its hedge

What callers saw: a stream whose endpoint was silent for 0.6 s or more was broken off or answered 502, although the endpoint went on a moment later, wherever no second attempt was possible: a stream that may run once, no retry, attempt, endpoint or room left, or a second endpoint that refused, failed or fell silent itself.

Cause: attempt.onDue ended the attempt, and only then asked whether there was another way to go on. Silence is no evidence that an endpoint has failed.

Now the attempt is held while another one, the hedge, runs elsewhere, and whichever goes on with the answer first completes it. Without a place or a retry in hand the attempt waits, until the deadline. Each stream has its own EventSplitter, so that events are neither lost nor doubled whichever attempt wins.

Ruled out: longer thresholds (any is too short for some endpoint and too long for the callers of a dead one), and ending the attempt once a route is in hand (it may still refuse or break off).

--- a/event/requests.go
+++ b/event/requests.go
@@ -48,6 +48,11 @@
 	AttemptEnded = define(2045, log.InfoLevel, "attempt ended without an answer",
 		"An attempt of a request forwarded by \"chicoryhall pass\" gave no complete, successful answer; failure says whether the request may have run.",
 		"Check the endpoints in route if it repeats.")
+	AttemptStalled = define(2056, log.InfoLevel, "attempt stalled",
+		"Nothing has come from the endpoints for the time in silent. The attempt goes on; if the request may run elsewhere and there is a place and a retry for it, another attempt runs beside it (event 2046 or 2052).",
+		"Check the endpoints in route if it repeats.")
+	AttemptWentOn = define(2057, log.InfoLevel, "attempt went on",
+		"More of the answer has come after event 2056; the endpoints in route were only silent for a while.", "Nothing.")
 	EndpointCrashed = define(2047, log.WarnLevel, "endpoint ended under requests",
 		"An endpoint ended while requests of this daemon ran on it; fingerprints names them by their content, parts names the parts of their prompts. One that is named at several such events may be the cause.",
 		"Look for a fingerprint or a part that occurs again and again, here and in the events 2046, and check the logs of the endpoints.")
--- a/exchange/events.go
+++ b/exchange/events.go
@@ -20,15 +20,14 @@
 	lastID int64
 	// hasLastID is set once lastID is known.
 	hasLastID bool
-	// resuming is set from Resume until the first event with a new ID.
+	// resuming is set until the first event with a new ID if the EventSplitter was returned by Resumed.
 	resuming bool
 }
 
 // SetLastID sets the ID of the last event that the caller already has from an earlier request. An ID that is not a
 // number is ignored. The endpoint itself answers a caller that resumes: an event whose ID is not greater than the
-// given one is an error then, and the first event after it may have any greater ID. After Resume, which starts the
-// stream of a further attempt, it is the other way round: an event that is not greater is dropped, and a gap is an
-// error.
+// given one is an error then, and the first event after it may have any greater ID. In the EventSplitter that Resumed
+// returns it is the other way round: an event that is not greater is dropped, and a gap is an error.
 func (s *EventSplitter) SetLastID(id string) {
 	number, err := strconv.ParseInt(id, 10, 64)
 	if err == nil {
@@ -48,11 +47,10 @@
 // Position returns the number that LastID returns as a text, or 0 if there is none.
 func (s *EventSplitter) Position() int64 { return s.lastID }
 
-// Resume starts the stream of a new attempt. It drops an incomplete event of the previous one. Events up to LastID
-// are omitted then, and a gap after it is an error.
-func (s *EventSplitter) Resume() {
-	s.pending = nil
-	s.resuming = true
+// Resumed returns an EventSplitter for the stream of a further attempt. Events up to LastID are omitted there, and a gap
+// after it is an error.
+func (s *EventSplitter) Resumed() *EventSplitter {
+	return &EventSplitter{lastID: s.lastID, hasLastID: s.hasLastID, resuming: true}
 }
 
 // AtBoundary reports whether the bytes so far end with a complete event.
@@ -85,7 +83,7 @@
 	return out, nil
 }
 
-// appendEvent checks the ID of an event and appends the event to out. From Resume until the first new event,
+// appendEvent checks the ID of an event and appends the event to out. While it is resuming,
 // it omits events with an ID that the caller already has, and it returns an error if the first new one does not follow
 // the last one directly: the events between them would be missing. Otherwise an ID that does not ascend is an
 // error.
--- a/exchange/events_test.go
+++ b/exchange/events_test.go
@@ -45,7 +45,7 @@
 				must.NoError(t, err)
 				next++
 			}
-			events.Resume()
+			events = events.Resumed()
 			must.True(t, events.AtBoundary())
 		}
 		must.Eq(t, eventTexts(1, count+1), string(out))
@@ -76,7 +76,7 @@
 			out, err := events.Feed(nil, []byte(c.first))
 			if c.resumed != "" {
 				must.NoError(t, err)
-				events.Resume()
+				events = events.Resumed()
 				out, err = events.Feed(out, []byte(c.resumed))
 			}
 			must.Eq(t, c.fails, err != nil)
--- a/exchange/machine.go
+++ b/exchange/machine.go
@@ -54,7 +54,8 @@
 // Machine is the state machine of one request.
 type Machine struct {
 	config Config
-	// possibleRuns counts the failed attempts that may have run, notRun those that certainly did not.
+	// possibleRuns counts the attempts that may have run, except for the current one. notRun counts the failed attempts that
+	// certainly did not.
 	possibleRuns int
 	notRun       int
 	// answerStarted is set once the caller has received a part of the answer.
@@ -88,15 +89,42 @@
 // takeRetry once; takeRetry spends a retry of the service's budget and returns true, or returns false if none
 // is left.
 func (m *Machine) OnFailure(failure Failure, takeRetry func() bool) Verdict {
+	m.count(failure)
+	if m.mayRetry() && takeRetry() {
+		return VerdictAgain
+	}
+	return m.verdictWithoutRetry(failure)
+}
+
+// count counts a failed attempt.
+func (m *Machine) count(failure Failure) {
 	if failure == FailureUnsent || failure == FailureRefused {
 		m.notRun++
 	} else {
 		m.possibleRuns++
 	}
-	if m.mayRetry() && takeRetry() {
-		return VerdictAgain
-	}
-	return m.verdictWithoutRetry(failure)
+}
+
+// MayHedge reports whether another attempt may start beside the current one, which may be running, apart from the retry
+// budget.
+func (m *Machine) MayHedge() bool {
+	return m.notRun < maxNotRun && m.IsRepeatable() && m.possibleRuns+1 < m.config.MaxRuns
+}
+
+// Hold records that the current attempt goes on beside another one, which is the current one from now on.
+func (m *Machine) Hold() { m.possibleRuns++ }
+
+// DropCurrent records that the current attempt has failed or is given up, and that an attempt which was held is the current
+// one again.
+func (m *Machine) DropCurrent(failure Failure) {
+	m.count(failure)
+	m.possibleRuns--
+}
+
+// DropHeld records that an attempt which was held has failed.
+func (m *Machine) DropHeld(failure Failure) {
+	m.possibleRuns--
+	m.count(failure)
 }
 
 // RunsToGrant returns how often somebody else who takes over the request may run it. One run is kept back, if there are more,
--- a/exchange/machine_test.go
+++ b/exchange/machine_test.go
@@ -128,3 +128,50 @@
 	must.Eq(t, exchange.VerdictUnknown, m.OnFailure(exchange.FailureLost, always))
 	must.Eq(t, 4, m.FailedAttempts())
 }
+
+// TestHedgesCountAsRuns starts hedges and lets attempts fail or go on at random. It checks that a request never runs more often
+// than its rule allows, and that only a repeatable one has a hedge.
+func TestHedgesCountAsRuns(t *testing.T) {
+	kinds := chicoryhall.ExchangeKindValues()
+	failures := exchange.FailureValues()
+	rapid.Check(t, func(t *rapid.T) {
+		config := exchange.Config{
+			Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), Resumable: rapid.Bool().Draw(t, "resumable"),
+			MaxRuns: rapid.IntRange(0, 4).Draw(t, "maxRuns"),
+		}
+		m := exchange.New(config)
+		ended, held := 0, 0
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			failure := rapid.SampledFrom(failures).Draw(t, "failure")
+			mayHaveRun := failure == exchange.FailureLost || failure == exchange.FailureAnswered
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0: // The current attempt stalls.
+				if m.MayHedge() {
+					must.True(t, m.IsRepeatable())
+					m.Hold()
+					held++
+				}
+			case 1: // A hedge fails, or the attempt beside it goes on.
+				if held == 0 {
+					continue
+				}
+				m.DropCurrent(failure)
+				held--
+				if mayHaveRun {
+					ended++
+				}
+			default: // An attempt that is held fails.
+				if held == 0 {
+					continue
+				}
+				m.DropHeld(failure)
+				held--
+				if mayHaveRun {
+					ended++
+				}
+			}
+			must.LessEq(t, max(1, config.MaxRuns), ended+held+1)
+			must.Eq(t, ended+held > 0, m.MayHaveRun())
+		}
+	})
+}
--- a/passthrough/answer.go
+++ b/passthrough/answer.go
@@ -37,6 +37,9 @@
 	if len(a.exchange.parts) > 0 {
 		a.withdrawn = a.exchange.config().Quarantine.Began(a.exchange.parts, a.isTrial())
 	}
+	if a.isHeld() {
+		a.goOn()
+	}
 	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
 		a.startStream()
 	}
@@ -53,16 +56,28 @@
 	}, x.config().Timer.Now())
 }
 
-// startStream forwards the head of a stream, unless the stream continues an earlier attempt's answer.
+// startStream forwards the head of a stream, unless the stream continues an earlier attempt's answer. The stream of a hedge is
+// forwarded from its first event on.
 func (a *attempt) startStream() {
 	x := a.exchange
 	a.forwarding = true
-	if x.machine.IsAnswerStarted() {
-		return
+	if x.events != nil {
+		a.events = x.events.Resumed()
+	} else {
+		a.events = &exchange.EventSplitter{}
+		a.events.SetLastID(x.callerHeaders.LastEvent)
+	}
+	if len(x.held) == 0 {
+		a.continueStream()
+	}
+}
+
+// continueStream makes the attempt's stream the one that the caller gets.
+func (a *attempt) continueStream() {
+	a.exchange.events = a.events
+	if !a.exchange.machine.IsAnswerStarted() {
+		a.startAnswer()
 	}
-	x.events = &exchange.EventSplitter{}
-	x.events.SetLastID(x.callerHeaders.LastEvent)
-	a.startAnswer()
 }
 
 // startAnswer writes the head of an answer whose body is forwarded as it arrives.
@@ -76,34 +91,68 @@
 
 // handleBody forwards or buffers a piece of the answer's body.
 func (a *attempt) handleBody(piece []byte) {
-	x := a.exchange
 	a.reportProgress()
-	a.recordPiece(x.config().Timer.Now())
-	if !a.forwarding {
-		a.buffered = append(a.buffered, piece...)
-		if len(a.buffered) > maxBufferedAnswer {
-			a.forwarding = true
-			a.startAnswer()
-			x.conn.write(x.appendPiece(nil, a.buffered))
-			a.buffered = nil
-		}
+	a.recordPiece(a.exchange.config().Timer.Now())
+	if a.isHeld() && a.isSuccess() {
+		a.goOn()
+	}
+	switch {
+	case a.events != nil:
+		a.handleEvents(piece)
+	case a.forwarding:
+		a.forwardPiece(piece)
+	default:
+		a.bufferPiece(piece)
+	}
+}
+
+// isSuccess reports whether the answer that has begun is the request's result.
+func (a *attempt) isSuccess() bool {
+	return a.response.StatusCode < http.StatusMultipleChoices && !a.answerHeaders.NotRun
+}
+
+// bufferPiece buffers a piece of an answer. An answer that becomes too long for that is forwarded from then on.
+func (a *attempt) bufferPiece(piece []byte) {
+	a.buffered = append(a.buffered, piece...)
+	if len(a.buffered) <= maxBufferedAnswer {
 		return
 	}
-	out := piece
-	if x.events != nil {
-		var err error
-		if out, err = x.events.Feed(nil, piece); err != nil {
-			a.observeFirst(chicoryhall.ObservedBrokenConnection)
-			a.excludeFirst()
-			a.fail(exchange.FailureLost, err)
-			return
-		}
+	if a.exchange.machine.IsAnswerStarted() || len(a.exchange.held) > 0 && !a.isSuccess() {
+		a.fail(exchange.FailureLost, errors.Errorf("an answer of more than %d bytes that does not continue the stream", maxBufferedAnswer))
+		return
 	}
-	if len(out) > 0 {
-		x.recordPiece()
-		x.conn.write(x.appendPiece(nil, out))
-		a.checkProven(false)
+	a.goOn()
+	a.forwarding = true
+	a.startAnswer()
+	a.forwardPiece(a.buffered)
+	a.buffered = nil
+}
+
+// handleEvents forwards the events of a stream that are complete now.
+func (a *attempt) handleEvents(piece []byte) {
+	out, err := a.events.Feed(nil, piece)
+	if err != nil {
+		a.observeFirst(chicoryhall.ObservedBrokenConnection)
+		a.excludeFirst()
+		a.fail(exchange.FailureLost, err)
+		return
 	}
+	if len(out) == 0 {
+		return
+	}
+	if len(a.exchange.held) > 0 {
+		a.goOn()
+		a.continueStream()
+	}
+	a.forwardPiece(out)
+}
+
+// forwardPiece sends a piece of the answer to the caller.
+func (a *attempt) forwardPiece(piece []byte) {
+	x := a.exchange
+	x.recordPiece()
+	x.conn.write(x.appendPiece(nil, piece))
+	a.checkProven(false)
 }
 
 // appendPiece appends a piece of an answer of unknown length, framed for the caller.
@@ -118,6 +167,7 @@
 // from: all of the route, or only the first one if it refuses the request, as another one may be the reason.
 func (a *attempt) reportProgress() {
 	now := a.exchange.config().Timer.Now()
+	a.endStall(now)
 	a.lastProgress = now
 	if now.Sub(a.progressReportedAt) < progressReportPeriod {
 		return
@@ -141,7 +191,7 @@
 		a.handlePeerEnd()
 	case a.answerHeaders.NotRun:
 		a.handleRefusal()
-	case a.forwarding && x.events != nil && !x.events.AtBoundary():
+	case a.events != nil && !a.events.AtBoundary():
 		a.excludeFirst()
 		a.fail(exchange.FailureLost, errors.New("the stream ended inside an event"))
 	case a.forwarding:
@@ -156,6 +206,7 @@
 	case x.machine.IsAnswerStarted():
 		a.fail(exchange.FailureLost, errors.Errorf("the endpoint that was asked to resume the stream answered with status %d", status))
 	default:
+		a.goOn()
 		a.checkProven(true)
 		a.markWentOn()
 		a.end(false)
@@ -179,6 +230,10 @@
 // finishForwarded ends the exchange after a complete answer that was forwarded as it arrived.
 func (a *attempt) finishForwarded(status int) {
 	x := a.exchange
+	if len(x.held) > 0 {
+		a.goOn()
+		a.continueStream()
+	}
 	a.checkProven(true)
 	a.markWentOn()
 	a.end(false)
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -9,6 +9,7 @@
 
 	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/event"
+	"chicoryhall.example/chicoryhall/exchange"
 	"chicoryhall.example/chicoryhall/http1"
 	"chicoryhall.example/chicoryhall/quarantine"
 	"chicoryhall.example/chicoryhall/relay"
@@ -73,6 +74,13 @@
 	// silenceChecked is set once checkSilence has run.
 	silenceChecked     bool
 	progressReportedAt time.Time
+	// stalled is set from when the attempt stalls until more of the answer arrives. hedgeSoughtAt is when a hedge was last
+	// sought since then, and excludedAsSilent are the endpoints that are excluded for that reason only.
+	stalled          bool
+	hedgeSoughtAt    time.Time
+	excludedAsSilent []chicoryhall.EndpointID
+	// events tracks the events of a streamed answer. It is that of the exchange once the attempt goes on with the answer.
+	events *exchange.EventSplitter
 }
 
 // startAttempt chooses the endpoints and starts the attempt, or ends the exchange if it may not run. A suspect starts once
--- a/passthrough/callerexchange.go
+++ b/passthrough/callerexchange.go
@@ -63,8 +63,10 @@
 
 	machine *exchange.Machine
 	permit  chicoryhall.Permit
-	// current is the attempt in progress, or nil; attempts counts the started attempts, whether they ran or not.
+	// current is the attempt in progress, or nil. held are those that have stalled and go on beside it, the first one first.
+	// attempts counts the started attempts, whether they ran or not.
 	current  *attempt
+	held     []*attempt
 	attempts int
 	// excluded lists the endpoints that must not be tried again.
 	excluded []chicoryhall.EndpointID
@@ -81,7 +83,7 @@
 	isReachTrial bool
 	// isUnsent is set if the last attempt at an endpoint has not reached it.
 	isUnsent bool
-	// events tracks the events of a streamed answer; it is nil for other answers.
+	// events tracks the events of a streamed answer that the caller gets; it is nil for other answers.
 	events   *exchange.EventSplitter
 	finished bool
 	// timeToFirst is the time to the first event or to the complete answer, longestGap the longest pause
@@ -255,7 +257,7 @@
 	if x.current != nil && x.current.sent {
 		x.current.reportLoss(quarantine.LossUnrelated)
 	}
-	x.abandonAttempt()
+	x.abandonAttempts()
 	x.finish(event.ExchangeAbandoned, 0, "the caller's connection has closed: "+closeReason(err))
 }
 
@@ -286,7 +288,7 @@
 	if running {
 		x.current.reportLoss(quarantine.LossSilent)
 	}
-	x.abandonAttempt()
+	x.abandonAttempts()
 	switch x.machine.FinalVerdict(running) {
 	case exchange.VerdictCut:
 		x.cutOff("the time for the answer is over")
@@ -345,12 +347,15 @@
 	x.lastPieceAt = now
 }
 
-// abandonAttempt ends the attempt in progress, if any.
-func (x *callerExchange) abandonAttempt() {
+// abandonAttempts ends the attempts in progress.
+func (x *callerExchange) abandonAttempts() {
+	for _, a := range x.held {
+		a.end(true)
+	}
 	if x.current != nil {
 		x.current.end(true)
-		x.current = nil
 	}
+	x.current, x.held = nil, nil
 }
 
 // finish releases what the exchange holds and logs the result.
--- a/passthrough/config.go
+++ b/passthrough/config.go
@@ -17,6 +17,8 @@
 	CountRequest(service chicoryhall.ServiceName, now time.Time)
 	// Take spends one retry. It returns false if none is left.
 	Take(service chicoryhall.ServiceName, now time.Time) bool
+	// IsLeft reports whether a retry is left, without spending it.
+	IsLeft(service chicoryhall.ServiceName, now time.Time) bool
 }
 
 // Limits keeps this daemon's part of the limits that endpoints state.
--- a/passthrough/failure.go
+++ b/passthrough/failure.go
@@ -60,14 +60,23 @@
 		a.reportLoss(a.lossCause)
 	}
 	a.end(true)
+	a.logEnd(failure, cause)
+	if x.leave(a, failure) {
+		return
+	}
 	x.current, x.isReachTrial = nil, false
-	x.config().Log.Log(event.AttemptEnded, "request", x.callerHeaders.ID, "attempt", a.number, "failure", failure, "sent", a.sent,
-		"route", routeText(a.route), "peer", a.peerID(), "took", x.config().Timer.Now().Sub(a.startedAt), "error", cause)
 	// A suspect is not sent again at once: whether it caused a crash may be known when its caller returns.
 	verdict := x.machine.OnFailure(failure, func() bool { return !a.isTrial() && a.mayGoElsewhere(failure) })
 	x.applyVerdict(verdict, a, cause)
 }
 
+// logEnd logs the end of an attempt that has given no complete answer.
+func (a *attempt) logEnd(failure exchange.Failure, cause error) {
+	x := a.exchange
+	x.config().Log.Log(event.AttemptEnded, "request", x.callerHeaders.ID, "attempt", a.number, "failure", failure, "sent", a.sent,
+		"route", routeText(a.route), "peer", a.peerID(), "took", x.config().Timer.Now().Sub(a.startedAt), "error", cause)
+}
+
 // takeRetry reports whether another attempt may start, and spends a retry for it.
 func (x *callerExchange) takeRetry() bool {
 	now := x.config().Timer.Now()
@@ -83,9 +92,6 @@
 func (x *callerExchange) applyVerdict(verdict exchange.Verdict, a *attempt, cause error) {
 	switch verdict {
 	case exchange.VerdictAgain:
-		if x.events != nil {
-			x.events.Resume()
-		}
 		x.startAttempt()
 	case exchange.VerdictNotRun:
 		if x.handOverUnsent() {
--- a/passthrough/fixture_test.go
+++ b/passthrough/fixture_test.go
@@ -241,6 +241,12 @@
 	return s.retries >= 0
 }
 
+func (s *testServer) IsLeft(chicoryhall.ServiceName, time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.retries > 0
+}
+
 // orderedRouter routes to the first endpoint that is not excluded, and from there to the later stages.
 type orderedRouter struct {
 	addresses []string
--- /dev/null
+++ b/passthrough/hedge.go
@@ -0,0 +1,141 @@
+package passthrough
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"chicoryhall.example/chicoryhall/exchange"
+	"chicoryhall.example/chicoryhall/quarantine"
+	"chicoryhall.example/chicoryhall/relay"
+)
+
+// The silence of an endpoint does not show whether it is dead or about to go on. An attempt that has stalled is therefore held
+// while another one, the hedge, runs elsewhere. Whichever goes on with the answer first completes it, and the others end. Where
+// no hedge may start, or it fails, the stalled attempt keeps its chance until the deadline.
+
+var errOvertaken = errors.New("another attempt has gone on with the answer")
+
+// startHedge starts a hedge beside the current attempt, which has stalled. It returns false if the request may not run
+// elsewhere, or if there is no place or no retry for it now.
+func (x *callerExchange) startHedge(now time.Time) bool {
+	if !x.mayHedge(now) {
+		return false
+	}
+	if x.mustRelay() {
+		if peer, found := x.takePeer(); found {
+			return x.hedgeAtPeer(peer)
+		}
+	}
+	document, known := x.config().Documents.Current(x.service)
+	if !known {
+		return false
+	}
+	route, err := x.chooseRoute(document.Document)
+	if err != nil {
+		if !lacksRoom(err) {
+			x.config().OnStaleView()
+		}
+		return false
+	}
+	if !x.takeRetry() {
+		return false
+	}
+	x.holdCurrent()
+	x.launch(route, x.standing(), false)
+	return true
+}
+
+// mayHedge reports whether the request may run elsewhere while the current attempt is kept. Content that is suspected of
+// crashing endpoints may not: whether it has crashed this one may be known later.
+func (x *callerExchange) mayHedge(now time.Time) bool {
+	standing := x.standing()
+	return x.machine.MayHedge() && !x.current.isTrial() && standing.State == quarantine.StateFree && !standing.Blocked &&
+		now.Before(x.deadline) && x.config().Retries.IsLeft(x.service, now)
+}
+
+// hedgeAtPeer starts a hedge at another daemon, as the endpoints are out of reach of this one.
+func (x *callerExchange) hedgeAtPeer(peer relay.Peer) bool {
+	if !x.takeRetry() {
+		x.config().Relays.Release(peer.ID, x.service, relay.OutcomeNone)
+		return false
+	}
+	x.holdCurrent()
+	x.sendToPeer(peer)
+	return true
+}
+
+// holdCurrent holds the current attempt; another one becomes the current one next.
+func (x *callerExchange) holdCurrent() {
+	x.held = append(x.held, x.current)
+	x.machine.Hold()
+	x.config().Metrics.hedgeStarted()
+}
+
+// isHeld reports whether the attempt goes on beside the current one.
+func (a *attempt) isHeld() bool { return a.exchange.current != a }
+
+// goOn is called when the attempt goes on with the answer. All others end.
+func (a *attempt) goOn() {
+	x := a.exchange
+	if len(x.held) == 0 {
+		return
+	}
+	if !a.isHeld() {
+		x.config().Metrics.hedgeAhead()
+	}
+	for _, other := range append(x.held, x.current) {
+		if other != a {
+			x.giveUp(other)
+		}
+	}
+	x.current, x.held = a, nil
+	x.checkTimer.wakeBy(a.stalledAt())
+}
+
+// giveUp ends an attempt as another one has gone on with the answer. The other one remains the only one that is not counted as
+// having ended.
+func (x *callerExchange) giveUp(other *attempt) {
+	other.end(true)
+	failure := other.overtakenAs()
+	other.logEnd(failure, errOvertaken)
+	if x.current == other {
+		x.machine.DropCurrent(failure)
+	}
+}
+
+// overtakenAs returns what the end of an attempt that another one has overtaken means for the count of runs.
+func (a *attempt) overtakenAs() exchange.Failure {
+	if !a.sent {
+		return exchange.FailureUnsent
+	}
+	return exchange.FailureLost
+}
+
+// leave removes a failed attempt from the exchange if another one remains, and reports whether that is so. A further hedge
+// then takes the place of a hedge that has failed.
+func (x *callerExchange) leave(a *attempt, failure exchange.Failure) bool {
+	switch {
+	case a.isHeld():
+		x.machine.DropHeld(failure)
+		x.held = slices.DeleteFunc(x.held, func(other *attempt) bool { return other == a })
+	case len(x.held) > 0:
+		x.machine.DropCurrent(failure)
+		last := len(x.held) - 1
+		x.current, x.held = x.held[last], x.held[:last]
+		x.isReachTrial = false
+		x.current.seekHedge(x.config().Timer.Now())
+	default:
+		return false
+	}
+	return true
+}
+
+// seekHedge starts a hedge beside the stalled attempt, or looks again after the time in which an attempt stalls.
+func (a *attempt) seekHedge(now time.Time) {
+	a.hedgeSoughtAt = now
+	if !a.exchange.startHedge(now) {
+		a.exchange.checkTimer.wakeBy(a.stalledAt())
+	}
+}
--- a/passthrough/metrics.go
+++ b/passthrough/metrics.go
@@ -17,6 +17,9 @@
 	refusedExchanges *metrics.Counter
 	quarantined      *metrics.Counter
 	handedOver       *metrics.Counter
+	stalled          *metrics.Counter
+	hedges           *metrics.Counter
+	hedgesAhead      *metrics.Counter
 }
 
 // NewMetrics returns Metrics with all counters at zero.
@@ -27,6 +30,9 @@
 		connections:      set.NewCounter("chicoryhall_endpoint_connections_total"),
 		quarantined:      set.NewCounter("chicoryhall_quarantine_refused_total"),
 		handedOver:       set.NewCounter("chicoryhall_exchanges_handed_over_total"),
+		stalled:          set.NewCounter("chicoryhall_attempts_stalled_total"),
+		hedges:           set.NewCounter("chicoryhall_hedges_total"),
+		hedgesAhead:      set.NewCounter("chicoryhall_hedges_ahead_total"),
 		refusedExchanges: set.NewCounter("chicoryhall_exchanges_refused_total"),
 	}
 }
@@ -42,6 +48,15 @@
 // requestHandedOver counts a request that another daemon runs.
 func (m *Metrics) requestHandedOver() { m.handedOver.Inc() }
 
+// attemptStalled counts an attempt whose answer has stalled.
+func (m *Metrics) attemptStalled() { m.stalled.Inc() }
+
+// hedgeStarted counts an attempt that runs beside one that has stalled.
+func (m *Metrics) hedgeStarted() { m.hedges.Inc() }
+
+// hedgeAhead counts a hedge that has gone on with the answer before the stalled attempt did.
+func (m *Metrics) hedgeAhead() { m.hedgesAhead.Inc() }
+
 // messageRefused counts an answer to a message that is not a valid request.
 func (m *Metrics) messageRefused(status int) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("chicoryhall_messages_refused_total{status=\"%d\"}", status)).Inc()
--- a/passthrough/relay.go
+++ b/passthrough/relay.go
@@ -53,13 +53,23 @@
 // handOver hands the request to another daemon. It returns false if there is none, or if the request has been handed over
 // before it came here.
 func (x *callerExchange) handOver() bool {
-	if x.ticket != nil || len(x.peers) >= maxHandOvers {
-		return false
+	peer, found := x.takePeer()
+	if found {
+		x.sendToPeer(peer)
 	}
-	peer, found := x.config().Relays.Take(x.service, x.peers)
-	if !found {
-		return false
+	return found
+}
+
+// takePeer chooses the daemon that the request is handed to next. It returns false if there is none.
+func (x *callerExchange) takePeer() (relay.Peer, bool) {
+	if x.ticket != nil || len(x.peers) >= maxHandOvers {
+		return relay.Peer{}, false
 	}
+	return x.config().Relays.Take(x.service, x.peers)
+}
+
+// sendToPeer starts an attempt at another daemon.
+func (x *callerExchange) sendToPeer(peer relay.Peer) {
 	now := x.config().Timer.Now()
 	x.peers = append(x.peers, peer.ID)
 	x.attempts++
@@ -72,7 +82,6 @@
 	x.server.pool.send(endpointRequest{
 		address: peer.Address, method: x.head.Method, id: x.callerHeaders.ID, message: a.peerMessage(now), receiver: a,
 	})
-	return true
 }
 
 // peerMessage encodes the request for another daemon, which handles it like a caller's.
@@ -114,8 +123,13 @@
 	}
 }
 
-// passOnRefusal ends the exchange as another daemon has no room for the request, which also holds for the others.
+// passOnRefusal ends the exchange as another daemon has no room for the request, which also holds for the others. An attempt
+// that is held has its place.
 func (x *callerExchange) passOnRefusal(a *attempt, cause error) {
+	if len(x.held) > 0 {
+		a.fail(exchange.FailureRefused, cause)
+		return
+	}
 	a.end(false)
 	x.current = nil
 	verdict := x.machine.OnFailure(exchange.FailureRefused, func() bool { return false })
--- a/passthrough/stall.go
+++ b/passthrough/stall.go
@@ -1,17 +1,16 @@
 package passthrough
 
 import (
+	"slices"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"chicoryhall.example/chicoryhall"
-	"chicoryhall.example/chicoryhall/exchange"
+	"chicoryhall.example/chicoryhall/event"
 	"chicoryhall.example/chicoryhall/quarantine"
 )
 
-// stalledAt returns when the attempt counts as stalled unless more of the answer arrives before. Only event
-// streams stall; for other answers it is when their endpoint is checked for silence, and then the deadline.
+// stalledAt returns when the attempt counts as stalled unless more of the answer arrives before, or when a hedge is sought
+// again. Only event streams stall; for other answers it is when their endpoint is checked for silence, and then the deadline.
 func (a *attempt) stalledAt() time.Time {
 	x := a.exchange
 	switch {
@@ -24,14 +23,18 @@
 	if a.forwarding {
 		maxPause = gapStallFactor * x.rule.TargetGap
 	}
-	at := a.lastProgress.Add(max(minStallTime, maxPause))
+	since := a.lastProgress
+	if a.hedgeSoughtAt.After(since) {
+		since = a.hedgeSoughtAt
+	}
+	at := since.Add(max(minStallTime, maxPause))
 	if x.deadline.Before(at) {
 		return x.deadline
 	}
 	return at
 }
 
-// onDue fails the attempt if it has stalled.
+// onDue seeks a hedge if the attempt has stalled.
 func (a *attempt) onDue(now time.Time) {
 	if at := a.stalledAt(); now.Before(at) {
 		a.exchange.checkTimer.wakeBy(at)
@@ -44,8 +47,22 @@
 	a.suspectStalled(now)
 	a.reportSilence()
 	a.exchange.server.pool.closeIdleConnections(a.route.Hops[0].Address)
-	a.lossCause = quarantine.LossSilent
-	a.fail(exchange.FailureLost, errors.Errorf("no progress for %s", now.Sub(a.lastProgress).Round(time.Millisecond)))
+	a.reportStall(now)
+	a.seekHedge(now)
+}
+
+// reportStall reports that the attempt may be lost, once for each stall. That of a suspect proves no more than that, so its
+// endpoints are released.
+func (a *attempt) reportStall(now time.Time) {
+	if a.stalled {
+		return
+	}
+	a.stalled = true
+	a.exchange.config().Log.Log(event.AttemptStalled, "request", a.exchange.callerHeaders.ID, "attempt", a.number, "sent", a.sent,
+		"route", routeText(a.route), "silent", now.Sub(a.lastProgress), "left", a.exchange.deadline.Sub(now))
+	a.exchange.config().Metrics.attemptStalled()
+	a.reportLoss(quarantine.LossSilent)
+	a.endTrial(a.trialOutcome())
 }
 
 // checkSilence reports that the endpoint is silent if nothing has come from it since the attempt began. The attempt goes on, as
@@ -68,11 +85,32 @@
 	for _, hop := range a.route.Hops {
 		if now.Sub(endpoints.LastProgress(hop.Engine)) > recentProgress {
 			endpoints.Observe(hop.Engine, chicoryhall.ObservedSilence)
-			a.exchange.excluded = append(a.exchange.excluded, hop.Engine)
+			a.excludeAsSilent(hop.Engine)
 		}
 	}
 }
 
+// excludeAsSilent excludes an endpoint from further attempts until this one goes on.
+func (a *attempt) excludeAsSilent(id chicoryhall.EndpointID) {
+	x := a.exchange
+	if !slices.Contains(x.excluded, id) {
+		x.excluded = append(x.excluded, id)
+		a.excludedAsSilent = append(a.excludedAsSilent, id)
+	}
+}
+
+// endStall is called when more of the answer arrives. It admits the endpoints again that were excluded as silent.
+func (a *attempt) endStall(now time.Time) {
+	if !a.stalled {
+		return
+	}
+	x := a.exchange
+	x.excluded = slices.DeleteFunc(x.excluded, func(id chicoryhall.EndpointID) bool { return slices.Contains(a.excludedAsSilent, id) })
+	x.config().Log.Log(event.AttemptWentOn, "request", x.callerHeaders.ID, "attempt", a.number, "route", routeText(a.route),
+		"silent", now.Sub(a.lastProgress))
+	a.stalled, a.excludedAsSilent = false, nil
+}
+
 // observeFirst reports an observation of the first endpoint of the route.
 func (a *attempt) observeFirst(observed chicoryhall.Observation) {
 	if a.peer == nil {
--- a/retry/slidingbudgets.go
+++ b/retry/slidingbudgets.go
@@ -58,15 +58,26 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	current := b.windowAt(service, now)
-	requests, retries := current.sums()
-	allowed := b.limits.Ratio*requests + b.slackAt(now)/float64(max(1, b.daemonCount()))
-	if retries+1 > allowed {
+	if !b.isLeft(current, now) {
 		return false
 	}
 	current.add(0, 1)
 	return true
 }
 
+// IsLeft reports whether a retry is left, without spending it.
+func (b *SlidingBudgets) IsLeft(service chicoryhall.ServiceName, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.isLeft(b.windowAt(service, now), now)
+}
+
+// isLeft reports whether the limit allows one more retry in a window.
+func (b *SlidingBudgets) isLeft(current *window, now time.Time) bool {
+	requests, retries := current.sums()
+	return retries+1 <= b.limits.Ratio*requests+b.slackAt(now)/float64(max(1, b.daemonCount()))
+}
+
 // slackAt returns the part of the slack that all daemons together spend if they are in the same state as this one.
 func (b *SlidingBudgets) slackAt(now time.Time) float64 {
 	if now.Sub(b.startedAt) < b.limits.Window {
--- a/retry/slidingbudgets_test.go
+++ b/retry/slidingbudgets_test.go
@@ -33,7 +33,12 @@
 			if rapid.Bool().Draw(t, "request") {
 				daemon.CountRequest("s", now)
 				events = append(events, call{at: now})
-			} else if daemon.Take("s", now) {
+				continue
+			}
+			isLeft := daemon.IsLeft("s", now)
+			taken := daemon.Take("s", now)
+			must.Eq(t, isLeft, taken)
+			if taken {
 				events = append(events, call{at: now, retry: true})
 			}
 		}
