passthrough: no refusal in the middle of an answer when a service is removed

What callers saw: if the configuration removed a service while one of its endpoints failed, a stream in progress got the text of a 503 among its events, and a request that may have run was told that it had not.

Cause: startAttempt refused a request whose service is no longer described, whatever had happened to it before. All ends without an answer now go through endWithoutAnswer, which follows the verdict of exchange.Machine; the same three cases stood in four places.

Evidence: TestRemovedServiceEndsRequestsTruthfully failed before in three of four cases: twice "HTTP/1.1 503" after the head of a 200 on the same connection, once 503 for a safe request whose answer was cut.

--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -101,7 +101,8 @@
 	}
 	current, known := x.config().Documents.Current(x.service)
 	if !known {
-		x.refuseUnable(retryAfterNoRules, "the service is not described")
+		x.refusal = relay.ReplyUnable
+		x.endWithoutAnswer(x.finalVerdict(false), retryAfterNoRules, "the service is not described")
 		return
 	}
 	route, err := x.chooseRoute(current.Document)
--- a/passthrough/failure.go
+++ b/passthrough/failure.go
@@ -24,13 +24,31 @@
 	if x.handOverWithoutRoute() || x.handOverUnsent() {
 		return
 	}
-	switch {
-	case x.machine.IsAnswerStarted():
-		x.cutOff("no endpoints to go on at: " + err.Error())
-	case x.machine.MayHaveRun():
-		x.answerError(http.StatusBadGateway, event.ExchangeFailed, "no endpoints to go on at: "+err.Error())
-	default:
-		x.refuse(http.StatusServiceUnavailable, retryAfterOf(err), err.Error())
+	reason := err.Error()
+	verdict := x.finalVerdict(false)
+	if verdict != exchange.VerdictNotRun {
+		reason = "no endpoints to go on at: " + reason
+	}
+	x.endWithoutAnswer(verdict, retryAfterOf(err), reason)
+}
+
+// finalVerdict returns the verdict on a request that is not sent again. It may be called before admission.
+func (x *callerExchange) finalVerdict(running bool) exchange.Verdict {
+	if x.machine == nil {
+		return exchange.VerdictNotRun
+	}
+	return x.machine.FinalVerdict(running)
+}
+
+// endWithoutAnswer ends the exchange by its final verdict. A request that has not run may be sent again after the given time.
+func (x *callerExchange) endWithoutAnswer(verdict exchange.Verdict, after time.Duration, reason string) {
+	switch verdict {
+	case exchange.VerdictCut:
+		x.cutOff(reason)
+	case exchange.VerdictNotRun:
+		x.refuse(http.StatusServiceUnavailable, after, reason)
+	default: // VerdictUnknown.
+		x.answerError(http.StatusBadGateway, event.ExchangeFailed, reason)
 	}
 }
 
@@ -97,13 +115,11 @@
 		if x.handOverUnsent() {
 			return
 		}
-		x.refuse(http.StatusServiceUnavailable, retryAfterRefused, "endpoints refused or were not reached: "+cause.Error())
+		x.endWithoutAnswer(verdict, retryAfterRefused, "endpoints refused or were not reached: "+cause.Error())
 	case exchange.VerdictPassOn:
 		x.forwardAnswer(a)
-	case exchange.VerdictCut:
-		x.cutOff(cause.Error())
-	default: // VerdictUnknown.
-		x.answerError(http.StatusBadGateway, event.ExchangeFailed, cause.Error())
+	default: // VerdictCut and VerdictUnknown.
+		x.endWithoutAnswer(verdict, 0, cause.Error())
 	}
 }
 
--- a/passthrough/fixture_test.go
+++ b/passthrough/fixture_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -121,6 +122,8 @@
 	mu        sync.Mutex
 	retries   int
 	refuse    bool
+	// serviceRemoved is set once the service has no document any more.
+	serviceRemoved atomic.Bool
 	// quarantine is the server's passthrough.Quarantine.
 	quarantine *fakeQuarantine
 	limits     *fakeLimits
@@ -212,8 +215,11 @@
 
 func (e *fakeEndpoints) ReportRunning(chicoryhall.EndpointID, int) {}
 
-// Current returns a document that contains only the service's name.
+// Current returns a document that contains only the service's name, unless the service has been removed.
 func (s *testServer) Current(service chicoryhall.ServiceName) (chicoryhall.DocumentVersion, bool) {
+	if s.serviceRemoved.Load() {
+		return chicoryhall.DocumentVersion{}, false
+	}
 	return chicoryhall.DocumentVersion{Document: &chicoryhall.Document{Service: service}}, true
 }
 
--- a/passthrough/quarantine.go
+++ b/passthrough/quarantine.go
@@ -1,7 +1,6 @@
 package passthrough
 
 import (
-	"net/http"
 	"slices"
 	"strconv"
 	"time"
@@ -11,7 +10,6 @@
 
 	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/event"
-	"chicoryhall.example/chicoryhall/exchange"
 	"chicoryhall.example/chicoryhall/quarantine"
 )
 
@@ -71,22 +69,7 @@
 		x.config().Log.Log(event.RequestQuarantined, "request", x.callerHeaders.ID, "fingerprint", standing.Subject,
 			"incidents", standing.Incidents, "crashes", standing.Crashes)
 	}
-	switch x.finalVerdict(false) {
-	case exchange.VerdictCut:
-		x.cutOff(reason.Error())
-	case exchange.VerdictNotRun:
-		x.refuse(http.StatusServiceUnavailable, after, reason.Error())
-	default: // VerdictUnknown.
-		x.answerError(http.StatusBadGateway, event.ExchangeFailed, reason.Error())
-	}
-}
-
-// finalVerdict returns the verdict on a request that is not sent again. It may be called before admission.
-func (x *callerExchange) finalVerdict(running bool) exchange.Verdict {
-	if x.machine == nil {
-		return exchange.VerdictNotRun
-	}
-	return x.machine.FinalVerdict(running)
+	x.endWithoutAnswer(x.finalVerdict(false), after, reason.Error())
 }
 
 // attemptID identifies the attempt with the given number among all attempts of all daemons, also if a caller uses a
