passthrough: a safe request runs elsewhere while its endpoint is silent

What callers saw: a safe request at an endpoint that had fallen silent waited there until its deadline and got 504, although others had room.

Cause: only streams were watched for stalls; for other answers the silence of their endpoint was reported and nothing else done.

Now such an answer stalls if nothing has come from its endpoint for any request since the attempt began, and has a hedge like a stream. An unsafe request waits, as before.

Evidence: TestSafeRequestRunsElsewhereWhileItsEndpointIsSilent, 8 of 12 cases failed before (those in which the second endpoint has to be asked).

--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -71,8 +71,8 @@
 	// lastProgress is when the attempt started, or when the head or the last piece of the body arrived.
 	// progressReportedAt is when progress was last reported.
 	lastProgress time.Time
-	// silenceChecked is set once checkSilence has run.
-	silenceChecked     bool
+	// endpointWorks is set once the answer, which is no event stream, has been late while its endpoint was not silent.
+	endpointWorks      bool
 	progressReportedAt time.Time
 	// stalled is set from when the attempt stalls until more of the answer arrives. hedgeSoughtAt is when a hedge was last
 	// sought since then, and excludedAsSilent are the endpoints that are excluded for that reason only.
--- a/passthrough/silence_test.go
+++ b/passthrough/silence_test.go
@@ -212,3 +212,40 @@
 		}
 	}
 }
+
+// TestSafeRequestRunsElsewhereWhileItsEndpointIsSilent checks who answers a safe request whose endpoint is silent for silentTime,
+// and that one that may run once waits for its endpoint.
+func TestSafeRequestRunsElsewhereWhileItsEndpointIsSilent(t *testing.T) {
+	cases := []struct {
+		name    string
+		target  string
+		retries int
+		second  responder
+		body    string
+		// secondRequests is the number of requests that the second endpoint gets.
+		secondRequests int
+	}{
+		{"safe", "/safe/a", 10, answerWith("second"), "second", 1},
+		{"safe, the second endpoint is silent too", "/safe/a", 10, endSilentResponder, "hello", 1},
+		{"safe, the second endpoint is full", "/safe/a", 10, answerNotRun, "hello", 1},
+		{"safe, the second endpoint fails", "/safe/a", 10, cutBody, "hello", 1},
+		{"safe, no retry left", "/safe/a", 0, answerWith("second"), "hello", 0},
+		{"unsafe", "/unsafe/a", 10, answerWith("second"), "hello", 0},
+	}
+	for _, c := range cases {
+		for _, first := range []responder{pausingHead, pausingBody} {
+			t.Run(c.name, func(t *testing.T) {
+				t.Parallel()
+				second := newEndpoint(t, c.second)
+				w := startServer(t, testRules(), newEndpoint(t, first), second)
+				w.setRetries(c.retries)
+				got := w.ask(t, requestText("POST", c.target, "1", "x"))
+				must.NoError(t, got.err)
+				must.Eq(t, http.StatusOK, got.status)
+				must.Eq(t, c.body, got.body)
+				must.Len(t, c.secondRequests, second.requests())
+				w.waitIdle(t)
+			})
+		}
+	}
+}
--- a/passthrough/stall.go
+++ b/passthrough/stall.go
@@ -10,13 +10,13 @@
 )
 
 // stalledAt returns when the attempt counts as stalled unless more of the answer arrives before, or when a hedge is sought
-// again. Only event streams stall; for other answers it is when their endpoint is checked for silence, and then the deadline.
+// again. An answer that is no event stream stalls only if its endpoint is silent, which is checked once.
 func (a *attempt) stalledAt() time.Time {
 	x := a.exchange
 	switch {
 	case a.peer != nil: // Another daemon notices stalls itself.
 		return x.deadline
-	case x.rule.Kind != chicoryhall.ExchangeStream && a.silenceChecked:
+	case a.endpointWorks:
 		return x.deadline
 	}
 	maxPause := headStallFactor * x.rule.TargetLatency
@@ -40,8 +40,9 @@
 		a.exchange.checkTimer.wakeBy(at)
 		return
 	}
-	if a.exchange.rule.Kind != chicoryhall.ExchangeStream {
-		a.checkSilence()
+	if a.exchange.rule.Kind != chicoryhall.ExchangeStream && !a.isSilent() {
+		a.endpointWorks = true
+		a.exchange.checkTimer.wakeBy(a.stalledAt())
 		return
 	}
 	a.suspectStalled(now)
@@ -65,17 +66,10 @@
 	a.endTrial(a.trialOutcome())
 }
 
-// checkSilence reports that the endpoint is silent if nothing has come from it since the attempt began. The attempt goes on, as
-// an answer that is not a stream may take long.
-func (a *attempt) checkSilence() {
-	a.silenceChecked = true
-	a.exchange.checkTimer.wakeBy(a.stalledAt())
-	first := a.route.Hops[0]
-	if !a.exchange.config().Endpoints.LastProgress(first.Engine).After(a.startedAt) {
-		a.exchange.config().Endpoints.Observe(first.Engine, chicoryhall.ObservedSilence)
-		a.reportSilence()
-		a.exchange.server.pool.closeIdleConnections(first.Address)
-	}
+// isSilent reports whether nothing has come from the endpoint, for any request, since the attempt began. An answer that is not
+// a stream may take long, so that its own silence shows nothing.
+func (a *attempt) isSilent() bool {
+	return !a.exchange.config().Endpoints.LastProgress(a.route.Hops[0].Engine).After(a.startedAt)
 }
 
 // suspectStalled reports that the route's endpoints are silent and excludes them from further attempts, except for
