passthrough: a hedge that is left alone forwards its head and counts its events

Cause: handleEvents and finishForwarded made the stream of an attempt that of the caller only while another attempt was held. If the other one has ended between head and first event, nobody does. All streams now take over with their first event; that does nothing for one that has done so.

Evidence: TestHedgesNeitherLoseNorDoubleEvents; 6 of 9 cases failed before ("malformed HTTP response", events 3 to 5 twice). TestAttemptsEndWithTheirCaller passed before as well.

--- a/passthrough/answer.go
+++ b/passthrough/answer.go
@@ -72,7 +72,8 @@
 	}
 }
 
-// continueStream makes the attempt's stream the one that the caller gets.
+// continueStream makes the attempt's stream the one that the caller gets. That of a hedge may not be yet, even if no other
+// attempt remains.
 func (a *attempt) continueStream() {
 	a.exchange.events = a.events
 	if !a.exchange.machine.IsAnswerStarted() {
@@ -140,10 +141,8 @@
 	if len(out) == 0 {
 		return
 	}
-	if len(a.exchange.held) > 0 {
-		a.goOn()
-		a.continueStream()
-	}
+	a.goOn()
+	a.continueStream()
 	a.forwardPiece(out)
 }
 
@@ -230,8 +229,8 @@
 // finishForwarded ends the exchange after a complete answer that was forwarded as it arrived.
 func (a *attempt) finishForwarded(status int) {
 	x := a.exchange
-	if len(x.held) > 0 {
-		a.goOn()
+	a.goOn()
+	if a.events != nil {
 		a.continueStream()
 	}
 	a.checkProven(true)
--- /dev/null
+++ b/passthrough/hedge_test.go
@@ -0,0 +1,196 @@
+package passthrough_test
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"chicoryhall.example/chicoryhall"
+)
+
+// A stream of these tests stalls after 450 ms between its events, and after 600 ms before its head.
+const (
+	// untilStalled is later than the stall of an attempt that falls silent at once.
+	untilStalled = 700 * time.Millisecond
+	// soon is a pause in which no attempt stalls.
+	soon = 250 * time.Millisecond
+)
+
+// step is what a scripted endpoint does next in its answer.
+type step func(conn net.Conn, request *http.Request, id *int) bool
+
+// script returns a responder that takes its steps and then closes the connection.
+func script(steps ...step) responder {
+	return func(conn net.Conn, _ int, request *http.Request) bool {
+		id := 1
+		if last := request.Header.Get("Last"); last != "" {
+			id += int(last[0] - '0')
+		}
+		for _, next := range steps {
+			if !next(conn, request, &id) {
+				return false
+			}
+		}
+		return false
+	}
+}
+
+func headStep(conn net.Conn, request *http.Request, _ *int) bool {
+	return send(conn, streamHead(request))
+}
+
+func endStep(conn net.Conn, _ *http.Request, _ *int) bool { return endWhole(conn) }
+
+func resetStep(conn net.Conn, _ *http.Request, _ *int) bool { return reset(conn) }
+
+func refuseStep(conn net.Conn, request *http.Request, _ *int) bool {
+	return answerNotRun(conn, 1, request)
+}
+
+// silentStep waits until the daemon closes the connection.
+func silentStep(conn net.Conn, _ *http.Request, _ *int) bool { return endSilent(conn) }
+
+func pauseStep(pause time.Duration) step {
+	return func(net.Conn, *http.Request, *int) bool {
+		time.Sleep(pause)
+		return true
+	}
+}
+
+// eventsStep sends the events up to one.
+func eventsStep(upTo int) step {
+	return func(conn net.Conn, _ *http.Request, id *int) bool {
+		for ; *id <= upTo; *id++ {
+			if !send(conn, chunk(eventText(*id))) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// partStep sends the beginning of the next event.
+func partStep(conn net.Conn, _ *http.Request, id *int) bool {
+	return send(conn, chunk(eventText(*id)[:5]))
+}
+
+// withAttempts returns testRules with a maximum of attempts.
+func withAttempts(most int) *chicoryhall.RuleSet {
+	set := testRules()
+	for i := range set.Rules {
+		set.Rules[i].MaxAttempts = most
+	}
+	return set
+}
+
+// TestHedgesNeitherLoseNorDoubleEvents guards against answers without a head, and events that come twice or not at all, when
+// several attempts of a stream take turns.
+func TestHedgesNeitherLoseNorDoubleEvents(t *testing.T) {
+	whole := script(headStep, eventsStep(6), endStep)
+	silentOnce := func(conn net.Conn, number int, request *http.Request) bool {
+		if number == 1 {
+			return endSilent(conn)
+		}
+		return whole(conn, number, request)
+	}
+	begun := script(headStep, pauseStep(soon), eventsStep(6), endStep)
+	cases := []struct {
+		name     string
+		attempts int
+		scripts  []responder
+	}{
+		{
+			"the stalled one breaks off after the head of the hedge", 2,
+			[]responder{script(pauseStep(untilStalled), resetStep), begun},
+		},
+		{
+			"the stalled one refuses after the head of the hedge", 2,
+			[]responder{script(pauseStep(untilStalled), refuseStep), begun},
+		},
+		{
+			"the stalled one breaks off between events after the head of the hedge", 2,
+			[]responder{script(headStep, eventsStep(3), pauseStep(untilStalled), resetStep), script(headStep, pauseStep(2*soon), eventsStep(6), endStep)},
+		},
+		{
+			"the stalled one breaks off, and the hedge after more events", 3,
+			[]responder{
+				script(headStep, eventsStep(3), pauseStep(untilStalled), resetStep),
+				script(headStep, pauseStep(2*soon), eventsStep(5), pauseStep(soon), resetStep), whole,
+			},
+		},
+		{
+			"the stalled one breaks off, and the hedge inside an event", 3,
+			[]responder{
+				script(headStep, eventsStep(2), partStep, pauseStep(untilStalled), resetStep),
+				script(headStep, pauseStep(2*soon), eventsStep(4), partStep, resetStep), whole,
+			},
+		},
+		{
+			"the second of three goes on after its head", 3,
+			[]responder{script(silentStep), script(headStep, pauseStep(untilStalled), eventsStep(6), endStep), script(silentStep)},
+		},
+		{
+			"the second of three goes on between events and breaks off", 4,
+			[]responder{
+				script(headStep, eventsStep(1), silentStep),
+				script(headStep, pauseStep(untilStalled), eventsStep(3), pauseStep(soon), resetStep), silentOnce,
+			},
+		},
+		{
+			"the second of three goes on inside an event and breaks off", 4,
+			[]responder{
+				script(headStep, eventsStep(1), silentStep),
+				script(headStep, partStep, pauseStep(untilStalled), partStep, pauseStep(soon), resetStep), silentOnce,
+			},
+		},
+		{
+			"the first of three goes on", 3,
+			[]responder{
+				script(headStep, eventsStep(3), pauseStep(1200*time.Millisecond), eventsStep(6), endStep),
+				script(headStep, silentStep), script(silentStep),
+			},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var endpoints []*endpoint
+			for _, respond := range c.scripts {
+				endpoints = append(endpoints, newEndpoint(t, respond))
+			}
+			w := startServer(t, withAttempts(c.attempts), endpoints...)
+			got := w.ask(t, requestText("POST", "/stream/a", "1", "x"))
+			must.NoError(t, got.err)
+			must.Eq(t, http.StatusOK, got.status)
+			must.Eq(t, singleLine(sixEvents()), singleLine(got.body))
+			w.waitIdle(t)
+			runs := 0
+			for _, e := range endpoints {
+				runs += len(e.requests())
+			}
+			must.LessEq(t, c.attempts, runs)
+		})
+	}
+}
+
+// TestAttemptsEndWithTheirCaller guards against attempts that go on beside each other after their caller has left.
+func TestAttemptsEndWithTheirCaller(t *testing.T) {
+	for _, most := range []int{1, 2, 3} {
+		w := startServer(t, withAttempts(most), newEndpoint(t, endSilentResponder), newEndpoint(t, endSilentResponder), newEndpoint(t, endSilentResponder))
+		conn, _ := w.dial(t)
+		must.True(t, send(conn, requestText("POST", "/stream/a", "1", "x")))
+		time.Sleep(1500 * time.Millisecond)
+		w.endpoints.mu.Lock()
+		total := 0
+		for _, count := range w.endpoints.inFlight {
+			total += count
+		}
+		w.endpoints.mu.Unlock()
+		must.Eq(t, most, total)
+		must.NoError(t, conn.Close())
+		w.waitIdle(t)
+	}
+}
