passthrough: the hedge of a trial goes to another daemon

Cause: isReachTrial was reset only when an attempt ended. A stalled trial is held instead, so mustRelay took its hedge for the trial as well and looked for a local endpoint. The hedge resets it first; the breaker grants the next trial.

--- a/passthrough/hedge.go
+++ b/passthrough/hedge.go
@@ -23,6 +23,7 @@
 	if !x.mayHedge(now) {
 		return false
 	}
+	x.isReachTrial = false // The stalled attempt may have been the trial; it has shown no way to the endpoints.
 	if x.mustRelay() {
 		if peer, found := x.takePeer(); found {
 			return x.hedgeAtPeer(peer)
--- a/passthrough/hedge_test.go
+++ b/passthrough/hedge_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/relay"
 )
 
 // A stream of these tests stalls after 450 ms between its events, and after 600 ms before its head.
@@ -77,6 +78,12 @@
 	return send(conn, chunk(eventText(*id)[:5]))
 }
 
+// signedStream answers like a daemon that passes on the whole stream of an endpoint.
+func signedStream(conn net.Conn, number int, request *http.Request) bool {
+	request.Header.Set("Endpoint", "elsewhere")
+	return streamEvents(6, "", endWhole)(conn, number, request)
+}
+
 // withAttempts returns testRules with a maximum of attempts.
 func withAttempts(most int) *chicoryhall.RuleSet {
 	set := testRules()
@@ -176,6 +183,35 @@
 	}
 }
 
+// TestStalledStreamIsHandedOver guards against streams that wait for endpoints out of reach although another daemon has a way.
+func TestStalledStreamIsHandedOver(t *testing.T) {
+	silent := endSilentResponder
+	cases := []struct {
+		name      string
+		endpoints []responder
+		prepare   func(relays *fakeRelays)
+	}{
+		{"the trial of an endpoint out of reach", []responder{silent, silent}, func(relays *fakeRelays) { relays.isOut, relays.trials = true, 1 }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var endpoints []*endpoint
+			for _, respond := range c.endpoints {
+				endpoints = append(endpoints, newEndpoint(t, respond))
+			}
+			w := startServer(t, testRules(), endpoints...)
+			c.prepare(w.relays)
+			w.relays.peers = []relay.Peer{peerAt("peer", newEndpoint(t, signedStream))}
+			got := w.ask(t, requestText("POST", "/stream/a", "1", "x"))
+			must.NoError(t, got.err)
+			must.Eq(t, http.StatusOK, got.status)
+			must.Eq(t, singleLine(sixEvents()), singleLine(got.body))
+			w.waitIdle(t)
+		})
+	}
+}
+
 // TestAttemptsEndWithTheirCaller guards against attempts that go on beside each other after their caller has left.
 func TestAttemptsEndWithTheirCaller(t *testing.T) {
 	for _, most := range []int{1, 2, 3} {
