passthrough: a hedge without a route is handed over when endpoints are out of reach

Before, it was handed over after the stall.

Cause: startHedge did not ask Relays.NoRoute where it found no route; only the breakers that were open already led to another daemon.

Evidence: the case "no route, out of reach" of TestStalledStreamIsHandedOver failed before (504 after 2.00 s) and passes (200 after 0.60 s).

--- a/passthrough/hedge.go
+++ b/passthrough/hedge.go
@@ -38,7 +38,7 @@
 		if !lacksRoom(err) {
 			x.config().OnStaleView()
 		}
-		return false
+		return x.hedgeWithoutRoute()
 	}
 	if !x.takeRetry() {
 		return false
@@ -56,6 +56,15 @@
 		now.Before(x.deadline) && x.config().Retries.IsLeft(x.service, now)
 }
 
+// hedgeWithoutRoute starts a hedge at another daemon if there is no route as the endpoints are out of reach.
+func (x *callerExchange) hedgeWithoutRoute() bool {
+	if !x.relays() || !x.config().Relays.NoRoute(x.service) {
+		return false
+	}
+	peer, found := x.takePeer()
+	return found && x.hedgeAtPeer(peer)
+}
+
 // hedgeAtPeer starts a hedge at another daemon, as the endpoints are out of reach of this one.
 func (x *callerExchange) hedgeAtPeer(peer relay.Peer) bool {
 	if !x.takeRetry() {
--- a/passthrough/hedge_test.go
+++ b/passthrough/hedge_test.go
@@ -191,6 +191,7 @@
 		endpoints []responder
 		prepare   func(relays *fakeRelays)
 	}{
+		{"no route, out of reach", []responder{silent}, func(relays *fakeRelays) { relays.lacksRoute = true }},
 		{"the trial of an endpoint out of reach", []responder{silent, silent}, func(relays *fakeRelays) { relays.isOut, relays.trials = true, 1 }},
 	}
 	for _, c := range cases {
