passthrough: a failure that another daemon passes on does not end a stalled attempt

What callers saw: a stream that had stalled before its head and whose hedge ran at another daemon got the 500 of an endpoint there, or a 404 by that daemon's rules, although its own endpoint went on 0.4 s later.

Cause: handleEnd takes the complete answer of another daemon for the result, whatever its status; only failures of own endpoints count as failed attempts. While an attempt is held, they do here as well.

--- a/passthrough/answer.go
+++ b/passthrough/answer.go
@@ -202,6 +202,8 @@
 		a.checkProven(true)
 		a.excludeFirst()
 		a.fail(exchange.FailureAnswered, errors.Errorf("the endpoint answered with status %d", status))
+	case a.peer != nil && len(x.held) > 0 && !a.isSuccess():
+		a.fail(exchange.FailureAnswered, errors.Errorf("daemon %s passed on status %d", a.peer.ID, status))
 	case x.machine.IsAnswerStarted():
 		a.fail(exchange.FailureLost, errors.Errorf("the endpoint that was asked to resume the stream answered with status %d", status))
 	default:
--- a/passthrough/hedge_test.go
+++ b/passthrough/hedge_test.go
@@ -213,6 +213,39 @@
 	}
 }
 
+// TestFailureOfHedgeAtPeerLeavesStalledAttempt guards against a failed hedge at another daemon that replaces an answer.
+func TestFailureOfHedgeAtPeerLeavesStalledAttempt(t *testing.T) {
+	cases := []struct {
+		name    string
+		respond responder
+	}{
+		{"an endpoint's error", answerFailure},
+		{"refused by the rules there", own(404, relay.ReplyNone, "")},
+		{"no room", own(503, relay.ReplyLoad, "")},
+		{"unable", own(503, relay.ReplyUnable, "")},
+		{"unknown", own(502, relay.ReplyUnknown, "")},
+		{"broken off", closeAtOnce},
+		{"unsigned", unsigned},
+	}
+	for _, c := range cases {
+		for _, moment := range silenceMoments {
+			t.Run(c.name+", "+moment.name, func(t *testing.T) {
+				t.Parallel()
+				w := startServer(t, testRules(), newEndpoint(t, pausingStream(moment)))
+				peer := newEndpoint(t, c.respond)
+				w.relays.peers = []relay.Peer{peerAt("peer", peer)}
+				w.relays.isOut, w.relays.trials = true, 1
+				got := w.ask(t, requestText("POST", "/stream/a", "1", "x"))
+				must.NoError(t, got.err)
+				must.Eq(t, http.StatusOK, got.status)
+				must.Eq(t, singleLine(sixEvents()), singleLine(got.body))
+				must.Len(t, 1, peer.requests())
+				w.waitIdle(t)
+			})
+		}
+	}
+}
+
 // TestAttemptsEndWithTheirCaller guards against attempts that go on beside each other after their caller has left.
 func TestAttemptsEndWithTheirCaller(t *testing.T) {
 	for _, most := range []int{1, 2, 3} {
