passthrough: a hedge runs at another endpoint than the stalled attempt

The first endpoint is excluded for the request now if nothing else of the route is; it does not become suspect.

Evidence: TestHedgeRunsAtAnotherEndpoint failed before in 4 of 4 cases (2 requests at the first endpoint, none at the idle second one).

--- a/passthrough/fixture_test.go
+++ b/passthrough/fixture_test.go
@@ -181,6 +181,14 @@
 	// observed lists the observations, except progress, which progressed names the endpoints of.
 	observed   []string
 	progressed []chicoryhall.EndpointID
+	// isBusy is set if all endpoints make progress at any time, for other requests.
+	isBusy bool
+}
+
+func (e *fakeEndpoints) setBusy() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.isBusy = true
 }
 
 func (e *fakeEndpoints) View(chicoryhall.EndpointID) chicoryhall.EndpointView {
@@ -209,7 +217,14 @@
 
 func (e *fakeEndpoints) Subscribe(func(chicoryhall.EndpointID, chicoryhall.EndpointState)) {}
 
-func (e *fakeEndpoints) LastProgress(chicoryhall.EndpointID) time.Time { return time.Time{} }
+func (e *fakeEndpoints) LastProgress(chicoryhall.EndpointID) time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.isBusy {
+		return time.Now()
+	}
+	return time.Time{}
+}
 
 func (e *fakeEndpoints) ByAddress(string) (chicoryhall.EndpointID, bool) { return "", false }
 
--- a/passthrough/hedge_test.go
+++ b/passthrough/hedge_test.go
@@ -246,6 +246,24 @@
 	}
 }
 
+// TestHedgeRunsAtAnotherEndpoint guards against hedges at the endpoint of the stalled attempt, which makes progress for others.
+func TestHedgeRunsAtAnotherEndpoint(t *testing.T) {
+	for _, moment := range silenceMoments {
+		t.Run(moment.name, func(t *testing.T) {
+			t.Parallel()
+			first, second := newEndpoint(t, pausingStream(moment)), newEndpoint(t, streamEvents(6, "", endWhole))
+			w := startServer(t, testRules(), first, second)
+			w.endpoints.setBusy()
+			got := w.ask(t, requestText("POST", "/stream/a", "1", "x"))
+			must.NoError(t, got.err)
+			must.Eq(t, singleLine(sixEvents()), singleLine(got.body))
+			must.Len(t, 1, first.requests())
+			must.Len(t, 1, second.requests())
+			w.waitIdle(t)
+		})
+	}
+}
+
 // TestAttemptsEndWithTheirCaller guards against attempts that go on beside each other after their caller has left.
 func TestAttemptsEndWithTheirCaller(t *testing.T) {
 	for _, most := range []int{1, 2, 3} {
--- a/passthrough/stall.go
+++ b/passthrough/stall.go
@@ -79,7 +79,8 @@
 }
 
 // suspectStalled reports that the route's endpoints are silent and excludes them from further attempts, except for
-// endpoints that recently made progress for any request.
+// endpoints that recently made progress for any request. If all have, it excludes the first one, as a hedge on the same route
+// is no other way.
 func (a *attempt) suspectStalled(now time.Time) {
 	endpoints := a.exchange.config().Endpoints
 	for _, hop := range a.route.Hops {
@@ -88,6 +89,9 @@
 			a.excludeAsSilent(hop.Engine)
 		}
 	}
+	if len(a.excludedAsSilent) == 0 {
+		a.excludeAsSilent(a.route.Hops[0].Engine)
+	}
 }
 
 // excludeAsSilent excludes an endpoint from further attempts until this one goes on.
