passthrough: the events before an invalid one reach the caller

What callers saw (before as well): if an endpoint sent an event whose ID does not ascend, the events before it in the same piece were missing, and the next attempt resumed after them.

Cause: handleEvents dropped what Feed had returned beside the error, but the splitter counted it as passed on. It is forwarded now, except for a hedge, whose splitter counts for nobody then.

Evidence: TestEventsBeforeInvalidOneArrive failed before (events 1 and 2 missing). Endpoints that keep to the protocol send no such events.

--- a/passthrough/answer.go
+++ b/passthrough/answer.go
@@ -129,21 +129,20 @@
 	a.buffered = nil
 }
 
-// handleEvents forwards the events of a stream that are complete now.
+// handleEvents forwards the events of a stream that are complete now, also those before an invalid one. Those of a hedge that
+// fails are left to the attempt that goes on.
 func (a *attempt) handleEvents(piece []byte) {
 	out, err := a.events.Feed(nil, piece)
+	if len(out) > 0 && (err == nil || len(a.exchange.held) == 0) {
+		a.goOn()
+		a.continueStream()
+		a.forwardPiece(out)
+	}
 	if err != nil {
 		a.observeFirst(chicoryhall.ObservedBrokenConnection)
 		a.excludeFirst()
 		a.fail(exchange.FailureLost, err)
-		return
 	}
-	if len(out) == 0 {
-		return
-	}
-	a.goOn()
-	a.continueStream()
-	a.forwardPiece(out)
 }
 
 // forwardPiece sends a piece of the answer to the caller.
--- a/passthrough/hedge_test.go
+++ b/passthrough/hedge_test.go
@@ -282,3 +282,15 @@
 		w.waitIdle(t)
 	}
 }
+
+// TestEventsBeforeInvalidOneArrive guards against events that are counted as passed on but were not, because an invalid one
+// arrived together with them.
+func TestEventsBeforeInvalidOneArrive(t *testing.T) {
+	invalid := func(conn net.Conn, request *http.Request, id *int) bool {
+		return send(conn, chunk(eventText(1)+eventText(2)+eventText(2)))
+	}
+	w := startServer(t, testRules(), newEndpoint(t, script(headStep, invalid, silentStep)), newEndpoint(t, streamEvents(6, "", endWhole)))
+	got := w.ask(t, requestText("POST", "/stream/a", "1", "x"))
+	must.NoError(t, got.err)
+	must.Eq(t, singleLine(sixEvents()), singleLine(got.body))
+}
