passthrough: no events in the middle of an answer without events

What callers saw: if the answer to a resumable stream was longer than 1 MiB and no stream of events, and its endpoint was silent or broke off after that much, the events of the next attempt followed in the middle of it, and the answer looked complete. Stalls did that before, too.

Cause: startStream took an exchange without events for one whose answer had not begun. Such an attempt fails now, and no hedge is started, as nobody can go on with such an answer.

Evidence: TestLargeAnswerIsNotContinuedByEvents failed before in both cases ("silent, goes on": events in the body; "broken off": no error for the caller).

--- a/passthrough/answer.go
+++ b/passthrough/answer.go
@@ -61,9 +61,13 @@
 func (a *attempt) startStream() {
 	x := a.exchange
 	a.forwarding = true
-	if x.events != nil {
+	switch {
+	case x.events != nil:
 		a.events = x.events.Resumed()
-	} else {
+	case x.machine.IsAnswerStarted():
+		a.fail(exchange.FailureLost, errors.New("a stream that does not continue the answer, which has no events"))
+		return
+	default:
 		a.events = &exchange.EventSplitter{}
 		a.events.SetLastID(x.callerHeaders.LastEvent)
 	}
--- a/passthrough/hedge.go
+++ b/passthrough/hedge.go
@@ -49,8 +49,12 @@
 }
 
 // mayHedge reports whether the request may run elsewhere while the current attempt is kept. Content that is suspected of
-// crashing endpoints may not: whether it has crashed this one may be known later.
+// crashing endpoints may not: whether it has crashed this one may be known later. Nobody can go on with an answer without
+// events that the caller has begun to get.
 func (x *callerExchange) mayHedge(now time.Time) bool {
+	if x.machine.IsAnswerStarted() && x.events == nil {
+		return false
+	}
 	standing := x.standing()
 	return x.machine.MayHedge() && !x.current.isTrial() && standing.State == quarantine.StateFree && !standing.Blocked &&
 		now.Before(x.deadline) && x.config().Retries.IsLeft(x.service, now)
--- a/passthrough/hedge_test.go
+++ b/passthrough/hedge_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -286,7 +287,7 @@
 // TestEventsBeforeInvalidOneArrive guards against events that are counted as passed on but were not, because an invalid one
 // arrived together with them.
 func TestEventsBeforeInvalidOneArrive(t *testing.T) {
-	invalid := func(conn net.Conn, request *http.Request, id *int) bool {
+	invalid := func(conn net.Conn, _ *http.Request, _ *int) bool {
 		return send(conn, chunk(eventText(1)+eventText(2)+eventText(2)))
 	}
 	w := startServer(t, testRules(), newEndpoint(t, script(headStep, invalid, silentStep)), newEndpoint(t, streamEvents(6, "", endWhole)))
@@ -294,3 +295,33 @@
 	must.NoError(t, got.err)
 	must.Eq(t, singleLine(sixEvents()), singleLine(got.body))
 }
+
+// TestLargeAnswerIsNotContinuedByEvents guards against events in the middle of an answer that is none of events.
+func TestLargeAnswerIsNotContinuedByEvents(t *testing.T) {
+	large := strings.Repeat("x", 2<<20)
+	cases := []struct {
+		name string
+		end  func(net.Conn) bool
+		want bool
+	}{
+		{"silent, goes on", func(conn net.Conn) bool { time.Sleep(silentTime); return send(conn, "end") }, true},
+		{"broken off", func(net.Conn) bool { return false }, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			first := newEndpoint(t, func(conn net.Conn, _ int, request *http.Request) bool {
+				answer := wholeAnswer(request, large+"end")
+				return send(conn, answer[:len(answer)-3]) && c.end(conn)
+			})
+			w := startServer(t, testRules(), first, newEndpoint(t, streamEvents(6, "", endWhole)))
+			got := w.ask(t, requestText("POST", "/stream/a", "1", "x"))
+			must.Eq(t, c.want, got.err == nil)
+			must.False(t, strings.Contains(got.body, "data:"))
+			if c.want {
+				must.Eq(t, len(large)+3, len(got.body))
+			}
+			w.waitIdle(t)
+		})
+	}
+}
