stream: silence does not end an attempt that no other one may replace

What callers saw (chicoryhall serve): a request that may run once ended after a silence of 8 x the expected time between tokens, at least 200 ms, and one probe, even if its engine answered the probe, and although it went on a moment later. So did an idempotent one whose engine did not answer the probe (250 ms) once the limit of engines was reached.

Cause: onProbed ended the attempt, and only then the limits were checked. Now such an attempt goes on for maxFinalSilence. It is 4 s, as the client of the engines does not notice dead connections by itself; those of package passthrough are closed after 3 to 4 s. Attempts that may be replaced are, after the same silences as before.

Evidence: TestSilenceDoesNotEndRequest (1.7 s of silence) failed before in 4 of 4 cases. TestEnds and TestInvariants pass unchanged, also three times with -rapid.checks=3000. Not measured: BenchmarkRecovery; real processes.

--- a/stream/machine.go
+++ b/stream/machine.go
@@ -20,6 +20,8 @@
 	// maxSilence limits the allowed silence between tokens before it is doubled. The allowed silence
 	// before the first token has no such limit.
 	maxSilence = 2 * time.Second
+	// maxFinalSilence is the silence after which an attempt ends that no other one may replace.
+	maxFinalSilence = 4 * time.Second
 	// maxSilentRounds is how many silent rounds (see Machine.silentRounds) are allowed without
 	// replacing an engine. After one more, the engine that was probed last is replaced.
 	maxSilentRounds = 2
--- a/stream/machine_test.go
+++ b/stream/machine_test.go
@@ -148,6 +148,53 @@
 	}
 }
 
+// TestSilenceDoesNotEndRequest guards against requests that end because their engine was silent for a while, although no
+// other attempt is allowed and the engine goes on.
+func TestSilenceDoesNotEndRequest(t *testing.T) {
+	cases := []struct {
+		name   string
+		config stream.Config
+		alive  bool
+		// tokens are those that arrive before the silence.
+		tokens int
+	}{
+		{"may run once, answers the probe", stream.Config{MaxTokens: 2, MaxEndpoints: 3}, true, 1},
+		{"may run once, answers the probe, before the first token", stream.Config{MaxTokens: 2, MaxEndpoints: 3}, true, 0},
+		{"may run once, does not answer the probe", stream.Config{MaxTokens: 2, MaxEndpoints: 3}, false, 1},
+		{"no other engine allowed, does not answer the probe", stream.Config{MaxTokens: 2, Idempotent: true, MaxEndpoints: 1}, false, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			m := stream.New(c.config)
+			const attempt = 1
+			m.Step(now, stream.Input{Kind: stream.InputBegin})
+			m.Step(now, stream.Input{Kind: stream.InputRouted, Route: chicoryhall.Route{Hops: []chicoryhall.Hop{{Engine: "a", Address: "a", To: 8}}}})
+			m.Step(now, stream.Input{Kind: stream.InputSending, Attempt: attempt})
+			token := func(position int) []stream.Action {
+				return m.StepEvents(now, attempt, []engine.Event{{Kind: engine.EventToken, Attempt: attempt, Position: position, Token: 7}})
+			}
+			for position := range c.tokens {
+				token(position)
+			}
+			for _, silence := range []time.Duration{300 * time.Millisecond, 500 * time.Millisecond, 900 * time.Millisecond} {
+				now = now.Add(silence)
+				actions := m.Step(now, stream.Input{Kind: stream.InputProgressDue})
+				must.Eq(t, stream.ActionProbe, last(actions).Kind)
+				must.Eq(t, stream.ActionAwaitProgress, actions[0].Kind)
+				for _, action := range m.Step(now, stream.Input{Kind: stream.InputProbed, Attempt: attempt, Engine: "a", Alive: c.alive}) {
+					must.Eq(t, stream.ActionObserve, action.Kind)
+				}
+			}
+			for position := c.tokens; position < 2; position++ {
+				must.Eq(t, stream.ActionReplicate, token(position)[0].Kind)
+			}
+			actions := m.Step(now, stream.Input{Kind: stream.InputTokensReleased, Position: 2})
+			must.Eq(t, chicoryhall.OutcomeAnswered, last(actions).Outcome)
+		})
+	}
+}
+
 // TestOldProbeIsIgnored checks that the answer to a probe of an earlier attempt is ignored.
 func TestOldProbeIsIgnored(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/stream/recovery.go
+++ b/stream/recovery.go
@@ -134,7 +134,8 @@
 // onProbed handles the result of a probe. An engine that did not answer is replaced. If it did
 // answer and the current attempt has lost its connection or is still without progress, this is a
 // silent round: a new attempt begins over a new connection, or, after maxSilentRounds of these, the
-// engine is replaced.
+// engine is replaced. Where no other attempt is allowed, the current one goes on for
+// maxFinalSilence, as silence does not show that it has failed.
 func (m *Machine) onProbed(now time.Time, in Input) {
 	if m.phase != phaseRunning || in.Attempt != m.attempt || in.Engine != m.probing {
 		return
@@ -142,10 +143,16 @@
 	m.probing = ""
 	if !in.Alive {
 		m.observe(in.Engine, chicoryhall.ObservedSilence)
-		m.retryWithout(now, in.Engine, m.probeCause)
+	} else if m.opened && now.Sub(m.lastProgress) < m.silenceAllowance() {
+		return
+	}
+	excludes := !in.Alive || m.silentRounds >= maxSilentRounds
+	if m.opened && now.Sub(m.lastProgress) < maxFinalSilence && !m.mayReplace(in.Engine, excludes) {
+		m.doublings++
 		return
 	}
-	if m.opened && now.Sub(m.lastProgress) < m.silenceAllowance() {
+	if !in.Alive {
+		m.retryWithout(now, in.Engine, m.probeCause)
 		return
 	}
 	m.silentRounds++
@@ -176,6 +183,16 @@
 	m.replaceAttempt(now, reason)
 }
 
+// mayReplace reports whether the limits allow another attempt, one without the given engine if excludes is set.
+func (m *Machine) mayReplace(id chicoryhall.EndpointID, excludes bool) bool {
+	mayHaveRun := m.sent || m.mayHaveRun
+	if mayHaveRun && !m.config.Idempotent || m.attempt-m.config.LastAttempt >= maxAttempts {
+		return false
+	}
+	hop, found := m.findHop(id)
+	return !excludes || !found || m.tried.count(hop) < m.config.MaxEndpoints
+}
+
 // replaceAttempt ends the current attempt and asks for the route of the next one. If the limits do
 // not allow another attempt, the request ends. The time is not used.
 func (m *Machine) replaceAttempt(_ time.Time, reason Reason) {
