stream: an engine that was excluded for its silence is admitted again

What callers saw (chicoryhall serve): a stream whose only engine (or the only one of a stage) did not answer one probe within 250 ms ended "no route" 2 s later, although that engine was back after a second.

Cause: an engine that does not answer a probe is excluded for the rest of the request, like one that has failed. Where no route is found without such engines, a route with them is sought once more now, for another 2 s; the states of the endpoints still decide whether they get work. The KV of the other stages is kept.

Evidence: TestSilentEngineIsReadmitted failed before (finish instead of choose-route). TestEnds and TestInvariants pass unchanged (-rapid.checks=3000).

--- a/stream/machine.go
+++ b/stream/machine.go
@@ -93,6 +93,8 @@
 
 	// excluded are engines that further attempts must not use.
 	excluded []chicoryhall.EndpointID
+	// silent are those of excluded that did not answer a probe and are not known to have failed otherwise.
+	silent []chicoryhall.EndpointID
 	// kvMismatched are engines of the current attempt that are used again, but not their KV.
 	kvMismatched []chicoryhall.EndpointID
 	tried        triedEngines
@@ -263,6 +265,9 @@
 	if reason == ReasonNone {
 		reason = ReasonNoRoute
 	}
+	if reason == ReasonNoRoute && m.readmitSilent() {
+		return
+	}
 	m.fail(reason, max(in.RetryAfter, retryAfterFailure))
 }
 
--- a/stream/machine_test.go
+++ b/stream/machine_test.go
@@ -195,6 +195,28 @@
 	}
 }
 
+// TestSilentEngineIsReadmitted guards against requests that end without a route although the engine that was excluded for its
+// silence goes on.
+func TestSilentEngineIsReadmitted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := stream.New(stream.Config{MaxTokens: 2, Idempotent: true, MaxEndpoints: 3})
+	route := chicoryhall.Route{Hops: []chicoryhall.Hop{{Engine: "a", Address: "a", To: 8}}}
+	m.Step(now, stream.Input{Kind: stream.InputBegin})
+	m.Step(now, stream.Input{Kind: stream.InputRouted, Route: route})
+	m.Step(now, stream.Input{Kind: stream.InputSending, Attempt: 1})
+	m.StepEvents(now, 1, []engine.Event{{Kind: engine.EventToken, Attempt: 1, Position: 0, Token: 7}})
+	now = now.Add(300 * time.Millisecond)
+	m.Step(now, stream.Input{Kind: stream.InputProgressDue})
+	choose := last(m.Step(now, stream.Input{Kind: stream.InputProbed, Attempt: 1, Engine: "a", Alive: false}))
+	must.Eq(t, []chicoryhall.EndpointID{"a"}, choose.Exclude)
+	choose = last(m.Step(now, stream.Input{Kind: stream.InputUnroutable, Reason: stream.ReasonNoRoute}))
+	must.Eq(t, stream.ActionChooseRoute, choose.Kind)
+	must.SliceEmpty(t, choose.Exclude)
+	must.True(t, choose.Recovery)
+	must.Eq(t, 1, choose.Position)
+	must.Eq(t, stream.ActionFinish, last(m.Step(now, stream.Input{Kind: stream.InputUnroutable, Reason: stream.ReasonNoRoute})).Kind)
+}
+
 // TestOldProbeIsIgnored checks that the answer to a probe of an earlier attempt is ignored.
 func TestOldProbeIsIgnored(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/stream/recovery.go
+++ b/stream/recovery.go
@@ -152,6 +152,7 @@
 		return
 	}
 	if !in.Alive {
+		m.silent = append(m.silent, in.Engine)
 		m.retryWithout(now, in.Engine, m.probeCause)
 		return
 	}
@@ -193,6 +194,19 @@
 	return !excludes || !found || m.tried.count(hop) < m.config.MaxEndpoints
 }
 
+// readmitSilent asks for a route again, which may use the engines that are excluded only because they did not answer a probe:
+// they may have gone on since. It returns false if there are none.
+func (m *Machine) readmitSilent() bool {
+	if len(m.silent) == 0 {
+		return false
+	}
+	cachedHops := m.reusableHops() // Before the silent engines are back, which have dropped their KV.
+	m.excluded = slices.DeleteFunc(m.excluded, func(id chicoryhall.EndpointID) bool { return slices.Contains(m.silent, id) })
+	m.silent = nil
+	m.chooseRoute(ReasonEndpointSilent, cachedHops)
+	return true
+}
+
 // replaceAttempt ends the current attempt and asks for the route of the next one. If the limits do
 // not allow another attempt, the request ends. The time is not used.
 func (m *Machine) replaceAttempt(_ time.Time, reason Reason) {
