requests: a slow call goes on unless another endpoint may run it

What callers saw (chicoryhall serve): an idempotent call whose endpoint was silent for 4 x its target latency (at least 200 ms) ended with the outcome Unknown, although the endpoint answered after a second, where no other endpoint, attempt or retry was left.

Cause: the timeout of a call ended it, and only then the way on was looked for. Now the timeout ends a call only if another endpoint and a retry of the budget are in hand; otherwise the call goes on until the request's deadline. With one, it takes as long and costs as many retries as before.

Evidence: TestSilenceDoesNotEndCall failed before in 4 of 5 cases (Unknown); the fifth, "another endpoint and a retry", passed before as well. go test -race ./requests passes.

--- a/requests/plain.go
+++ b/requests/plain.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,7 +26,7 @@
 	// maxStoreTries is the number of tries to store an outcome.
 	maxStoreTries = 5
 	// callTimeoutFactor is multiplied with the class's target latency to get the timeout of a call.
-	// It applies only to idempotent requests, which can be tried elsewhere after a timeout.
+	// It applies only to idempotent requests, and only if another endpoint and a retry are in hand then.
 	callTimeoutFactor = 4
 	// minCallTimeout is the shortest timeout of one call.
 	minCallTimeout = 200 * time.Millisecond
@@ -173,20 +174,23 @@
 // tryEndpoints calls one endpoint after another as long as a retry is allowed.
 func (r *Request) tryEndpoints(ctx context.Context) chicoryhall.Result {
 	var tried []chicoryhall.EndpointID
+	hasRetry := false
 	result := chicoryhall.Result{Outcome: chicoryhall.OutcomeNotRun, Reason: stream.ReasonNoRoute.String(), RetryAfter: retryAfterNotRun}
-	for len(tried) < max(1, r.document.Retries.MaxEndpoints) {
+	for r.mayTryAfter(tried) {
 		endpoint, found := r.leastLoaded(tried)
 		if !found {
 			return result
 		}
-		if len(tried) > 0 {
+		if len(tried) > 0 && !hasRetry {
 			if allowed, retryAfter := r.config().RetryBudgets.Take(r.record.Service); !allowed {
 				result.RetryAfter = retryAfter
 				return result
 			}
 		}
 		tried = append(tried, endpoint.ID)
-		next, retry := r.callEndpoint(ctx, endpoint)
+		callCtx, release := r.limitCall(ctx, slices.Clone(tried))
+		next, retry := r.callEndpoint(callCtx, endpoint)
+		hasRetry = release()
 		if result.Outcome == chicoryhall.OutcomeUnknown && next.Outcome == chicoryhall.OutcomeNotRun {
 			// The earlier call may have run.
 			next.Outcome = chicoryhall.OutcomeUnknown
@@ -199,14 +203,44 @@
 	return result
 }
 
+// mayTryAfter reports whether another endpoint may be called after those that were tried.
+func (r *Request) mayTryAfter(tried []chicoryhall.EndpointID) bool {
+	return len(tried) < max(1, r.document.Retries.MaxEndpoints)
+}
+
+// limitCall returns the context of a call. The context of an idempotent call ends after its timeout if the call may run at
+// another endpoint then; otherwise the call goes on, as a slow endpoint has not failed. release ends the context and reports
+// whether a retry was taken from the budget for that.
+func (r *Request) limitCall(ctx context.Context, tried []chicoryhall.EndpointID) (callCtx context.Context, release func() bool) {
+	callCtx, cancel := context.WithCancel(ctx)
+	if !r.class.Idempotent {
+		return callCtx, func() bool {
+			cancel()
+			return false
+		}
+	}
+	var taken atomic.Bool
+	timeout := max(minCallTimeout, callTimeoutFactor*r.class.TargetLatency)
+	timer := r.config().Timer.After(timeout, func(time.Time) {
+		if _, found := r.leastLoaded(tried); found && r.mayTryAfter(tried) && r.takeRetry() {
+			taken.Store(true)
+			cancel()
+		}
+	})
+	return callCtx, func() bool {
+		timer.Cancel()
+		cancel()
+		return taken.Load()
+	}
+}
+
+func (r *Request) takeRetry() bool {
+	allowed, _ := r.config().RetryBudgets.Take(r.record.Service)
+	return allowed
+}
+
 // callEndpoint calls an endpoint; retry reports whether another one may be called.
 func (r *Request) callEndpoint(ctx context.Context, endpoint *chicoryhall.DocumentEndpoint) (result chicoryhall.Result, retry bool) {
-	if r.class.Idempotent {
-		timeout := max(minCallTimeout, callTimeoutFactor*r.class.TargetLatency)
-		callCtx, cancel := context.WithTimeout(ctx, timeout)
-		defer cancel()
-		ctx = callCtx
-	}
 	r.config().Endpoints.Begin(endpoint.ID)
 	defer r.config().Endpoints.End(endpoint.ID)
 	answer, err := r.config().Engines.Call(ctx, endpoint.Address, r.callMessage())
