passthrough: the settings of the event loops are written once

go test -race reported that servers which start at the same time, as in the parallel tests of silent endpoints, write the global settings of package nbio (log level, limit of open files) beside each other. They are written once per process now.

Evidence: go test -race of the hedge tests reported 8 kinds of tests with this race before and none after. What it still reports, in TestRequestsAreHandedOver as well, is the hand-over of an accepted connection from one poller of nbio to another through the kernel (connection.onData after newConnection), which the detector does not see; that code is not changed here.

--- a/passthrough/server.go
+++ b/passthrough/server.go
@@ -61,6 +61,12 @@
 	random      *rand.Rand
 }
 
+// configureLoops sets what package nbio has for all event loops of the process.
+var configureLoops = sync.OnceFunc(func() {
+	logging.SetLevel(logging.LevelNone)
+	nbio.MaxOpenFiles = maxConnections
+})
+
 // NewServer returns a Server that starts to listen when Serve is called.
 func NewServer(config Config) *Server {
 	s := &Server{
@@ -70,8 +76,7 @@
 		random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		buffer:      make([]byte, readBuffer),
 	}
-	logging.SetLevel(logging.LevelNone)
-	nbio.MaxOpenFiles = maxConnections
+	configureLoops()
 	addresses := []string{config.Address}
 	if config.PeerAddress != "" {
 		addresses = append(addresses, config.PeerAddress)
