--- a/passthrough/answer.go
+++ b/passthrough/answer.go
@@ -61,9 +61,13 @@
 func (a *attempt) startStream() {
 	x := a.exchange
 	a.forwarding = true
-	if x.events != nil {
+	switch {
+	case x.events != nil:
 		a.events = x.events.Resumed()
-	} else {
+	case x.machine.IsAnswerStarted():
+		a.fail(exchange.FailureLost, errors.New("a stream that does not continue the answer, which has no events"))
+		return
+	default:
 		a.events = &exchange.EventSplitter{}
 		a.events.SetLastID(x.callerHeaders.LastEvent)
 	}
@@ -72,7 +76,8 @@
 	}
 }
 
-// continueStream makes the attempt's stream the one that the caller gets.
+// continueStream makes the attempt's stream the one that the caller gets. That of a hedge may not be yet, even if no other
+// attempt remains.
 func (a *attempt) continueStream() {
 	a.exchange.events = a.events
 	if !a.exchange.machine.IsAnswerStarted() {
@@ -128,23 +133,20 @@
 	a.buffered = nil
 }
 
-// handleEvents forwards the events of a stream that are complete now.
+// handleEvents forwards the events of a stream that are complete now, also those before an invalid one. Those of a hedge that
+// fails are left to the attempt that goes on.
 func (a *attempt) handleEvents(piece []byte) {
 	out, err := a.events.Feed(nil, piece)
+	if len(out) > 0 && (err == nil || len(a.exchange.held) == 0) {
+		a.goOn()
+		a.continueStream()
+		a.forwardPiece(out)
+	}
 	if err != nil {
 		a.observeFirst(chicoryhall.ObservedBrokenConnection)
 		a.excludeFirst()
 		a.fail(exchange.FailureLost, err)
-		return
 	}
-	if len(out) == 0 {
-		return
-	}
-	if len(a.exchange.held) > 0 {
-		a.goOn()
-		a.continueStream()
-	}
-	a.forwardPiece(out)
 }
 
 // forwardPiece sends a piece of the answer to the caller.
@@ -203,6 +205,8 @@
 		a.checkProven(true)
 		a.excludeFirst()
 		a.fail(exchange.FailureAnswered, errors.Errorf("the endpoint answered with status %d", status))
+	case a.peer != nil && len(x.held) > 0 && !a.isSuccess():
+		a.fail(exchange.FailureAnswered, errors.Errorf("daemon %s passed on status %d", a.peer.ID, status))
 	case x.machine.IsAnswerStarted():
 		a.fail(exchange.FailureLost, errors.Errorf("the endpoint that was asked to resume the stream answered with status %d", status))
 	default:
@@ -230,8 +234,8 @@
 // finishForwarded ends the exchange after a complete answer that was forwarded as it arrived.
 func (a *attempt) finishForwarded(status int) {
 	x := a.exchange
-	if len(x.held) > 0 {
-		a.goOn()
+	a.goOn()
+	if a.events != nil {
 		a.continueStream()
 	}
 	a.checkProven(true)
--- a/passthrough/hedge.go
+++ b/passthrough/hedge.go
@@ -23,6 +23,7 @@
 	if !x.mayHedge(now) {
 		return false
 	}
+	x.isReachTrial = false // The stalled attempt may have been the trial; it has shown no way to the endpoints.
 	if x.mustRelay() {
 		if peer, found := x.takePeer(); found {
 			return x.hedgeAtPeer(peer)
@@ -37,7 +38,7 @@
 		if !lacksRoom(err) {
 			x.config().OnStaleView()
 		}
-		return false
+		return x.hedgeWithoutRoute()
 	}
 	if !x.takeRetry() {
 		return false
@@ -48,13 +49,26 @@
 }
 
 // mayHedge reports whether the request may run elsewhere while the current attempt is kept. Content that is suspected of
-// crashing endpoints may not: whether it has crashed this one may be known later.
+// crashing endpoints may not: whether it has crashed this one may be known later. Nobody can go on with an answer without
+// events that the caller has begun to get.
 func (x *callerExchange) mayHedge(now time.Time) bool {
+	if x.machine.IsAnswerStarted() && x.events == nil {
+		return false
+	}
 	standing := x.standing()
 	return x.machine.MayHedge() && !x.current.isTrial() && standing.State == quarantine.StateFree && !standing.Blocked &&
 		now.Before(x.deadline) && x.config().Retries.IsLeft(x.service, now)
 }
 
+// hedgeWithoutRoute starts a hedge at another daemon if there is no route as the endpoints are out of reach.
+func (x *callerExchange) hedgeWithoutRoute() bool {
+	if !x.relays() || !x.config().Relays.NoRoute(x.service) {
+		return false
+	}
+	peer, found := x.takePeer()
+	return found && x.hedgeAtPeer(peer)
+}
+
 // hedgeAtPeer starts a hedge at another daemon, as the endpoints are out of reach of this one.
 func (x *callerExchange) hedgeAtPeer(peer relay.Peer) bool {
 	if !x.takeRetry() {
--- a/stream/machine.go
+++ b/stream/machine.go
@@ -20,6 +20,8 @@
 	// maxSilence limits the allowed silence between tokens before it is doubled. The allowed silence
 	// before the first token has no such limit.
 	maxSilence = 2 * time.Second
+	// maxFinalSilence is the silence after which an attempt ends that no other one may replace.
+	maxFinalSilence = 4 * time.Second
 	// maxSilentRounds is how many silent rounds (see Machine.silentRounds) are allowed without
 	// replacing an engine. After one more, the engine that was probed last is replaced.
 	maxSilentRounds = 2
@@ -91,6 +93,8 @@
 
 	// excluded are engines that further attempts must not use.
 	excluded []chicoryhall.EndpointID
+	// silent are those of excluded that did not answer a probe and are not known to have failed otherwise.
+	silent []chicoryhall.EndpointID
 	// kvMismatched are engines of the current attempt that are used again, but not their KV.
 	kvMismatched []chicoryhall.EndpointID
 	tried        triedEngines
@@ -261,6 +265,9 @@
 	if reason == ReasonNone {
 		reason = ReasonNoRoute
 	}
+	if reason == ReasonNoRoute && m.readmitSilent() {
+		return
+	}
 	m.fail(reason, max(in.RetryAfter, retryAfterFailure))
 }
 
