passthrough, platform: endpoints whose answers say that they leave get no further requests

What callers would see: an endpoint that is leaving says so in all of its answers, and ends soon after; requests sent there later than the platform allows are lost with it. Nothing read the header; the daemon went by the platform's list alone, which may lag or never say so.

Now an answer with it counts like a refusal for that reason: the endpoint is leaving, for this daemon, until it starts anew. An answer of another endpoint at the address says nothing.

--- a/dialect.go
+++ b/dialect.go
@@ -58,6 +58,8 @@
 	// Misdirected means that another endpoint answers at the address, or that the endpoint lacks
 	// layers of the request's route.
 	Misdirected bool
+	// Leaving means that the endpoint is about to end and takes no further requests.
+	Leaving bool
 }
 
 // StatedLimit is what an answer says of the number of requests that its endpoint takes from all daemons together.
--- a/endpoints.go
+++ b/endpoints.go
@@ -70,7 +70,7 @@
 	ObservedSilence
 	// ObservedSlow means that the endpoint or its link answers later than expected.
 	ObservedSlow
-	// ObservedLeaving means that the endpoint refused work because it is leaving.
+	// ObservedLeaving means that the endpoint said in an answer that it is leaving.
 	ObservedLeaving
 	// ObservedFull means that the endpoint refused work because it has no room.
 	ObservedFull
--- a/passthrough/answer.go
+++ b/passthrough/answer.go
@@ -25,6 +25,7 @@
 		a.exchange.config().Endpoints.Observe(a.route.Hops[0].Engine, chicoryhall.ObservedFull)
 	}
 	a.recordLimit()
+	a.recordLeaving()
 	a.reportProgress()
 	if response.StatusCode >= http.StatusMultipleChoices || a.answerHeaders.NotRun {
 		return
@@ -45,6 +46,13 @@
 	}
 }
 
+// recordLeaving records that the first endpoint is leaving, if its answer says so.
+func (a *attempt) recordLeaving() {
+	if a.answerHeaders.Leaving && !a.answerHeaders.Misdirected {
+		a.observeFirst(chicoryhall.ObservedLeaving)
+	}
+}
+
 // recordLimit records what the answer says of the limit of the first endpoint, unless another endpoint has answered.
 func (a *attempt) recordLimit() {
 	if a.answerHeaders.Misdirected || a.peer != nil {
