passthrough, watch, platform: endpoints that ask for a pause get no requests until it is over

What callers would see: an endpoint that answers 503 with Retry-After wants nothing from this daemon for so long; requests that came all the same were refused there, one after another, and cost their callers the time and the service its retries. Nothing read the header of endpoints' answers; a refusal paused an endpoint for 0.1 to 1 s.

Now the endpoint counts as full until the time is over or it has started anew: no route uses it, no suspect's trial, and no order is sent to it. Probes of reachability only open a connection. Answers to orders and reports themselves are not read for it.

--- a/dialect.go
+++ b/dialect.go
@@ -58,6 +58,8 @@
 	// Misdirected means that another endpoint answers at the address, or that the endpoint lacks
 	// layers of the request's route.
 	Misdirected bool
+	// RetryAfter is how long the endpoint wants nothing more from this daemon, or 0.
+	RetryAfter time.Duration
 	// Leaving means that the endpoint is about to end and takes no further requests.
 	Leaving bool
 }
--- a/endpoints.go
+++ b/endpoints.go
@@ -47,6 +47,8 @@
 	// Full means that the endpoint has no room for another request of mean size, so that no route
 	// may use it.
 	Full bool
+	// Paused means that the endpoint has asked this daemon to send it nothing for some time, which is not over. It is Full then.
+	Paused bool
 	// Occupancy is the estimated fraction of the endpoint's slots that are in use, or 0 if the
 	// number of slots is unknown. Routes avoid endpoints whose slots are nearly all in use.
 	Occupancy float64
--- a/passthrough/answer.go
+++ b/passthrough/answer.go
@@ -26,6 +26,7 @@
 	}
 	a.recordLimit()
 	a.recordLeaving()
+	a.recordPause()
 	a.reportProgress()
 	if response.StatusCode >= http.StatusMultipleChoices || a.answerHeaders.NotRun {
 		return
@@ -53,6 +54,15 @@
 	}
 }
 
+// recordPause records that the first endpoint wants no requests for some time, if its answer says so.
+func (a *attempt) recordPause() {
+	if a.answerHeaders.RetryAfter <= 0 || a.answerHeaders.Misdirected || a.peer != nil {
+		return
+	}
+	until := a.exchange.config().Timer.Now().Add(a.answerHeaders.RetryAfter)
+	a.exchange.config().Endpoints.Pause(a.route.Hops[0].Engine, until)
+}
+
 // recordLimit records what the answer says of the limit of the first endpoint, unless another endpoint has answered.
 func (a *attempt) recordLimit() {
 	if a.answerHeaders.Misdirected || a.peer != nil {
--- a/passthrough/config.go
+++ b/passthrough/config.go
@@ -39,6 +39,8 @@
 	LastProgress(id chicoryhall.EndpointID) time.Time
 	// ReportRunning records the number of running requests that an endpoint reported.
 	ReportRunning(id chicoryhall.EndpointID, running int)
+	// Pause records that an endpoint wants no requests of this daemon until a time.
+	Pause(id chicoryhall.EndpointID, until time.Time)
 	// ByAddress returns the endpoint that is listed at an address.
 	ByAddress(address string) (chicoryhall.EndpointID, bool)
 }
--- a/passthrough/dialect_test.go
+++ b/passthrough/dialect_test.go
@@ -54,8 +54,9 @@
 }
 
 func (testDialect) ParseAnswer(response *http.Response) chicoryhall.AnswerHeaders {
+	pause, _ := time.ParseDuration(response.Header.Get("Pause")) // 0 if there is none.
 	return chicoryhall.AnswerHeaders{
-		NotRun: response.Header.Get("Not-Run") != "", RequestID: chicoryhall.RequestID(response.Header.Get("Id")),
+		RetryAfter: pause, NotRun: response.Header.Get("Not-Run") != "", RequestID: chicoryhall.RequestID(response.Header.Get("Id")),
 		Unsigned: response.StatusCode == http.StatusOK && response.Header.Get("Signature") == "", Running: -1,
 		Limit: chicoryhall.StatedLimit{Text: response.Header.Get("Limit")}, Leaving: response.Header.Get("Leaving") != "",
 		Misdirected: response.StatusCode == http.StatusMisdirectedRequest,
--- a/passthrough/fixture_test.go
+++ b/passthrough/fixture_test.go
@@ -181,6 +181,8 @@
 	// observed lists the observations, except progress, which progressed names the endpoints of.
 	observed   []string
 	progressed []chicoryhall.EndpointID
+	// pausedUntil holds the ends of the pauses that endpoints have asked for.
+	pausedUntil map[chicoryhall.EndpointID]time.Time
 	// isBusy is set if all endpoints make progress at any time, for other requests.
 	isBusy bool
 }
@@ -226,6 +228,12 @@
 	return time.Time{}
 }
 
+func (e *fakeEndpoints) Pause(id chicoryhall.EndpointID, until time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.pausedUntil[id] = until
+}
+
 func (e *fakeEndpoints) ByAddress(string) (chicoryhall.EndpointID, bool) { return "", false }
 
 func (e *fakeEndpoints) ReportRunning(chicoryhall.EndpointID, int) {}
@@ -343,7 +351,9 @@
 	t.Helper()
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
-	w := &testServer{quarantine: &fakeQuarantine{}, limits: &fakeLimits{}, address: free.Addr().String(), retries: 10, logs: &logBuffer{}, endpoints: &fakeEndpoints{inFlight: make(map[chicoryhall.EndpointID]int)}}
+	w := &testServer{quarantine: &fakeQuarantine{}, limits: &fakeLimits{}, address: free.Addr().String(), retries: 10, logs: &logBuffer{}, endpoints: &fakeEndpoints{
+		inFlight: make(map[chicoryhall.EndpointID]int), pausedUntil: make(map[chicoryhall.EndpointID]time.Time),
+	}}
 	freePeer, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	w.relays, w.peerAddress = &fakeRelays{key: "key"}, freePeer.Addr().String()
--- a/watch/listed.go
+++ b/watch/listed.go
@@ -208,6 +208,18 @@
 	l.change(id, observed.String(), func(e *listedEntry) { e.observe(observed, now) })
 }
 
+// Pause records that an endpoint wants no requests of this daemon until a time. An earlier end of a pause is ignored.
+func (l *ListedEndpoints) Pause(id chicoryhall.EndpointID, until time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e, known := l.entries[id]
+	if !known || !until.After(e.pausedUntil) {
+		return
+	}
+	e.pausedUntil = until
+	l.config.Log.Log(event.EndpointPaused, "endpoint", id, "service", e.listing.Service, "pause", until.Sub(l.config.Timer.Now()))
+}
+
 // Begin counts one more request of this daemon at the endpoint.
 func (l *ListedEndpoints) Begin(id chicoryhall.EndpointID) {
 	l.mu.Lock()
--- a/watch/listedview.go
+++ b/watch/listedview.go
@@ -13,7 +13,7 @@
 // listed any more. Load.Running is the estimated number of other daemons' requests only; InFlight counts those of
 // this daemon. Utilization is the fraction of the endpoint's time that prompts take, but after a recent refusal at
 // least a value that falls from one half to 0. Occupancy is the fraction of the slots in use. Full is set if all
-// slots are in use, and for a pause after a refusal.
+// slots are in use, for a pause after a refusal, and while the endpoint is Paused.
 func (l *ListedEndpoints) View(id chicoryhall.EndpointID) chicoryhall.EndpointView {
 	now := l.config.Timer.Now()
 	l.mu.Lock()
@@ -27,10 +27,12 @@
 		l.loadRatiosUpdatedAt = now
 	}
 	expected, slots := e.expectedRequests(), l.slotsOf(e)
+	paused := now.Before(e.pausedUntil)
 	return chicoryhall.EndpointView{
 		State: e.state(now), Load: e.load(expected), InFlight: e.inFlight, Utilization: math.Max(e.refusalWeight(now)/2, l.promptShare(e, expected)),
 		Occupancy: occupancyOf(expected, slots),
-		Full:      now.Sub(e.refusedAt) < l.refusalPause() || slots > 0 && expected >= slots,
+		Full:      paused || now.Sub(e.refusedAt) < l.refusalPause() || slots > 0 && expected >= slots,
+		Paused:    paused,
 	}
 }
 
