proof: tests in progress do not get one port twice

A port stays with its test now until that ends, and a block has 1,000 ports, still below those that the system uses for outgoing connections. No check changes.

--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -153,9 +153,9 @@
 // Each test process has a block of ports, whose first port it occupies while it runs, so that
 // several test processes can run on one machine.
 const (
-	firstPort  = 20_000
-	blockPorts = 400
-	blocks     = 30
+	firstPort  = 11_000
+	blockPorts = 1_000
+	blocks     = 21
 )
 
 // block returns the first port of this process's block.
@@ -169,16 +169,24 @@
 	return 0, fmt.Errorf("all %d blocks of ports from %d on are occupied", blocks, firstPort)
 })
 
-// nextPort counts the ports that freeAddress has tried.
-var nextPort atomic.Int64
+// nextPort counts the ports that freeAddress has tried. givenPorts holds those that it has returned to tests in progress, whose
+// processes may not listen yet, or not at the moment.
+var (
+	nextPort   atomic.Int64
+	givenPorts sync.Map
+)
 
-// freeAddress returns an IP:PORT of the block on which nothing listens.
+// freeAddress returns an IP:PORT of the block on which nothing listens, and which no other test in progress has got.
 func freeAddress(t *testing.T) string {
 	t.Helper()
 	begin, err := block()
 	must.NoError(t, err)
 	for range blockPorts {
 		port := begin + 1 + int(nextPort.Add(1))%(blockPorts-1)
+		if _, given := givenPorts.LoadOrStore(port, true); given {
+			continue
+		}
+		t.Cleanup(func() { givenPorts.Delete(port) })
 		address := fmt.Sprintf("127.0.0.1:%d", port)
 		listener, err := net.Listen("tcp", address)
 		if err == nil {
