--- a/passthrough/socket.go
+++ b/passthrough/socket.go
@@ -8,13 +8,11 @@
 )
 
 const (
-	// TCP keep-alive closes a connection whose peer has been silent for keepAliveIdle and has not answered
-	// keepAliveCount probes, one per keepAliveInterval.
+	// TCP keep-alive probes a connection whose peer has been silent for keepAliveIdle, once per keepAliveInterval.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
-	keepAliveCount    = 3
-	// ackTimeout is the time after which the kernel closes a connection whose peer does not acknowledge sent
-	// data.
+	// ackTimeout is the time after which the kernel closes a connection whose peer acknowledges neither data nor probes. As
+	// TCP_USER_TIMEOUT it takes the place of the number of probes, see tcp(7).
 	ackTimeout = 3 * time.Second
 )
 
@@ -34,7 +32,6 @@
 		{unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1},
 		{unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, int(keepAliveIdle / time.Second)},
 		{unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, int(keepAliveInterval / time.Second)},
-		{unix.IPPROTO_TCP, unix.TCP_KEEPCNT, keepAliveCount},
 		{unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout / time.Millisecond)},
 		{unix.IPPROTO_TCP, unix.TCP_NODELAY, 1},
 	} {
