passthrough: endpoints that were silent are tried again before a stream is cut off

What callers saw (before as well): a stream whose endpoint had stalled and whose hedge had gone on and then broke off was cut off ("no endpoints to go on at"), although runs, retries and time were left (MaxAttempts 3) and the first endpoint answered again.

Cause: the endpoints of a stalled attempt were excluded for the rest of the request, like failed ones, unless that very attempt went on. They are listed by themselves now, and admitted again if an attempt is to start while none is in progress and there is no route without them; the states of the endpoints still decide whether they get work. An exclusion for another reason is not lifted any more when a stall ends.

--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -105,7 +105,7 @@
 		x.endWithoutAnswer(x.finalVerdict(false), retryAfterNoRules, "the service is not described")
 		return
 	}
-	route, err := x.chooseRoute(current.Document)
+	route, err := x.chooseRouteAgain(current.Document)
 	switch {
 	case err == nil && standing.Blocked:
 		x.awaitReservation(standing)
--- a/passthrough/callerexchange.go
+++ b/passthrough/callerexchange.go
@@ -68,8 +68,10 @@
 	current  *attempt
 	held     []*attempt
 	attempts int
-	// excluded lists the endpoints that must not be tried again.
+	// excluded lists the endpoints that must not be tried again, and silent those that are tried again only if there is no other
+	// way.
 	excluded []chicoryhall.EndpointID
+	silent   []chicoryhall.EndpointID
 	// reservedElsewhere lists endpoints that could not be reserved for this request. reservingSince is when the first try to
 	// reserve endpoints failed, or zero.
 	reservedElsewhere []chicoryhall.EndpointID
--- a/passthrough/hedge_test.go
+++ b/passthrough/hedge_test.go
@@ -325,3 +325,30 @@
 		})
 	}
 }
+
+// TestSilentEndpointIsTriedAgain guards against streams that are cut off because the only endpoint left was silent before.
+func TestSilentEndpointIsTriedAgain(t *testing.T) {
+	whole := script(headStep, eventsStep(6), endStep)
+	for _, moment := range silenceMoments {
+		t.Run(moment.name, func(t *testing.T) {
+			t.Parallel()
+			first := newEndpoint(t, func(conn net.Conn, number int, request *http.Request) bool {
+				if number > 1 {
+					return whole(conn, number, request)
+				}
+				if moment.events < 0 {
+					return endSilent(conn)
+				}
+				return streamEvents(moment.events, moment.part, endSilent)(conn, number, request)
+			})
+			second := newEndpoint(t, script(headStep, eventsStep(5), pauseStep(soon), resetStep))
+			w := startServer(t, withAttempts(3), first, second)
+			got := w.ask(t, requestText("POST", "/stream/a", "1", "x"))
+			must.NoError(t, got.err)
+			must.Eq(t, http.StatusOK, got.status)
+			must.Eq(t, singleLine(sixEvents()), singleLine(got.body))
+			must.Len(t, 2, first.requests())
+			w.waitIdle(t)
+		})
+	}
+}
--- a/passthrough/route.go
+++ b/passthrough/route.go
@@ -27,6 +27,17 @@
 // LacksRoom reports that the endpoints are known and only busy.
 func (*limitedError) LacksRoom() bool { return true }
 
+// chooseRouteAgain is chooseRoute for a request without an attempt in progress. Endpoints that were silent may have gone on
+// since, so it admits them again if there is no route without them.
+func (x *callerExchange) chooseRouteAgain(document *chicoryhall.Document) (chicoryhall.Route, error) {
+	route, err := x.chooseRoute(document)
+	if err == nil || len(x.silent) == 0 {
+		return route, err
+	}
+	x.silent = nil
+	return x.chooseRoute(document)
+}
+
 // chooseRoute chooses a route whose first endpoint's limit allows a request now, and counts the request there.
 func (x *callerExchange) chooseRoute(document *chicoryhall.Document) (chicoryhall.Route, error) {
 	now := x.config().Timer.Now()
@@ -34,7 +45,7 @@
 	for {
 		route, err := x.config().Router.Choose(chicoryhall.RouteQuery{
 			Document: document, FailureDomain: x.config().FailureDomain, Positions: x.callerHeaders.PromptTokens,
-			RemainingTokens: x.callerHeaders.AnswerTokens, Exclude: slices.Concat(x.excluded, x.reservedElsewhere, limited), Now: now,
+			RemainingTokens: x.callerHeaders.AnswerTokens, Exclude: slices.Concat(x.excluded, x.silent, x.reservedElsewhere, limited), Now: now,
 		})
 		switch {
 		case err != nil && len(limited) > 0:
--- a/passthrough/stall.go
+++ b/passthrough/stall.go
@@ -97,8 +97,8 @@
 // excludeAsSilent excludes an endpoint from further attempts until this one goes on.
 func (a *attempt) excludeAsSilent(id chicoryhall.EndpointID) {
 	x := a.exchange
-	if !slices.Contains(x.excluded, id) {
-		x.excluded = append(x.excluded, id)
+	if !slices.Contains(x.excluded, id) && !slices.Contains(x.silent, id) {
+		x.silent = append(x.silent, id)
 		a.excludedAsSilent = append(a.excludedAsSilent, id)
 	}
 }
@@ -109,7 +109,7 @@
 		return
 	}
 	x := a.exchange
-	x.excluded = slices.DeleteFunc(x.excluded, func(id chicoryhall.EndpointID) bool { return slices.Contains(a.excludedAsSilent, id) })
+	x.silent = slices.DeleteFunc(x.silent, func(id chicoryhall.EndpointID) bool { return slices.Contains(a.excludedAsSilent, id) })
 	x.config().Log.Log(event.AttemptWentOn, "request", x.callerHeaders.ID, "attempt", a.number, "route", routeText(a.route),
 		"silent", now.Sub(a.lastProgress))
 	a.stalled, a.excludedAsSilent = false, nil
