passthrough: an endpoint that has refused a hedge may be tried again

Cause: endpoints that refuse are excluded for the rest of the request. That fits a request that has not begun, but a held attempt may go on for long. What refuses while an attempt is held is excluded until an attempt goes on.

Evidence: TestEndpointThatRefusedHedgeIsTriedAgain failed before (unexpected EOF after 0.95 s).

--- a/passthrough/callerexchange.go
+++ b/passthrough/callerexchange.go
@@ -68,10 +68,11 @@
 	current  *attempt
 	held     []*attempt
 	attempts int
-	// excluded lists the endpoints that must not be tried again, and silent those that are tried again only if there is no other
-	// way.
+	// excluded lists the endpoints that must not be tried again, silent those that are tried again only if there is no other
+	// way, and refused those that have refused the request while a stalled attempt was held, until one goes on.
 	excluded []chicoryhall.EndpointID
 	silent   []chicoryhall.EndpointID
+	refused  []chicoryhall.EndpointID
 	// reservedElsewhere lists endpoints that could not be reserved for this request. reservingSince is when the first try to
 	// reserve endpoints failed, or zero.
 	reservedElsewhere []chicoryhall.EndpointID
--- a/passthrough/failure.go
+++ b/passthrough/failure.go
@@ -132,7 +132,11 @@
 			refuser = id
 		}
 	}
-	x.excluded = append(x.excluded, refuser)
+	if len(x.held) > 0 {
+		x.refused = append(x.refused, refuser)
+	} else {
+		x.excluded = append(x.excluded, refuser)
+	}
 	if a.answerHeaders.Misdirected {
 		// Another endpoint answers at the address, or the endpoint lacks layers of the route. Until the view is
 		// up to date, the endpoint is to get no work, like one that does not answer.
--- a/passthrough/hedge.go
+++ b/passthrough/hedge.go
@@ -90,7 +90,8 @@
 // isHeld reports whether the attempt goes on beside the current one.
 func (a *attempt) isHeld() bool { return a.exchange.current != a }
 
-// goOn is called when the attempt goes on with the answer. All others end.
+// goOn is called when the attempt goes on with the answer. All others end, and endpoints that had no room for a hedge may be
+// tried again.
 func (a *attempt) goOn() {
 	x := a.exchange
 	if len(x.held) == 0 {
@@ -104,7 +105,7 @@
 			x.giveUp(other)
 		}
 	}
-	x.current, x.held = a, nil
+	x.current, x.held, x.refused = a, nil, nil
 	x.checkTimer.wakeBy(a.stalledAt())
 }
 
--- a/passthrough/hedge_test.go
+++ b/passthrough/hedge_test.go
@@ -352,3 +352,21 @@
 		})
 	}
 }
+
+// TestEndpointThatRefusedHedgeIsTriedAgain guards against streams that are cut off because the only other endpoint was full for
+// a moment, while the first one had stalled.
+func TestEndpointThatRefusedHedgeIsTriedAgain(t *testing.T) {
+	first := newEndpoint(t, script(headStep, eventsStep(2), pauseStep(untilStalled), eventsStep(4), pauseStep(soon), resetStep))
+	second := newEndpoint(t, func(conn net.Conn, number int, request *http.Request) bool {
+		if number == 1 {
+			return answerNotRun(conn, number, request)
+		}
+		return streamEvents(6, "", endWhole)(conn, number, request)
+	})
+	w := startServer(t, testRules(), first, second)
+	got := w.ask(t, requestText("POST", "/stream/a", "1", "x"))
+	must.NoError(t, got.err)
+	must.Eq(t, singleLine(sixEvents()), singleLine(got.body))
+	must.Len(t, 2, second.requests())
+	w.waitIdle(t)
+}
--- a/passthrough/route.go
+++ b/passthrough/route.go
@@ -43,9 +43,10 @@
 	now := x.config().Timer.Now()
 	limited, after := x.config().Limits.Exhausted(x.service, now)
 	for {
+		exclude := slices.Concat(x.excluded, x.silent, x.refused, x.reservedElsewhere, limited)
 		route, err := x.config().Router.Choose(chicoryhall.RouteQuery{
 			Document: document, FailureDomain: x.config().FailureDomain, Positions: x.callerHeaders.PromptTokens,
-			RemainingTokens: x.callerHeaders.AnswerTokens, Exclude: slices.Concat(x.excluded, x.silent, x.reservedElsewhere, limited), Now: now,
+			RemainingTokens: x.callerHeaders.AnswerTokens, Exclude: exclude, Now: now,
 		})
 		switch {
 		case err != nil && len(limited) > 0:
--- a/passthrough/stall.go
+++ b/passthrough/stall.go
@@ -103,7 +103,8 @@
 	}
 }
 
-// endStall is called when more of the answer arrives. It admits the endpoints again that were excluded as silent.
+// endStall is called when more of the answer arrives. It admits the endpoints again that were excluded as silent, and those
+// that had no room for a hedge.
 func (a *attempt) endStall(now time.Time) {
 	if !a.stalled {
 		return
@@ -112,7 +113,7 @@
 	x.silent = slices.DeleteFunc(x.silent, func(id chicoryhall.EndpointID) bool { return slices.Contains(a.excludedAsSilent, id) })
 	x.config().Log.Log(event.AttemptWentOn, "request", x.callerHeaders.ID, "attempt", a.number, "route", routeText(a.route),
 		"silent", now.Sub(a.lastProgress))
-	a.stalled, a.excludedAsSilent = false, nil
+	a.stalled, a.excludedAsSilent, x.refused = false, nil, nil
 }
 
 // observeFirst reports an observation of the first endpoint of the route.
