exchange: refused hedges do not count against later attempts

Cause: a request is given up after four attempts that did not run. While an attempt is held, these are hedges; they say nothing of an attempt that is needed later. They are counted anew once a stalled attempt goes on with a success.

Evidence: TestRefusedHedgesDoNotPreventRetry failed before (unexpected EOF); the tests of package exchange pass unchanged.

--- a/exchange/machine.go
+++ b/exchange/machine.go
@@ -55,7 +55,7 @@
 type Machine struct {
 	config Config
 	// possibleRuns counts the attempts that may have run, except for the current one. notRun counts the failed attempts that
-	// certainly did not.
+	// certainly did not, since the last time that one went on.
 	possibleRuns int
 	notRun       int
 	// answerStarted is set once the caller has received a part of the answer.
@@ -127,6 +127,10 @@
 	m.count(failure)
 }
 
+// MarkWentOn records that an attempt goes on after it had stalled. Attempts that failed meanwhile without running say nothing of
+// those that may be needed later.
+func (m *Machine) MarkWentOn() { m.notRun = 0 }
+
 // RunsToGrant returns how often somebody else who takes over the request may run it. One run is kept back, if there are more,
 // for the case that this one is lost.
 func (m *Machine) RunsToGrant() int { return max(1, m.config.MaxRuns-m.possibleRuns-1) }
--- a/passthrough/hedge_test.go
+++ b/passthrough/hedge_test.go
@@ -370,3 +370,21 @@
 	must.Len(t, 2, second.requests())
 	w.waitIdle(t)
 }
+
+// TestRefusedHedgesDoNotPreventRetry guards against streams that are cut off because hedges were refused long before.
+func TestRefusedHedgesDoNotPreventRetry(t *testing.T) {
+	endpoints := []*endpoint{newEndpoint(t, script(headStep, eventsStep(2), pauseStep(untilStalled), eventsStep(4), pauseStep(soon), resetStep))}
+	for range 4 {
+		endpoints = append(endpoints, newEndpoint(t, func(conn net.Conn, number int, request *http.Request) bool {
+			if number == 1 {
+				return answerNotRun(conn, number, request)
+			}
+			return streamEvents(6, "", endWhole)(conn, number, request)
+		}))
+	}
+	w := startServer(t, testRules(), endpoints...)
+	got := w.ask(t, requestText("POST", "/stream/a", "1", "x"))
+	must.NoError(t, got.err)
+	must.Eq(t, singleLine(sixEvents()), singleLine(got.body))
+	w.waitIdle(t)
+}
--- a/passthrough/stall.go
+++ b/passthrough/stall.go
@@ -113,7 +113,11 @@
 	x.silent = slices.DeleteFunc(x.silent, func(id chicoryhall.EndpointID) bool { return slices.Contains(a.excludedAsSilent, id) })
 	x.config().Log.Log(event.AttemptWentOn, "request", x.callerHeaders.ID, "attempt", a.number, "route", routeText(a.route),
 		"silent", now.Sub(a.lastProgress))
-	a.stalled, a.excludedAsSilent, x.refused = false, nil, nil
+	a.stalled, a.excludedAsSilent = false, nil
+	if a.isSuccess() {
+		x.refused = nil
+		x.machine.MarkWentOn()
+	}
 }
 
 // observeFirst reports an observation of the first endpoint of the route.
