--- a/passthrough/hedge_test.go
+++ b/passthrough/hedge_test.go
@@ -325,3 +325,66 @@
 		})
 	}
 }
+
+// TestSilentEndpointIsTriedAgain guards against streams that are cut off because the only endpoint left was silent before.
+func TestSilentEndpointIsTriedAgain(t *testing.T) {
+	whole := script(headStep, eventsStep(6), endStep)
+	for _, moment := range silenceMoments {
+		t.Run(moment.name, func(t *testing.T) {
+			t.Parallel()
+			first := newEndpoint(t, func(conn net.Conn, number int, request *http.Request) bool {
+				if number > 1 {
+					return whole(conn, number, request)
+				}
+				if moment.events < 0 {
+					return endSilent(conn)
+				}
+				return streamEvents(moment.events, moment.part, endSilent)(conn, number, request)
+			})
+			second := newEndpoint(t, script(headStep, eventsStep(5), pauseStep(soon), resetStep))
+			w := startServer(t, withAttempts(3), first, second)
+			got := w.ask(t, requestText("POST", "/stream/a", "1", "x"))
+			must.NoError(t, got.err)
+			must.Eq(t, http.StatusOK, got.status)
+			must.Eq(t, singleLine(sixEvents()), singleLine(got.body))
+			must.Len(t, 2, first.requests())
+			w.waitIdle(t)
+		})
+	}
+}
+
+// TestEndpointThatRefusedHedgeIsTriedAgain guards against streams that are cut off because the only other endpoint was full for
+// a moment, while the first one had stalled.
+func TestEndpointThatRefusedHedgeIsTriedAgain(t *testing.T) {
+	first := newEndpoint(t, script(headStep, eventsStep(2), pauseStep(untilStalled), eventsStep(4), pauseStep(soon), resetStep))
+	second := newEndpoint(t, func(conn net.Conn, number int, request *http.Request) bool {
+		if number == 1 {
+			return answerNotRun(conn, number, request)
+		}
+		return streamEvents(6, "", endWhole)(conn, number, request)
+	})
+	w := startServer(t, testRules(), first, second)
+	got := w.ask(t, requestText("POST", "/stream/a", "1", "x"))
+	must.NoError(t, got.err)
+	must.Eq(t, singleLine(sixEvents()), singleLine(got.body))
+	must.Len(t, 2, second.requests())
+	w.waitIdle(t)
+}
+
+// TestRefusedHedgesDoNotPreventRetry guards against streams that are cut off because hedges were refused long before.
+func TestRefusedHedgesDoNotPreventRetry(t *testing.T) {
+	endpoints := []*endpoint{newEndpoint(t, script(headStep, eventsStep(2), pauseStep(untilStalled), eventsStep(4), pauseStep(soon), resetStep))}
+	for range 4 {
+		endpoints = append(endpoints, newEndpoint(t, func(conn net.Conn, number int, request *http.Request) bool {
+			if number == 1 {
+				return answerNotRun(conn, number, request)
+			}
+			return streamEvents(6, "", endWhole)(conn, number, request)
+		}))
+	}
+	w := startServer(t, testRules(), endpoints...)
+	got := w.ask(t, requestText("POST", "/stream/a", "1", "x"))
+	must.NoError(t, got.err)
+	must.Eq(t, singleLine(sixEvents()), singleLine(got.body))
+	w.waitIdle(t)
+}
