chicorystand hall: endpoints can be paused

POST /engines/ID/pause makes an endpoint silent for some milliseconds, after which it goes on and has lost nothing: its streams stop before the head, between events or (every second one) inside an event, plain answers before the head or in the body, and load reports, orders and new requests are answered later. A fault ends the requests in progress instead, so a sound endpoint that is held up could not be simulated.

--- a/cmd/chicorystand/hall/control.go
+++ b/cmd/chicorystand/hall/control.go
@@ -45,6 +45,12 @@
 			endpoint.SetFaults(faults)
 		}
 	})
+	mux.HandleFunc("POST /engines/{id}/pause", func(rw http.ResponseWriter, r *http.Request) {
+		var pause Pause
+		if endpoint := p.byID(r.PathValue("id")); endpoint != nil && decode(rw, r, &pause) {
+			endpoint.Pause(time.Duration(pause.Millis) * time.Millisecond)
+		}
+	})
 	mux.HandleFunc("POST /engines/{id}/crash", func(_ http.ResponseWriter, r *http.Request) {
 		if endpoint := p.byID(r.PathValue("id")); endpoint != nil {
 			endpoint.Crash(endpoint.crashTime())
--- a/cmd/chicorystand/hall/doc.go
+++ b/cmd/chicorystand/hall/doc.go
@@ -14,5 +14,6 @@
 // the requests that endpoints ran, and what was wrong with requests and orders.
 // Requests that crash endpoints are recorded too, each time they arrive at one. Other
 // requests that an endpoint refused without an error of the sender, for example as it
-// had no free slot, are not recorded.
+// had no free slot, are not recorded. Endpoints can also be paused: they are silent for
+// a time, lose nothing, and go on.
 package hall
--- a/cmd/chicorystand/hall/endpoint.go
+++ b/cmd/chicorystand/hall/endpoint.go
@@ -42,6 +42,8 @@
 	used    float64
 	answers int // number of answers started
 	faults  EndpointFaults
+	// pausedUntil is when the endpoint goes on.
+	pausedUntil time.Time
 }
 
 // hop is one stage of a request's route.
@@ -104,6 +106,7 @@
 	}
 	e.faults.Dead = true
 	e.from, e.to, e.sequence, e.running, e.used = 0, 0, 0, 0, 0
+	e.pausedUntil = time.Time{}
 	e.mu.Unlock()
 	id := e.id()
 	e.platform.after(lapseTime, func() {
@@ -151,6 +154,9 @@
 
 // ServeHTTP handles requests of callers, forwarded by daemons, and the daemons' orders and requests for the load report.
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !awaitResume(r.Context(), e) {
+		panic(http.ErrAbortHandler)
+	}
 	e.mu.Lock()
 	faults := e.faults
 	e.mu.Unlock()
@@ -281,12 +287,19 @@
 	}
 }
 
-// shouldCut counts an answer that starts now and reports whether the fault CutEvery cuts it off.
-func (e *Endpoint) shouldCut() bool {
+// countAnswer counts an answer that starts now and returns their number.
+func (e *Endpoint) countAnswer() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.answers++
-	return e.faults.CutEvery > 0 && e.answers%e.faults.CutEvery == 0
+	return e.answers
+}
+
+// shouldCut reports whether the fault CutEvery cuts off the answer with the given number.
+func (e *Endpoint) shouldCut(number int) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults.CutEvery > 0 && number%e.faults.CutEvery == 0
 }
 
 // slowed returns a time in milliseconds, multiplied by the fault Slow.
@@ -317,15 +330,16 @@
 		panic(http.ErrAbortHandler)
 	}
 	body := "answer to " + id
+	number := e.countAnswer()
+	if number%2 == 0 && !awaitResume(r.Context(), e) {
+		panic(http.ErrAbortHandler)
+	}
 	e.setAnswerHeaders(w, r)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	if e.shouldCut() {
+	if e.shouldCut(number) {
 		body = body[:len(body)/2]
 	}
-	_, _ = w.Write([]byte(body)) // A write fails only if the caller has disconnected.
-	if flusher, ok := w.(http.Flusher); ok {
-		flusher.Flush()
-	}
+	_ = sendThroughPause(r.Context(), w, body, e) // It fails only if the caller has disconnected.
 	// If the endpoint has crashed or become silent meanwhile, the connection is aborted too, after the whole answer.
 	if e.isUnresponsive() || len(body) < len("answer to "+id) {
 		panic(http.ErrAbortHandler)
--- a/cmd/chicorystand/hall/stream.go
+++ b/cmd/chicorystand/hall/stream.go
@@ -57,8 +57,9 @@
 func (e *Endpoint) stream(w http.ResponseWriter, r *http.Request, poison *poison, hops []hop, prompt, answer int) {
 	model := e.platform.settings.Model
 	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 for a new stream
-	cutAnswer := e.shouldCut()
-	if !e.work(r, hops, float64(prompt)/model.ReadPerSecond*1000) {
+	cutAnswer := e.shouldCut(e.countAnswer())
+	engines := enginesOf(hops)
+	if !e.work(r, hops, float64(prompt)/model.ReadPerSecond*1000) || !awaitResume(r.Context(), engines...) {
 		panic(http.ErrAbortHandler)
 	}
 	e.setAnswerHeaders(w, r)
@@ -68,7 +69,10 @@
 		if !e.work(r, hops, float64(model.TokensPerEvent)*e.stepMillis(hops)) {
 			panic(http.ErrAbortHandler)
 		}
-		if poison.onEvent(number, enginesOf(hops)) {
+		if poison.onEvent(number, engines) {
+			panic(http.ErrAbortHandler)
+		}
+		if number%2 == 0 && !awaitResume(r.Context(), engines...) {
 			panic(http.ErrAbortHandler)
 		}
 		text := EventText(r.Header.Get("Request-Id"), number)
@@ -76,11 +80,7 @@
 		if cutHere {
 			text = text[:len(text)/2]
 		}
-		_, err := w.Write([]byte(text))
-		if flusher, ok := w.(http.Flusher); ok {
-			flusher.Flush()
-		}
-		if err != nil || cutHere {
+		if err := sendThroughPause(r.Context(), w, text, engines...); err != nil || cutHere {
 			panic(http.ErrAbortHandler)
 		}
 	}
--- a/proof/soak_platform_test.go
+++ b/proof/soak_platform_test.go
@@ -108,10 +108,7 @@
 	}
 	settings := map[string]any{
 		"store": store, "control": w.control, "configuration": configuration(1),
-		"model": map[string]any{
-			"name": "m", "layers": 8, "layerBytes": 1e6, "tokenBytes": 8000, "stepMillis": 0.5, "perRequestMillis": 0.01,
-			"readPerSecond": 1e5, "loadMillis": 300, "tokensPerEvent": 3, "stallMillis": 1000,
-		},
+		"model": soakModel(),
 	}
 	var engines []map[string]any
 	for _, domain := range layout.domains {
@@ -160,6 +157,14 @@
 	return w
 }
 
+// soakModel returns the settings of the model.
+func soakModel() map[string]any {
+	return map[string]any{
+		"name": "m", "layers": 8, "layerBytes": 1e6, "tokenBytes": 8000, "stepMillis": 0.5, "perRequestMillis": 0.01,
+		"readPerSecond": 1e5, "loadMillis": 300, "tokensPerEvent": 3, "stallMillis": 1000,
+	}
+}
+
 // soakEngine returns the settings of an endpoint: a plain one if number is negative, otherwise an engine, whose kind depends
 // on number.
 func soakEngine(id, domain, service, address string, number int) map[string]any {
