passthrough: a hedge that is not possible is sought again soon

Cause, from the log of a daemon: five streams stalled within 10 ms. The other failure domain's endpoints were suspects, so the first stream went there as their trial and the other four found no route. 30 ms later the trial's progress made the endpoints ready, but a hedge was sought again only after a further stall time of 600 ms. The four went on when their endpoint broke off, 455 ms after the stall.

A hedge is now sought again after 100 ms. What reports silence keeps its period, as repeated reports prolong suspicion.

TestHedgeStartsSoonAfterThereIsRoom failed before 3 times of 3 (1.053 s, bound 1.05 s) and passed 5 times of 5. Package passthrough passed.

--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -22,6 +22,8 @@
 	gapStallFactor  = 3
 	// minStallTime is the least time after which a stream counts as stalled.
 	minStallTime = 400 * time.Millisecond
+	// hedgeSeekPeriod is the time after which a hedge is sought again where none was possible.
+	hedgeSeekPeriod = 100 * time.Millisecond
 	// An endpoint that made progress for any request within recentProgress is not suspected after a stall.
 	recentProgress = 250 * time.Millisecond
 	// progressReportPeriod is the least time between two reports of progress by one attempt.
@@ -74,11 +76,13 @@
 	// silenceChecked is set once checkSilence has run.
 	silenceChecked     bool
 	progressReportedAt time.Time
-	// stalled is set from when the attempt stalls until more of the answer arrives. hedgeSoughtAt is when a hedge was last
-	// sought since then, and excludedAsSilent are the endpoints that are excluded for that reason only.
-	stalled          bool
-	hedgeSoughtAt    time.Time
-	excludedAsSilent []chicoryhall.EndpointID
+	// stalled is set from when the attempt stalls until more of the answer arrives. silenceReportedAt and hedgeSoughtAt are when
+	// its endpoints were last reported as silent and when a hedge was last sought since then. excludedAsSilent are the endpoints
+	// that are excluded for that reason only.
+	stalled           bool
+	silenceReportedAt time.Time
+	hedgeSoughtAt     time.Time
+	excludedAsSilent  []chicoryhall.EndpointID
 	// events tracks the events of a streamed answer. It is that of the exchange once the attempt goes on with the answer.
 	events *exchange.EventSplitter
 }
@@ -133,7 +137,7 @@
 	for _, hop := range route.Hops {
 		x.config().Endpoints.Begin(hop.Engine)
 	}
-	x.checkTimer.wakeBy(a.stalledAt())
+	x.checkTimer.wakeBy(a.dueAt())
 	a.logStart(now)
 	x.server.pool.send(endpointRequest{
 		address: route.Hops[0].Address, method: x.head.Method, id: x.callerHeaders.ID, message: a.message(now), receiver: a,
--- a/passthrough/fixture_test.go
+++ b/passthrough/fixture_test.go
@@ -257,12 +257,14 @@
 type orderedRouter struct {
 	addresses []string
 	later     []chicoryhall.Hop
+	// isFull reports whether an endpoint is full, or is nil if none is.
+	isFull func(chicoryhall.EndpointID) bool
 }
 
 func (r orderedRouter) Choose(query chicoryhall.RouteQuery) (chicoryhall.Route, error) {
 	for i, address := range r.addresses {
 		id := chicoryhall.EndpointID("e" + strconv.Itoa(i))
-		excluded := false
+		excluded := r.isFull != nil && r.isFull(id)
 		for _, other := range query.Exclude {
 			excluded = excluded || other == id
 		}
--- a/passthrough/hedge.go
+++ b/passthrough/hedge.go
@@ -91,7 +91,7 @@
 		}
 	}
 	x.current, x.held = a, nil
-	x.checkTimer.wakeBy(a.stalledAt())
+	x.checkTimer.wakeBy(a.dueAt())
 }
 
 // giveUp ends an attempt as another one has gone on with the answer. The other one remains the only one that is not counted as
@@ -132,10 +132,10 @@
 	return true
 }
 
-// seekHedge starts a hedge beside the stalled attempt, or looks again after the time in which an attempt stalls.
+// seekHedge starts a hedge beside the stalled attempt, or looks again after hedgeSeekPeriod.
 func (a *attempt) seekHedge(now time.Time) {
 	a.hedgeSoughtAt = now
 	if !a.exchange.startHedge(now) {
-		a.exchange.checkTimer.wakeBy(a.stalledAt())
+		a.exchange.checkTimer.wakeBy(a.dueAt())
 	}
 }
--- a/passthrough/silence_test.go
+++ b/passthrough/silence_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -212,3 +213,21 @@
 		}
 	}
 }
+
+// TestHedgeStartsSoonAfterThereIsRoom guards against streams that stand still for a further stall time although there has been
+// room elsewhere since shortly after the first one.
+func TestHedgeStartsSoonAfterThereIsRoom(t *testing.T) {
+	const stallTime, furtherStallTime = 600 * time.Millisecond, 450 * time.Millisecond
+	silent, second := newEndpoint(t, streamEvents(3, "", endSilent)), newEndpoint(t, streamEvents(6, "", endWhole))
+	router := routerTo(silent, second)
+	var hasRoom atomic.Bool
+	router.isFull = func(id chicoryhall.EndpointID) bool { return id == "e1" && !hasRoom.Load() }
+	w := startRoutedServer(t, 0, testRules(), router)
+	startedAt := time.Now()
+	time.AfterFunc(stallTime+100*time.Millisecond, func() { hasRoom.Store(true) })
+	got := w.ask(t, requestText("POST", "/stream/a", "1", "x"))
+	must.NoError(t, got.err)
+	must.Eq(t, singleLine(sixEvents()), singleLine(got.body))
+	must.Less(t, stallTime+furtherStallTime, time.Since(startedAt))
+	w.waitIdle(t)
+}
--- a/passthrough/stall.go
+++ b/passthrough/stall.go
@@ -9,9 +9,9 @@
 	"chicoryhall.example/chicoryhall/quarantine"
 )
 
-// stalledAt returns when the attempt counts as stalled unless more of the answer arrives before, or when a hedge is sought
-// again. Only event streams stall; for other answers it is when their endpoint is checked for silence, and then the deadline.
-func (a *attempt) stalledAt() time.Time {
+// dueAt returns when the attempt counts as stalled unless more of the answer arrives before, or when a hedge is sought again.
+// Only event streams stall; for other answers it is when their endpoint is checked for silence, and then the deadline.
+func (a *attempt) dueAt() time.Time {
 	x := a.exchange
 	switch {
 	case a.peer != nil: // Another daemon notices stalls itself.
@@ -19,24 +19,34 @@
 	case x.rule.Kind != chicoryhall.ExchangeStream && a.silenceChecked:
 		return x.deadline
 	}
+	at := a.silentAt()
+	if a.stalled && a.hedgeSoughtAt.Add(hedgeSeekPeriod).Before(at) {
+		at = a.hedgeSoughtAt.Add(hedgeSeekPeriod)
+	}
+	if x.deadline.Before(at) {
+		return x.deadline
+	}
+	return at
+}
+
+// silentAt returns when the attempt's endpoints are reported as silent, at first or again, unless more of the answer arrives
+// before.
+func (a *attempt) silentAt() time.Time {
+	x := a.exchange
 	maxPause := headStallFactor * x.rule.TargetLatency
 	if a.forwarding {
 		maxPause = gapStallFactor * x.rule.TargetGap
 	}
 	since := a.lastProgress
-	if a.hedgeSoughtAt.After(since) {
-		since = a.hedgeSoughtAt
-	}
-	at := since.Add(max(minStallTime, maxPause))
-	if x.deadline.Before(at) {
-		return x.deadline
+	if a.silenceReportedAt.After(since) {
+		since = a.silenceReportedAt
 	}
-	return at
+	return since.Add(max(minStallTime, maxPause))
 }
 
 // onDue seeks a hedge if the attempt has stalled.
 func (a *attempt) onDue(now time.Time) {
-	if at := a.stalledAt(); now.Before(at) {
+	if at := a.dueAt(); now.Before(at) {
 		a.exchange.checkTimer.wakeBy(at)
 		return
 	}
@@ -44,10 +54,13 @@
 		a.checkSilence()
 		return
 	}
-	a.suspectStalled(now)
-	a.reportSilence()
-	a.exchange.server.pool.closeIdleConnections(a.route.Hops[0].Address)
-	a.reportStall(now)
+	if !now.Before(a.silentAt()) {
+		a.silenceReportedAt = now
+		a.suspectStalled(now)
+		a.reportSilence()
+		a.exchange.server.pool.closeIdleConnections(a.route.Hops[0].Address)
+		a.reportStall(now)
+	}
 	a.seekHedge(now)
 }
 
@@ -69,7 +82,7 @@
 // an answer that is not a stream may take long.
 func (a *attempt) checkSilence() {
 	a.silenceChecked = true
-	a.exchange.checkTimer.wakeBy(a.stalledAt())
+	a.exchange.checkTimer.wakeBy(a.dueAt())
 	first := a.route.Hops[0]
 	if !a.exchange.config().Endpoints.LastProgress(first.Engine).After(a.startedAt) {
 		a.exchange.config().Endpoints.Observe(first.Engine, chicoryhall.ObservedSilence)
