--- a/proof/soak_silent_test.go
+++ b/proof/soak_silent_test.go
@@ -175,13 +175,20 @@
 	return "nothing"
 }
 
-// checkNoneEndedEarly checks that no answer ended before its deadline. No endpoint fails in such a test.
-func checkNoneEndedEarly(t *testing.T, w *soakPlatform, planned *plannedWork, results []soakResult) {
+// runCounts returns how often each request ran.
+func (w *soakPlatform) runCounts(t *testing.T) map[string]int {
 	t.Helper()
-	runs := make(map[string]int)
+	counts := make(map[string]int)
 	for _, run := range w.runs(t) {
-		runs[run.Request]++
+		counts[run.Request]++
 	}
+	return counts
+}
+
+// checkNoneEndedEarly checks that no answer ended before its deadline. No endpoint fails in such a test.
+func checkNoneEndedEarly(t *testing.T, w *soakPlatform, planned *plannedWork, results []soakResult) {
+	t.Helper()
+	runs := w.runCounts(t)
 	early, all := make(map[string]int), make(map[string]int)
 	for i := range results {
 		r := &results[i]
