passthrough: bytes behind a request no longer end it

What callers saw: a caller that had sent further requests behind the one in progress lost its answer: the connection was closed without a word.

Cause: connection.feed closed the connection if the buffered bytes exceeded the limits of the current rules, whether or not an exchange was in progress.

Fix: bytes beyond the buffer are dropped, which still bounds the memory. The request in progress and the whole ones behind it are answered; then the one of which bytes are missing is refused with 503 and Retry-After, as it has not run. The limits of a connection are those with which it began.

--- a/http1/reader.go
+++ b/http1/reader.go
@@ -87,6 +87,9 @@
 // bound the buffer; see Buffered.
 func (r *Reader[H]) Pause() { r.paused = true }
 
+// IsPaused reports whether the Reader buffers the bytes after a message.
+func (r *Reader[H]) IsPaused() bool { return r.paused }
+
 // Resume handles the buffered bytes.
 func (r *Reader[H]) Resume() error {
 	r.paused = false
--- a/passthrough/connection.go
+++ b/passthrough/connection.go
@@ -20,6 +20,8 @@
 	// data that arrived in time may not have been read yet. The connection then stays open for another
 	// lateGrace.
 	lateGrace = 50 * time.Millisecond
+	// retryAfterDropped is the Retry-After time of a request of which bytes were dropped.
+	retryAfterDropped = 50 * time.Millisecond
 )
 
 // message is an input of a caller's connection: received bytes or a function to call.
@@ -48,6 +50,10 @@
 	hasRequested bool
 	// closing is set once no further request is accepted.
 	closing bool
+	// limits are those of the reader.
+	limits http1.Limits
+	// hasDropped is set once bytes behind the request in progress were dropped, as they exceed the limits.
+	hasDropped bool
 
 	// closeAt is when the connection is closed, or zero while an exchange is in progress. It is set when the
 	// connection opens, with each piece of a request's head, after the head, and when an exchange ends. The head
@@ -65,15 +71,26 @@
 		m.data = slices.Clone(m.data)
 		return m
 	})
-	limits, _, _ := s.limits()
-	if isPeer {
-		limits.Head += ticketBytes
-	}
-	conn.reader = http1.NewRequestReader(conn, limits)
+	conn.limits = conn.currentLimits()
+	conn.reader = http1.NewRequestReader(conn, conn.limits)
 	conn.closeTimer = wakeupTimer{timer: s.config.Timer, post: conn.post, wake: conn.onCloseDue}
 	return conn
 }
 
+// currentLimits returns the limits on the size of a request that begins now.
+func (conn *connection) currentLimits() http1.Limits {
+	limits, _, _ := conn.server.limits()
+	if conn.isPeer {
+		limits.Head += ticketBytes
+	}
+	return limits
+}
+
+// isBetweenRequests reports whether no request is in progress and nothing of the next one has been read.
+func (conn *connection) isBetweenRequests() bool {
+	return conn.current == nil && conn.head == nil && conn.reader.AtBoundary()
+}
+
 func (conn *connection) handle(m message) {
 	if m.call != nil {
 		m.call()
@@ -107,12 +124,12 @@
 		_, headTimeout, _ := conn.server.limits()
 		conn.setCloseTimeout(headTimeout)
 	}
+	if conn.hasDropped {
+		return
+	}
 	conn.handleReadError(conn.reader.Feed(data))
-	limits, _, _ := conn.server.limits()
 	// The reader buffers further requests during an exchange, at most one of maximum size.
-	if int64(conn.reader.Buffered()) > limits.Body+int64(limits.Head) {
-		conn.close()
-	}
+	conn.hasDropped = conn.current != nil && int64(conn.reader.Buffered()) > conn.limits.Body+int64(conn.limits.Head)
 }
 
 // handleReadError answers a malformed or too large message and closes the connection.
@@ -184,10 +201,22 @@
 	conn.post(func() {
 		if conn.current == nil && !conn.closing && !conn.closed {
 			conn.handleReadError(conn.reader.Resume())
+			conn.refuseDropped()
 		}
 	})
 }
 
+// refuseDropped refuses the request of which bytes were dropped, once all those before it have been answered.
+func (conn *connection) refuseDropped() {
+	if !conn.hasDropped || conn.closing || conn.reader.IsPaused() {
+		return
+	}
+	conn.closing = true
+	header := http.Header{"Retry-After": {secondsText(retryAfterDropped)}}
+	conn.writeWhole(http.StatusServiceUnavailable, header, []byte("too many bytes behind a request in progress\n"), true)
+	conn.linger()
+}
+
 // idleTimeout returns how long the connection may be idle between two requests.
 func (conn *connection) idleTimeout() time.Duration {
 	if conn.isPeer {
@@ -231,7 +260,7 @@
 // closeIfIdle closes the connection if it is between two requests. A connection that has just opened is not, as its first
 // request is on the way; closeAt limits the wait for it.
 func (conn *connection) closeIfIdle() {
-	if !conn.isPeer && conn.hasRequested && conn.current == nil && conn.head == nil && conn.reader.AtBoundary() && !conn.closing {
+	if !conn.isPeer && conn.hasRequested && conn.isBetweenRequests() && !conn.closing {
 		conn.close()
 	}
 }
--- a/passthrough/fixture_test.go
+++ b/passthrough/fixture_test.go
@@ -122,6 +122,10 @@
 	mu        sync.Mutex
 	retries   int
 	refuse    bool
+	// admission is called instead of the default decision, unless it is nil.
+	admission func(start func(chicoryhall.Permit), refuse func(time.Duration, string))
+	// rules are those that the server follows.
+	rules *routing.CurrentRules
 	// serviceRemoved is set once the service has no document any more.
 	serviceRemoved atomic.Bool
 	// quarantine is the server's passthrough.Quarantine.
@@ -228,6 +232,10 @@
 func (s *testServer) Subscribe(func(chicoryhall.DocumentVersion)) {}
 
 func (s *testServer) Acquire(_ chicoryhall.AdmissionQuery, start func(chicoryhall.Permit), refuse func(time.Duration, string)) {
+	if s.admission != nil {
+		s.admission(start, refuse)
+		return
+	}
 	if s.refuse {
 		refuse(250*time.Millisecond, "no place")
 		return
@@ -336,6 +344,7 @@
 	must.NoError(t, free.Close())
 	clock := timer.New()
 	current := routing.NewCurrentRules()
+	w.rules = current
 	if set != nil {
 		current.Apply(set)
 	}
