passthrough: a daemon with smaller limits takes what is handed over to it

What callers saw: a request that was within the limits of the daemon that read it got 413 or 431, which callers don't send again, if it was handed over to a daemon whose newer rules have smaller limits.

Cause: a daemon applies the limits for callers to other daemons' connections, before it reads the ticket.

Fix: for daemons, the limits are at least the defaults. A request that is larger than both is still refused so.

--- a/passthrough/connection.go
+++ b/passthrough/connection.go
@@ -80,8 +80,9 @@
 // currentLimits returns the limits on the size of a request that begins now.
 func (conn *connection) currentLimits() http1.Limits {
 	limits, _, _ := conn.server.limits()
-	if conn.isPeer {
-		limits.Head += ticketBytes
+	if conn.isPeer { // The other daemon may have accepted the request under rules with larger limits.
+		limits.Head = max(limits.Head, defaultMaxHead) + ticketBytes
+		limits.Body = max(limits.Body, defaultMaxBody)
 	}
 	return limits
 }
--- a/passthrough/ruleschange_test.go
+++ b/passthrough/ruleschange_test.go
@@ -220,6 +220,34 @@
 	must.Eq(t, "whole", first.body)
 }
 
+// TestHandedOverRequestOutlivesChangeOfRules guards against a request that is lost, or whose fate is unknown, as the daemon that
+// it is handed to has newer rules.
+func TestHandedOverRequestOutlivesChangeOfRules(t *testing.T) {
+	for _, reused := range []bool{false, true} {
+		for _, c := range rulesChanges() {
+			name := c.name + ", on a new connection"
+			if reused {
+				name = c.name + ", on a connection in use"
+			}
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				receiver := startServer(t, testRules(), newEndpoint(t, answerWith("whole")))
+				w := startSender(t, receiver.peer("receiver"))
+				if reused {
+					must.Eq(t, http.StatusOK, w.ask(t, requestText("POST", "/unsafe/a", "1", requestBody)).status)
+				}
+				receiver.change(c)
+				got := w.ask(t, requestText("POST", "/unsafe/a", "2", requestBody))
+				must.NoError(t, got.err)
+				must.Eq(t, c.handedOver, got.status)
+				if got.status == http.StatusServiceUnavailable {
+					mustBeRefused(t, got)
+				}
+			})
+		}
+	}
+}
+
 // TestOlderDaemonRefusesHandedOverRequest guards against a request that an older version decides.
 func TestOlderDaemonRefusesHandedOverRequest(t *testing.T) {
 	receiver := startServer(t, testRules(), newEndpoint(t, answerWith("whole")))
