--- a/http1/reader.go
+++ b/http1/reader.go
@@ -90,6 +90,9 @@
 // IsPaused reports whether the Reader buffers the bytes after a message.
 func (r *Reader[H]) IsPaused() bool { return r.paused }
 
+// SetLimits sets the limits for the current message and those after it.
+func (r *Reader[H]) SetLimits(limits Limits) { r.limits = limits }
+
 // Resume handles the buffered bytes.
 func (r *Reader[H]) Resume() error {
 	r.paused = false
--- a/passthrough/connection.go
+++ b/passthrough/connection.go
@@ -92,6 +92,17 @@
 	return conn.current == nil && conn.head == nil && conn.reader.AtBoundary()
 }
 
+// updateLimits applies the current limits. They don't become smaller for requests of which something has been read.
+func (conn *connection) updateLimits() {
+	limits := conn.currentLimits()
+	if !conn.isBetweenRequests() {
+		limits.Head = max(limits.Head, conn.limits.Head)
+		limits.Body = max(limits.Body, conn.limits.Body)
+	}
+	conn.limits = limits
+	conn.reader.SetLimits(limits)
+}
+
 func (conn *connection) handle(m message) {
 	if m.call != nil {
 		m.call()
@@ -128,6 +139,7 @@
 	if conn.hasDropped {
 		return
 	}
+	conn.updateLimits()
 	conn.handleReadError(conn.reader.Feed(data))
 	// The reader buffers further requests during an exchange, at most one of maximum size.
 	conn.hasDropped = conn.current != nil && int64(conn.reader.Buffered()) > conn.limits.Body+int64(conn.limits.Head)
--- a/passthrough/ruleschange_test.go
+++ b/passthrough/ruleschange_test.go
@@ -288,6 +288,31 @@
 	return len(q.decisions)
 }
 
+// TestKeptConnectionFollowsLimits guards against limits of an earlier version on a connection that outlives it.
+func TestKeptConnectionFollowsLimits(t *testing.T) {
+	cases := []struct {
+		name    string
+		maxBody int64
+		body    int
+		status  int
+	}{
+		{"larger", 8192, 2000, http.StatusOK},
+		{"as before", 1024, 2000, http.StatusRequestEntityTooLarge},
+		{"smaller", 100, 500, http.StatusRequestEntityTooLarge},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := startServer(t, testRules(), newEndpoint(t, answerWith("whole")))
+			conn, reader := w.dial(t)
+			must.True(t, send(conn, requestText("POST", "/unsafe/a", "1", requestBody)))
+			mustAnswerFirst(t, reader)
+			w.change(rulesChange{apply: func(_ *testServer, set *chicoryhall.RuleSet) { set.Limits.MaxBodyBytes = c.maxBody }})
+			must.True(t, send(conn, requestText("POST", "/unsafe/a", "2", strings.Repeat("b", c.body))))
+			must.Eq(t, c.status, readAnswer(reader).status)
+		})
+	}
+}
+
 // TestBytesBehindRequestDoNotEndIt guards against an answer that is lost as more is read behind its request than is buffered.
 func TestBytesBehindRequestDoNotEndIt(t *testing.T) {
 	large := requestText("POST", "/unsafe/a", "2", strings.Repeat("b", 1000))
