routing: the application of rules doesn't hold up callers

What callers saw: with many rules and organisations, all requests of a daemon waited while it applied a new version, or whenever an endpoint's row changed.

Cause: the documents of the services are composed under the lock that each request takes, and each composition made the admission classes anew, from each rule with each organisation, although they are the same for all services.

Fix: a table computes the classes once, from the distinct priorities of the organisations, and finds documents by service.

--- a/passthrough/fixture_test.go
+++ b/passthrough/fixture_test.go
@@ -124,8 +124,9 @@
 	refuse    bool
 	// admission is called instead of the default decision, unless it is nil.
 	admission func(start func(chicoryhall.Permit), refuse func(time.Duration, string))
-	// rules are those that the server follows.
-	rules *routing.CurrentRules
+	// rules are those that the server follows. documents are used instead of one for each service, unless they are nil.
+	rules     *routing.CurrentRules
+	documents *routing.Documents
 	// serviceRemoved is set once the service has no document any more.
 	serviceRemoved atomic.Bool
 	// quarantine is the server's passthrough.Quarantine.
@@ -221,6 +222,9 @@
 
 // Current returns a document that contains only the service's name, unless the service has been removed.
 func (s *testServer) Current(service chicoryhall.ServiceName) (chicoryhall.DocumentVersion, bool) {
+	if s.documents != nil {
+		return s.documents.Current(service)
+	}
 	if s.serviceRemoved.Load() {
 		return chicoryhall.DocumentVersion{}, false
 	}
@@ -333,6 +337,14 @@
 
 // startRoutedServer starts a server with a router.
 func startRoutedServer(t *testing.T, late time.Duration, set *chicoryhall.RuleSet, router orderedRouter) *testServer {
+	t.Helper()
+	return startConfiguredServer(t, late, set, router, func(*testServer, *passthrough.Config) {})
+}
+
+// startConfiguredServer starts a server with a router after configure has changed its configuration.
+func startConfiguredServer(
+	t *testing.T, late time.Duration, set *chicoryhall.RuleSet, router orderedRouter, configure func(*testServer, *passthrough.Config),
+) *testServer {
 	t.Helper()
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
@@ -348,10 +360,12 @@
 	if set != nil {
 		current.Apply(set)
 	}
-	w.server = passthrough.NewServer(passthrough.Config{
+	config := passthrough.Config{
 		Address: w.address, Timer: lateTimer{Service: clock, late: late}, Rules: current, Documents: w, Endpoints: w.endpoints, Router: router, Admission: w,
 		Retries: w, Limits: w.limits, Relays: w.relays, PeerAddress: w.peerAddress, Quarantine: w.quarantine, Dialect: testDialect{}, OnStaleView: func() {}, Metrics: passthrough.NewMetrics(), Log: event.NewLogger(w.logs, "test", log.InfoLevel),
-	})
+	}
+	configure(w, &config)
+	w.server = passthrough.NewServer(config)
 	ctx, cancel := context.WithCancel(context.Background())
 	var serving sync.WaitGroup
 	serving.Go(func() { _ = clock.Serve(ctx) })
--- a/routing/documents.go
+++ b/routing/documents.go
@@ -80,13 +80,13 @@
 		d.mu.Unlock()
 		return
 	}
-	document := findDocument(table.set, service)
-	if document == nil {
+	document, listed := table.byService[service]
+	if !listed {
 		d.mu.Unlock()
 		return
 	}
 	composed := *document
-	composed.Classes = classesOf(table.set)
+	composed.Classes = table.classes
 	composed.Endpoints = d.lister.Endpoints(service)
 	current := chicoryhall.DocumentVersion{Document: &composed, Version: table.Version()}
 	d.byService[service] = current
@@ -96,35 +96,3 @@
 		changed(current)
 	}
 }
-
-func findDocument(set *chicoryhall.RuleSet, service chicoryhall.ServiceName) *chicoryhall.Document {
-	for _, document := range set.Documents {
-		if document.Service == service {
-			return document
-		}
-	}
-	return nil
-}
-
-// classesOf returns the admission classes of the rule set: one for each kind and priority that a request can
-// have. If several rules give the same class, the first one determines its settings.
-func classesOf(set *chicoryhall.RuleSet) []chicoryhall.DocumentClass {
-	var classes []chicoryhall.DocumentClass
-	seen := make(map[chicoryhall.ClassName]bool)
-	add := func(rule *chicoryhall.Rule, priority int) {
-		class := rule.Class(priority)
-		if !seen[class.Name] {
-			seen[class.Name] = true
-			classes = append(classes, class)
-		}
-	}
-	for i := range set.Rules {
-		add(&set.Rules[i], set.Rules[i].Priority)
-		for _, organisation := range set.Organisations {
-			if organisation.HasPriority {
-				add(&set.Rules[i], organisation.Priority)
-			}
-		}
-	}
-	return classes
-}
--- a/routing/table.go
+++ b/routing/table.go
@@ -22,6 +22,9 @@
 	// byHost holds the rules of each host, those with the longest prefix first.
 	byHost       map[string][]*chicoryhall.Rule
 	byCredential map[string]Identity
+	// byService holds the document of each service, classes are those of all of them.
+	byService map[chicoryhall.ServiceName]*chicoryhall.Document
+	classes   []chicoryhall.DocumentClass
 }
 
 // NewTable returns the Table of a rule set, which must not be changed afterwards.
@@ -30,6 +33,11 @@
 		set:          set,
 		byHost:       make(map[string][]*chicoryhall.Rule),
 		byCredential: make(map[string]Identity),
+		byService:    make(map[chicoryhall.ServiceName]*chicoryhall.Document, len(set.Documents)),
+		classes:      classesOf(set),
+	}
+	for _, document := range slices.Backward(set.Documents) { // The first one of a service counts.
+		t.byService[document.Service] = document
 	}
 	for i := range set.Rules {
 		rule := &set.Rules[i]
@@ -101,3 +109,39 @@
 	}
 	return rule.Targets[len(rule.Targets)-1].Service
 }
+
+// classesOf returns the admission classes of the rule set: one for each kind and priority that a request can
+// have. If several rules give the same class, the first one determines its settings.
+func classesOf(set *chicoryhall.RuleSet) []chicoryhall.DocumentClass {
+	var classes []chicoryhall.DocumentClass
+	type key struct {
+		kind     chicoryhall.ExchangeKind
+		priority int
+	}
+	seen := make(map[key]bool)
+	add := func(rule *chicoryhall.Rule, priority int) {
+		if of := (key{rule.Kind, priority}); !seen[of] {
+			seen[of] = true
+			classes = append(classes, rule.Class(priority))
+		}
+	}
+	priorities := organisationPriorities(set)
+	for i := range set.Rules {
+		add(&set.Rules[i], set.Rules[i].Priority)
+		for _, priority := range priorities {
+			add(&set.Rules[i], priority)
+		}
+	}
+	return classes
+}
+
+// organisationPriorities returns the priorities that organisations give to their requests, each one once.
+func organisationPriorities(set *chicoryhall.RuleSet) []int {
+	var priorities []int
+	for _, organisation := range set.Organisations {
+		if organisation.HasPriority && !slices.Contains(priorities, organisation.Priority) {
+			priorities = append(priorities, organisation.Priority)
+		}
+	}
+	return priorities
+}
