passthrough: a close doesn't take back what the caller has not read

Cause: an exchange ends when its answer is queued, and the close of a connection drops what is queued.

Fix: the connection counts the bytes that the kernel has not taken and is not closed for time while there are some, unless the caller takes nothing for 10 s.

--- a/passthrough/connection.go
+++ b/passthrough/connection.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -20,6 +21,8 @@
 	// data that arrived in time may not have been read yet. The connection then stays open for another
 	// lateGrace.
 	lateGrace = 50 * time.Millisecond
+	// maxSendPause is how long a caller may take nothing of the rest of an answer before its connection is closed.
+	maxSendPause = 10 * time.Second
 	// retryAfterDropped is the Retry-After time of a request of which bytes were dropped.
 	retryAfterDropped = 50 * time.Millisecond
 )
@@ -62,6 +65,12 @@
 	closeTimer wakeupTimer
 	// graceUsed is set once closeAt was postponed by lateGrace.
 	graceUsed bool
+
+	// unsent counts the bytes of answers that the kernel has not taken yet. unsentAtCheck is its value when the connection
+	// was last to be closed, and unsentSince when it was first found to be that.
+	unsent        atomic.Int64
+	unsentAtCheck int64
+	unsentSince   time.Time
 }
 
 func newConnection(s *Server, socket *nbio.Conn) *connection {
@@ -259,11 +268,22 @@
 	case !conn.graceUsed && now.Sub(conn.closeAt) >= lateGrace:
 		conn.setCloseTimeout(lateGrace)
 		conn.graceUsed = true
+	case conn.isSending(now):
+		conn.setCloseTimeout(lingerTime)
 	default:
 		conn.close()
 	}
 }
 
+// isSending reports whether a part of an answer has not been sent yet, and the caller has taken some of it recently.
+func (conn *connection) isSending(now time.Time) bool {
+	unsent := conn.unsent.Load()
+	if unsent != conn.unsentAtCheck {
+		conn.unsentAtCheck, conn.unsentSince = unsent, now
+	}
+	return unsent > 0 && now.Sub(conn.unsentSince) < maxSendPause
+}
+
 // close closes the connection immediately.
 func (conn *connection) close() {
 	conn.closing = true
@@ -273,7 +293,7 @@
 // closeIfIdle closes the connection if it is between two requests. A connection that has just opened is not, as its first
 // request is on the way; closeAt limits the wait for it.
 func (conn *connection) closeIfIdle() {
-	if !conn.isPeer && conn.hasRequested && conn.isBetweenRequests() && !conn.closing {
+	if !conn.isPeer && conn.hasRequested && conn.isBetweenRequests() && !conn.closing && conn.unsent.Load() == 0 {
 		conn.close()
 	}
 }
@@ -283,6 +303,7 @@
 	if conn.closed {
 		return
 	}
+	conn.unsent.Add(int64(len(bytes)))
 	if _, err := conn.socket.Write(bytes); err != nil {
 		_ = conn.socket.Close()
 	}
--- a/passthrough/fixture_test.go
+++ b/passthrough/fixture_test.go
@@ -115,8 +115,10 @@
 
 // testServer is a passthrough.Server together with fakes of what it depends on.
 type testServer struct {
-	address   string
-	server    *passthrough.Server
+	address string
+	server  *passthrough.Server
+	// stop ends the server as its process does.
+	stop      func()
 	endpoints *fakeEndpoints
 	logs      *logBuffer
 	mu        sync.Mutex
@@ -370,10 +372,11 @@
 	var serving sync.WaitGroup
 	serving.Go(func() { _ = clock.Serve(ctx) })
 	serving.Go(func() { _ = w.server.Serve(ctx) })
-	t.Cleanup(func() {
+	w.stop = func() {
 		cancel()
 		serving.Wait()
-	})
+	}
+	t.Cleanup(w.stop)
 	for {
 		conn, err := net.Dial("tcp", w.address)
 		if err == nil {
--- a/passthrough/server.go
+++ b/passthrough/server.go
@@ -84,6 +84,7 @@
 	s.loop.OnOpen(s.onOpen)
 	s.loop.OnRead(s.onRead)
 	s.loop.OnClose(s.onClose)
+	s.loop.OnWrittenSize(onWritten)
 	return s
 }
 
@@ -240,6 +241,13 @@
 	}
 }
 
+// onWritten counts bytes that the kernel has taken.
+func onWritten(socket *nbio.Conn, _ []byte, n int) {
+	if conn, ok := socket.Session().(*connection); ok {
+		conn.unsent.Add(-int64(n))
+	}
+}
+
 func (s *Server) onClose(socket *nbio.Conn, err error) {
 	s.mu.Lock()
 	delete(s.connections, socket)
