passthrough: a draining server sends its answers before it ends

What callers saw: an answer of which the daemon still held a part was cut when the process ended after a SIGTERM, although there was time left.

Cause: Drain waits for exchanges, which end when their answers are queued.

Fix: Drain also waits until the kernel has taken all answers, within the same time limit.

--- a/passthrough/server.go
+++ b/passthrough/server.go
@@ -141,19 +141,20 @@
 func (s *Server) IsDraining() bool { return s.draining.Load() }
 
 // closeIdleCallerConnections closes the callers' connections that are between two requests. It reports whether no
-// exchange is in progress.
+// exchange is in progress and all answers have been sent.
 func (s *Server) closeIdleCallerConnections() bool {
 	s.mu.Lock()
 	connections := make([]*connection, 0, len(s.connections))
 	for _, conn := range s.connections {
 		connections = append(connections, conn)
 	}
-	busy := len(s.exchanges)
+	busy := len(s.exchanges) > 0
 	s.mu.Unlock()
 	for _, conn := range connections {
+		busy = busy || conn.unsent.Load() > 0
 		conn.post(conn.closeIfIdle)
 	}
-	return busy == 0
+	return !busy
 }
 
 func (s *Server) addExchange(x *callerExchange) {
--- a/passthrough/unread_test.go
+++ b/passthrough/unread_test.go
@@ -90,3 +90,26 @@
 		})
 	}
 }
+
+// TestStopWaitsForUnreadAnswer guards against the end of a server that holds a part of an answer.
+func TestStopWaitsForUnreadAnswer(t *testing.T) {
+	set := testRules()
+	setTimeouts(set, time.Minute)
+	w := startServer(t, set, newEndpoint(t, answerLarge))
+	conn, reader := w.dialSlowly(t, drainPause)
+	must.True(t, send(conn, requestText("POST", "/unsafe/a", "1", "x")))
+	w.logs.await(t, "event=2040", "status=200")
+	stopped := make(chan struct{})
+	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+	defer cancel()
+	go func() {
+		w.server.Drain(ctx)
+		w.stop()
+		close(stopped)
+	}()
+	got := readAnswer(reader)
+	must.NoError(t, got.err)
+	must.Eq(t, unreadSize, len(got.body))
+	must.NoError(t, conn.Close())
+	<-stopped
+}
