passthrough: an answer without end doesn't hold up other callers

What callers saw: while an endpoint sent faster than the daemon read, no other request of the daemon was answered.

Cause: the event loop read from a connection until nothing was left, before it turned to the next one.

Fix: after 8 reads of up to 16 KiB the loop goes on with other connections. A connection that the peer has closed is read to its end nevertheless: the event loop closes it right after that and would drop the rest.

--- a/passthrough/heldup_test.go
+++ b/passthrough/heldup_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -150,3 +153,20 @@
 	t.Logf("the longest answer took %s", longest)
 	must.Less(t, maxHeldUp, longest)
 }
+
+// TestEndlessAnswerDoesNotHoldUpOthers guards against an event loop that reads from one connection only.
+func TestEndlessAnswerDoesNotHoldUpOthers(t *testing.T) {
+	var closed atomic.Bool
+	without := endless(beginHead("200 OK", "\r\n"), "x", &closed)
+	w := startServer(t, testRules(), newEndpoint(t, func(conn net.Conn, number int, request *http.Request) bool {
+		if request.URL.Path == "/once/endless" {
+			return without(conn, number, request)
+		}
+		return send(conn, wholeAnswer(request, "whole"))
+	}))
+	conn, reader := w.dial(t)
+	must.True(t, send(conn, requestText("POST", "/once/endless", "endless", "x")))
+	longest := w.longestAnswer(t, func() { _, _ = io.Copy(io.Discard, reader) })
+	t.Logf("the longest answer took %s", longest)
+	must.Less(t, maxHeldUp, longest)
+}
--- a/passthrough/server.go
+++ b/passthrough/server.go
@@ -24,6 +24,8 @@
 	maxConnections = 8192
 	// readBuffer is the size of the read buffer in bytes.
 	readBuffer = 16 << 10
+	// maxReads is the number of times that one connection is read before others are.
+	maxReads = 8
 	// maxWriteBuffer bounds the bytes queued for a peer that reads too slowly.
 	maxWriteBuffer = 8 << 20
 	// idleCheckPeriod is the time between two checks for expired idle connections to endpoints.
@@ -219,27 +221,35 @@
 	onClose(err error)
 }
 
-// onRead reads all available data. It also detects the end of the connection, because the event loop's own
-// detection doesn't distinguish a reset from an orderly close.
+// onRead reads available data, and all of it if the peer sends no more. It also detects the end of the connection, because
+// the event loop's own detection doesn't distinguish a reset from an orderly close and drops what has not been read.
 func (s *Server) onRead(socket *nbio.Conn) {
-	for {
-		n, err := socket.Read(s.buffer)
-		switch {
-		case errors.Is(err, syscall.EINTR):
-		case errors.Is(err, syscall.EAGAIN):
-			return
-		case err != nil:
-			_ = socket.CloseWithError(err)
-			return
-		case n == 0:
-			_ = socket.CloseWithError(io.EOF)
-			return
-		default:
-			if handler, ok := socket.Session().(connectionHandler); ok {
-				handler.onData(s.buffer[:n])
-			}
+	for reads := 1; s.readOnce(socket); reads++ {
+		if reads >= maxReads && isEstablished(socket.Hash()) {
+			return // The event loop calls onRead again.
+		}
+	}
+}
+
+// readOnce reads and handles some data. It returns false if there is no more for now.
+func (s *Server) readOnce(socket *nbio.Conn) bool {
+	n, err := socket.Read(s.buffer)
+	switch {
+	case errors.Is(err, syscall.EINTR):
+	case errors.Is(err, syscall.EAGAIN):
+		return false
+	case err != nil:
+		_ = socket.CloseWithError(err)
+		return false
+	case n == 0:
+		_ = socket.CloseWithError(io.EOF)
+		return false
+	default:
+		if handler, ok := socket.Session().(connectionHandler); ok {
+			handler.onData(s.buffer[:n])
 		}
 	}
+	return true
 }
 
 // onWritten counts bytes that the kernel has taken.
--- a/passthrough/socket.go
+++ b/passthrough/socket.go
@@ -44,3 +44,9 @@
 	}
 	return nil
 }
+
+// isEstablished reports whether both ends of a TCP connection may still send.
+func isEstablished(fd int) bool {
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	return err == nil && info.State == unix.BPF_TCP_ESTABLISHED
+}
