passthrough: interim and foreign answers of an endpoint have an end

What callers saw: an endpoint that sends interim (1xx) answers or answers to other requests without end kept its request until the deadline, although it could run elsewhere; then the caller got 504.

Cause: such answers are discarded without a limit.

Fix: after 64 such answers or 1 MiB of their bodies, the connection fails like one that was lost.

--- a/passthrough/endpoint.go
+++ b/passthrough/endpoint.go
@@ -19,6 +19,15 @@
 // errUnsolicited reports bytes from an endpoint that belong to no request.
 var errUnsolicited = errors.New("the endpoint sent bytes that belong to no request")
 
+const (
+	// maxDiscardedAnswers bounds the interim answers, and those to earlier requests, before an answer.
+	maxDiscardedAnswers = 64
+	// maxDiscardedBytes bounds their bodies.
+	maxDiscardedBytes = 1 << 20
+)
+
+var errTooMuchDiscarded = errors.New("the endpoint sent too much that is not the answer to the request")
+
 // endpointConnection is a connection to an endpoint. It carries one request at a time.
 type endpointConnection struct {
 	pool    *pool
@@ -37,6 +46,8 @@
 	// discarding is set while the answer being read is not the one that the current request waits for: an interim
 	// (1xx) answer, or a late answer to an earlier request.
 	discarding bool
+	// discardedAnswers and discardedBytes count what was discarded since the last answer.
+	discardedAnswers, discardedBytes int
 	// answerEnded is set if the current answer ended within the bytes being read.
 	answerEnded bool
 	// mustClose is set if the connection must not be reused.
@@ -127,6 +138,7 @@
 // finish completes the request in progress and makes the connection available for the next one, or closes it.
 func (conn *endpointConnection) finish() {
 	conn.answerCount++
+	conn.discardedAnswers, conn.discardedBytes = 0, 0
 	reusable := !conn.mustClose && conn.maxIdle > 0 && conn.reader.AtBoundary()
 	current := conn.takeReceiver()
 	if reusable {
@@ -180,16 +192,16 @@
 		return errUnsolicited
 	}
 	if response.StatusCode < http.StatusOK {
-		conn.discarding = true
-		return nil
+		return conn.discard()
 	}
 	id := conn.pool.dialect.ParseAnswer(response).RequestID
 	// An answer with another ID belongs to an earlier request. One without an ID may do so too, unless it is the
 	// first on the connection.
-	if conn.discarding = id != conn.id && (id != "" || conn.answerCount > 0); conn.discarding {
+	if id != conn.id && (id != "" || conn.answerCount > 0) {
 		conn.mustClose = true // The answer to the current request may still follow before the connection is closed.
-		return nil
+		return conn.discard()
 	}
+	conn.discarding = false
 	conn.mustClose = conn.mustClose || response.Close
 	conn.maxIdle = keepAliveTime(response.Header)
 	current.onHead(response)
@@ -198,12 +210,27 @@
 
 // OnBody forwards a piece of the body to the receiver.
 func (conn *endpointConnection) OnBody(piece []byte) error {
-	if current := conn.receiver(); current != nil && !conn.discarding {
+	if conn.discarding {
+		if conn.discardedBytes += len(piece); conn.discardedBytes > maxDiscardedBytes {
+			return errTooMuchDiscarded
+		}
+		return nil
+	}
+	if current := conn.receiver(); current != nil {
 		current.onBody(piece)
 	}
 	return nil
 }
 
+// discard makes the connection discard the answer that begins.
+func (conn *endpointConnection) discard() error {
+	conn.discarding = true
+	if conn.discardedAnswers++; conn.discardedAnswers > maxDiscardedAnswers {
+		return errTooMuchDiscarded
+	}
+	return nil
+}
+
 // OnEnd records that the answer is complete. onData and onClose finish it once they have read all available
 // bytes, as more bytes after it prevent reuse of the connection.
 func (conn *endpointConnection) OnEnd() error {
