http1: a trailer has an end

What callers saw: an endpoint that sends trailer fields without end kept its request until the deadline; a caller could do the same.

Cause: only a single line of a trailer was limited.

Fix: a trailer of more than 64 KiB is an error.

--- a/http1/chunk.go
+++ b/http1/chunk.go
@@ -12,6 +12,8 @@
 	maxPendingChunkLine = 1 << 10
 	// maxPendingTrailerLine bounds the buffered part of an incomplete line of a chunked body's trailer, in bytes.
 	maxPendingTrailerLine = 16 << 10
+	// maxTrailer bounds the trailer of a chunked body, in bytes.
+	maxTrailer = 64 << 10
 	// hexBase is the base of a chunk's size.
 	hexBase = 16
 	// chunkSizeBits bounds the size of a chunk, so that it fits into an int64.
@@ -47,6 +49,7 @@
 	r.state = stateChunkData
 	if r.remaining == 0 {
 		r.state = stateTrailer
+		r.trailerBytes = 0
 	}
 	return used, nil
 }
@@ -83,5 +86,8 @@
 	if len(text) == 0 {
 		return used, r.endMessage()
 	}
+	if r.trailerBytes += used; r.trailerBytes > maxTrailer {
+		return 0, errors.Errorf("the trailer of a chunked body is longer than %d bytes", maxTrailer)
+	}
 	return used, nil
 }
--- a/http1/reader.go
+++ b/http1/reader.go
@@ -68,7 +68,9 @@
 	// remaining is the rest of the body or chunk, bodyBytes the size of the body so far.
 	remaining int64
 	bodyBytes int64
-	paused    bool
+	// trailerBytes is the size of the trailer so far.
+	trailerBytes int
+	paused       bool
 }
 
 // NewRequestReader returns a Reader of requests.
--- a/passthrough/endless_test.go
+++ b/passthrough/endless_test.go
@@ -63,6 +63,7 @@
 		{"an answer to another request", beginForeign, "x", false},
 		{"a chunk's size", beginHead("200 OK", chunked), "0", false},
 		{"a trailer line", beginHead("200 OK", chunked+"0\r\nTrailer: "), "x", false},
+		{"trailers", beginHead("200 OK", chunked+"0\r\n"), "Trailer: x\r\n", false},
 		{"an event", beginHead("200 OK", "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: "), "x", true},
 	}
 	for _, c := range cases {
