passthrough: an error or refusal without end is not forwarded

What callers saw: an endpoint whose error or refusal has a body without end was taken for one that answers: once 1 MiB was buffered, the caller got the beginning of the error, also a 503 that says that nothing ran, and was cut off at the deadline, although the request might have run again elsewhere.

Cause: an answer that is too long for the buffer was forwarded whatever its status was.

Fix: such an answer fails the attempt: as a refusal if it says that the request has not run, otherwise as a lost one.

--- a/passthrough/answer.go
+++ b/passthrough/answer.go
@@ -111,12 +111,17 @@
 	return a.response.StatusCode < http.StatusMultipleChoices && !a.answerHeaders.NotRun
 }
 
-// bufferPiece buffers a piece of an answer. An answer that becomes too long for that is forwarded from then on.
+// bufferPiece buffers a piece of an answer. An answer that becomes too long for that is forwarded from then on, unless it is no
+// success: the request may then run again.
 func (a *attempt) bufferPiece(piece []byte) {
 	a.buffered = append(a.buffered, piece...)
 	if len(a.buffered) <= maxBufferedAnswer {
 		return
 	}
+	if a.isFailure() {
+		a.failTooLong()
+		return
+	}
 	if a.exchange.machine.IsAnswerStarted() || len(a.exchange.held) > 0 && !a.isSuccess() {
 		a.fail(exchange.FailureLost, errors.Errorf("an answer of more than %d bytes that does not continue the stream", maxBufferedAnswer))
 		return
@@ -128,6 +133,27 @@
 	a.buffered = nil
 }
 
+// isFailure reports whether the answer that has begun says that the request has failed or has not run.
+func (a *attempt) isFailure() bool {
+	status := a.response.StatusCode
+	return a.answerHeaders.NotRun || status >= http.StatusInternalServerError || impliesNotRun(status)
+}
+
+// failTooLong ends the attempt as its answer, which is no success, does not end.
+func (a *attempt) failTooLong() {
+	a.buffered = nil
+	cause := errors.Errorf("an answer with status %d and more than %d bytes", a.response.StatusCode, maxBufferedAnswer)
+	switch {
+	case !a.answerHeaders.NotRun:
+		a.excludeFirst()
+		a.fail(exchange.FailureLost, cause)
+	case a.peer != nil:
+		a.fail(exchange.FailureRefused, cause)
+	default:
+		a.handleRefusal()
+	}
+}
+
 // handleEvents forwards the events of a stream that are complete now.
 func (a *attempt) handleEvents(piece []byte) {
 	out, err := a.events.Feed(nil, piece)
@@ -217,7 +243,7 @@
 
 // impliesNotRun reports whether callers understand a status as saying that the request did not run. If the endpoint's
 // headers do not say so too, the request may have run, so a buffered answer with such a status is not forwarded: it
-// would tell the caller that the request did not run. An answer longer than maxBufferedAnswer is forwarded all the same.
+// would tell the caller that the request did not run.
 func impliesNotRun(status int) bool {
 	switch status {
 	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
