http1: bytes behind a request are not copied with each read

What callers saw: while one caller sent a large request behind the one in progress, all others waited longer.

Cause: the reader copied all that it had buffered with each read of 16 KiB.

Fix: while the reader is paused it only appends, and it keeps the rest of its own buffer without a copy.

--- a/http1/reader.go
+++ b/http1/reader.go
@@ -109,7 +109,12 @@
 
 // Feed handles the next bytes of the connection.
 func (r *Reader[H]) Feed(data []byte) error {
-	if len(r.pending) > 0 {
+	if r.paused && r.state == stateHead {
+		r.pending = append(r.pending, data...)
+		return nil
+	}
+	isOwn := len(r.pending) > 0
+	if isOwn {
 		data = append(r.pending, data...)
 		r.pending = nil
 	}
@@ -126,8 +131,11 @@
 		}
 		data = data[used:]
 	}
+	if !isOwn {
+		data = append([]byte(nil), data...)
+	}
 	if len(data) > 0 {
-		r.pending = append([]byte(nil), data...)
+		r.pending = data
 	}
 	return nil
 }
--- a/passthrough/heldup_test.go
+++ b/passthrough/heldup_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -170,3 +171,23 @@
 	t.Logf("the longest answer took %s", longest)
 	must.Less(t, maxHeldUp, longest)
 }
+
+// TestBytesBehindRequestDoNotHoldUpOthers guards against an event loop that copies what it buffers again with each read.
+func TestBytesBehindRequestDoNotHoldUpOthers(t *testing.T) {
+	set := testRules()
+	set.Limits.MaxBodyBytes = 32 << 20
+	w := startServer(t, set, newEndpoint(t, func(conn net.Conn, _ int, request *http.Request) bool {
+		if request.URL.Path == "/once/slow" {
+			return endSilent(conn)
+		}
+		return send(conn, wholeAnswer(request, "whole"))
+	}))
+	conn, _ := w.dial(t)
+	must.True(t, send(conn, requestText("POST", "/once/slow", "slow", "x")))
+	w.logs.await(t, "event=2046", "request=slow")
+	longest := w.longestAnswer(t, func() {
+		_ = send(conn, requestText("POST", "/once/slow", "behind", strings.Repeat("b", 30<<20)))
+	})
+	t.Logf("the longest answer took %s", longest)
+	must.Less(t, maxHeldUp, longest)
+}
