passthrough: each 503 after admission says when to return

Evidence: TestRefusalBetweenRulesAndDocumentsHasRetryAfter failed before and passes now. It has a stand-in for admission; how often this happens in a daemon was not measured.

--- a/passthrough/callerexchange.go
+++ b/passthrough/callerexchange.go
@@ -217,6 +217,9 @@
 	x.config().Admission.Acquire(query, func(permit chicoryhall.Permit) {
 		x.conn.post(func() { x.onAdmitted(permit) })
 	}, func(after time.Duration, reason string) {
+		if after == 0 { // The document is older than the rule.
+			after = retryAfterNoRules
+		}
 		x.conn.post(func() {
 			if !x.finished && !x.handOverWithoutRoute() {
 				x.refuse(http.StatusServiceUnavailable, after, reason)
--- a/passthrough/ruleschange_test.go
+++ b/passthrough/ruleschange_test.go
@@ -353,3 +353,11 @@
 		})
 	}
 }
+
+// TestRefusalBetweenRulesAndDocumentsHasRetryAfter guards against a refusal that doesn't say when to return, of a request with a
+// class that is new with the rules.
+func TestRefusalBetweenRulesAndDocumentsHasRetryAfter(t *testing.T) {
+	w := startServer(t, testRules(), newEndpoint(t, answerWith("whole")))
+	w.admission = func(_ func(chicoryhall.Permit), refuse func(time.Duration, string)) { refuse(0, "no such class") }
+	mustBeRefused(t, w.ask(t, requestText("POST", "/unsafe/a", "1", requestBody)))
+}
