--- a/http1/reader.go
+++ b/http1/reader.go
@@ -68,7 +68,9 @@
 	// remaining is the rest of the body or chunk, bodyBytes the size of the body so far.
 	remaining int64
 	bodyBytes int64
-	paused    bool
+	// trailerBytes is the size of the trailer so far.
+	trailerBytes int
+	paused       bool
 }
 
 // NewRequestReader returns a Reader of requests.
@@ -87,6 +89,12 @@
 // bound the buffer; see Buffered.
 func (r *Reader[H]) Pause() { r.paused = true }
 
+// IsPaused reports whether the Reader buffers the bytes after a message.
+func (r *Reader[H]) IsPaused() bool { return r.paused }
+
+// SetLimits sets the limits for the current message and those after it.
+func (r *Reader[H]) SetLimits(limits Limits) { r.limits = limits }
+
 // Resume handles the buffered bytes.
 func (r *Reader[H]) Resume() error {
 	r.paused = false
@@ -101,7 +109,12 @@
 
 // Feed handles the next bytes of the connection.
 func (r *Reader[H]) Feed(data []byte) error {
-	if len(r.pending) > 0 {
+	if r.paused && r.state == stateHead {
+		r.pending = append(r.pending, data...)
+		return nil
+	}
+	isOwn := len(r.pending) > 0
+	if isOwn {
 		data = append(r.pending, data...)
 		r.pending = nil
 	}
@@ -118,8 +131,11 @@
 		}
 		data = data[used:]
 	}
+	if !isOwn {
+		data = append([]byte(nil), data...)
+	}
 	if len(data) > 0 {
-		r.pending = append([]byte(nil), data...)
+		r.pending = data
 	}
 	return nil
 }
--- a/passthrough/fixture_test.go
+++ b/passthrough/fixture_test.go
@@ -115,13 +115,20 @@
 
 // testServer is a passthrough.Server together with fakes of what it depends on.
 type testServer struct {
-	address   string
-	server    *passthrough.Server
+	address string
+	server  *passthrough.Server
+	// stop ends the server as its process does.
+	stop      func()
 	endpoints *fakeEndpoints
 	logs      *logBuffer
 	mu        sync.Mutex
 	retries   int
 	refuse    bool
+	// admission is called instead of the default decision, unless it is nil.
+	admission func(start func(chicoryhall.Permit), refuse func(time.Duration, string))
+	// rules are those that the server follows. documents are used instead of one for each service, unless they are nil.
+	rules     *routing.CurrentRules
+	documents *routing.Documents
 	// serviceRemoved is set once the service has no document any more.
 	serviceRemoved atomic.Bool
 	// quarantine is the server's passthrough.Quarantine.
@@ -240,6 +247,9 @@
 
 // Current returns a document that contains only the service's name, unless the service has been removed.
 func (s *testServer) Current(service chicoryhall.ServiceName) (chicoryhall.DocumentVersion, bool) {
+	if s.documents != nil {
+		return s.documents.Current(service)
+	}
 	if s.serviceRemoved.Load() {
 		return chicoryhall.DocumentVersion{}, false
 	}
@@ -251,6 +261,10 @@
 func (s *testServer) Subscribe(func(chicoryhall.DocumentVersion)) {}
 
 func (s *testServer) Acquire(_ chicoryhall.AdmissionQuery, start func(chicoryhall.Permit), refuse func(time.Duration, string)) {
+	if s.admission != nil {
+		s.admission(start, refuse)
+		return
+	}
 	if s.refuse {
 		refuse(250*time.Millisecond, "no place")
 		return
@@ -350,6 +364,14 @@
 
 // startRoutedServer starts a server with a router.
 func startRoutedServer(t *testing.T, late time.Duration, set *chicoryhall.RuleSet, router orderedRouter) *testServer {
+	t.Helper()
+	return startConfiguredServer(t, late, set, router, func(*testServer, *passthrough.Config) {})
+}
+
+// startConfiguredServer starts a server with a router after configure has changed its configuration.
+func startConfiguredServer(
+	t *testing.T, late time.Duration, set *chicoryhall.RuleSet, router orderedRouter, configure func(*testServer, *passthrough.Config),
+) *testServer {
 	t.Helper()
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
@@ -363,21 +385,25 @@
 	must.NoError(t, free.Close())
 	clock := timer.New()
 	current := routing.NewCurrentRules()
+	w.rules = current
 	if set != nil {
 		current.Apply(set)
 	}
-	w.server = passthrough.NewServer(passthrough.Config{
+	config := passthrough.Config{
 		Address: w.address, Timer: lateTimer{Service: clock, late: late}, Rules: current, Documents: w, Endpoints: w.endpoints, Router: router, Admission: w,
 		Retries: w, Limits: w.limits, Relays: w.relays, PeerAddress: w.peerAddress, Quarantine: w.quarantine, Dialect: testDialect{}, OnStaleView: func() {}, Metrics: passthrough.NewMetrics(), Log: event.NewLogger(w.logs, "test", log.InfoLevel),
-	})
+	}
+	configure(w, &config)
+	w.server = passthrough.NewServer(config)
 	ctx, cancel := context.WithCancel(context.Background())
 	var serving sync.WaitGroup
 	serving.Go(func() { _ = clock.Serve(ctx) })
 	serving.Go(func() { _ = w.server.Serve(ctx) })
-	t.Cleanup(func() {
+	w.stop = func() {
 		cancel()
 		serving.Wait()
-	})
+	}
+	t.Cleanup(w.stop)
 	for {
 		conn, err := net.Dial("tcp", w.address)
 		if err == nil {
--- a/passthrough/server.go
+++ b/passthrough/server.go
@@ -24,6 +24,8 @@
 	maxConnections = 8192
 	// readBuffer is the size of the read buffer in bytes.
 	readBuffer = 16 << 10
+	// maxReads is the number of times that one connection is read before others are.
+	maxReads = 8
 	// maxWriteBuffer bounds the bytes queued for a peer that reads too slowly.
 	maxWriteBuffer = 8 << 20
 	// idleCheckPeriod is the time between two checks for expired idle connections to endpoints.
@@ -89,6 +91,7 @@
 	s.loop.OnOpen(s.onOpen)
 	s.loop.OnRead(s.onRead)
 	s.loop.OnClose(s.onClose)
+	s.loop.OnWrittenSize(onWritten)
 	return s
 }
 
@@ -145,19 +148,20 @@
 func (s *Server) IsDraining() bool { return s.draining.Load() }
 
 // closeIdleCallerConnections closes the callers' connections that are between two requests. It reports whether no
-// exchange is in progress.
+// exchange is in progress and all answers have been sent.
 func (s *Server) closeIdleCallerConnections() bool {
 	s.mu.Lock()
 	connections := make([]*connection, 0, len(s.connections))
 	for _, conn := range s.connections {
 		connections = append(connections, conn)
 	}
-	busy := len(s.exchanges)
+	busy := len(s.exchanges) > 0
 	s.mu.Unlock()
 	for _, conn := range connections {
+		busy = busy || conn.unsent.Load() > 0
 		conn.post(conn.closeIfIdle)
 	}
-	return busy == 0
+	return !busy
 }
 
 func (s *Server) addExchange(x *callerExchange) {
@@ -222,29 +226,44 @@
 	onClose(err error)
 }
 
-// onRead reads all available data. It also detects the end of the connection, because the event loop's own
-// detection doesn't distinguish a reset from an orderly close.
+// onRead reads available data, and all of it if the peer sends no more. It also detects the end of the connection, because
+// the event loop's own detection doesn't distinguish a reset from an orderly close and drops what has not been read.
 func (s *Server) onRead(socket *nbio.Conn) {
-	for {
-		n, err := socket.Read(s.buffer)
-		switch {
-		case errors.Is(err, syscall.EINTR):
-		case errors.Is(err, syscall.EAGAIN):
-			return
-		case err != nil:
-			_ = socket.CloseWithError(err)
-			return
-		case n == 0:
-			_ = socket.CloseWithError(io.EOF)
-			return
-		default:
-			if handler, ok := socket.Session().(connectionHandler); ok {
-				handler.onData(s.buffer[:n])
-			}
+	for reads := 1; s.readOnce(socket); reads++ {
+		if reads >= maxReads && isEstablished(socket.Hash()) {
+			return // The event loop calls onRead again.
 		}
 	}
 }
 
+// readOnce reads and handles some data. It returns false if there is no more for now.
+func (s *Server) readOnce(socket *nbio.Conn) bool {
+	n, err := socket.Read(s.buffer)
+	switch {
+	case errors.Is(err, syscall.EINTR):
+	case errors.Is(err, syscall.EAGAIN):
+		return false
+	case err != nil:
+		_ = socket.CloseWithError(err)
+		return false
+	case n == 0:
+		_ = socket.CloseWithError(io.EOF)
+		return false
+	default:
+		if handler, ok := socket.Session().(connectionHandler); ok {
+			handler.onData(s.buffer[:n])
+		}
+	}
+	return true
+}
+
+// onWritten counts bytes that the kernel has taken.
+func onWritten(socket *nbio.Conn, _ []byte, n int) {
+	if conn, ok := socket.Session().(*connection); ok {
+		conn.unsent.Add(-int64(n))
+	}
+}
+
 func (s *Server) onClose(socket *nbio.Conn, err error) {
 	s.mu.Lock()
 	delete(s.connections, socket)
