quarantine: derive states from what has changed

Cause: after any change, Evidence derived every subject from all reports. One answer that outweighs a crash made several changes, and each request that followed paid for a derivation, also if nothing differed: a clearance of what is not held, or reports that are the same as before.

Now sources notes which fingerprints differ in a report, an alert or a clearance. Only these are derived again, and only subjects that may be convicted are compared again, if a crash that they share with them differs. A second derivation leaves out what convicted fingerprints explain, as before; it follows the first one by the crashes whose convictions differ. Unchanged evidence costs nothing until the next incident settles. Incidents are found by attempt and by cause in maps, not by a search. An incident lists each of its crashes once, so that an answer withdraws each once.

--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -29,14 +29,18 @@
 	alerts map[chicoryhall.DaemonID]alert
 	// mergeUntil is until when a read adds to what is known, as reports may be older than those read before.
 	mergeUntil time.Time
-	knownAt    map[Involvement]time.Time
 	// adopted is set once the report that an earlier process of this daemon left has been added to the own one.
 	adopted bool
-	// subjects holds what is known of each fingerprint. It is derived from the reports when it is needed, if changed is
-	// set or it is later than staleAt, which is zero if time changes nothing.
-	subjects map[Fingerprint]*subject
-	changed  bool
-	staleAt  time.Time
+	// sources holds what the reports of others contain, and known the involvements that count of each fingerprint.
+	sources *sources
+	known   map[Fingerprint]*valid
+	// all is derived from all involvements, and rest from those that none of the convictions in all explain. Both are brought
+	// up to date when they are needed, if changed is set or it is later than staleAt, which is zero if time changes nothing.
+	all         *derivation
+	rest        *derivation
+	convictions convictions
+	changed     bool
+	staleAt     time.Time
 }
 
 // alert is what a daemon has told at the given time, before its report was read again.
@@ -49,7 +53,7 @@
 func NewEvidence(self chicoryhall.DaemonID) *Evidence {
 	return &Evidence{
 		self: self, others: make(map[chicoryhall.DaemonID]Report), alerts: make(map[chicoryhall.DaemonID]alert),
-		knownAt: make(map[Involvement]time.Time), subjects: make(map[Fingerprint]*subject),
+		sources: newSources(), known: make(map[Fingerprint]*valid), all: newDerivation(), rest: newDerivation(),
 	}
 }
 
@@ -68,16 +72,18 @@
 func (e *Evidence) addOwn(involvement Involvement, now time.Time) {
 	if len(e.own.Involved) >= maxReported {
 		dropped := e.leastTelling(now)
+		e.sources.touched[e.own.Involved[dropped].Fingerprint] = true
 		e.own.Involved = slices.Delete(e.own.Involved, dropped, dropped+1)
 	}
 	e.own.Involved = append(e.own.Involved, involvement)
+	e.sources.touched[involvement.Fingerprint] = true
 }
 
 // leastTelling returns the index of the oldest involvement of a fingerprint in a single incident, if there is one, or else of
 // one that is not convicted. The caller holds e.mu.
 func (e *Evidence) leastTelling(now time.Time) int {
 	single := slices.IndexFunc(e.own.Involved, func(one Involvement) bool {
-		known := e.subjects[one.Fingerprint]
+		known := e.rest.subjects[one.Fingerprint]
 		return known == nil || len(known.incidents) == 1
 	})
 	if single >= 0 {
@@ -87,7 +93,7 @@
 }
 
 func (e *Evidence) isConvicted(fingerprint Fingerprint, now time.Time) bool {
-	known := e.subjects[fingerprint]
+	known := e.rest.subjects[fingerprint]
 	return known != nil && known.state(now) == StateConvicted
 }
 
@@ -101,8 +107,10 @@
 			continue
 		}
 		if len(e.own.Cleared) >= maxReported {
+			e.sources.removeCleared(e.own.Cleared[:1])
 			e.own.Cleared = e.own.Cleared[1:]
 		}
+		e.sources.addCleared([]Clearance{cleared})
 		e.own.Cleared = append(e.own.Cleared, cleared)
 	}
 	e.changed = true
@@ -114,33 +122,64 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.alerts[from] = alert{report: part, at: now}
+	e.sources.set(sourceID{isAlert: true, daemon: from}, part)
 	e.changed = true
 }
 
 // Replace replaces the reports of all other daemons by those that were read from the given time on, and drops the alerts
 // before. The first call also adds the report that an earlier process of this daemon has left to the own one.
-func (e *Evidence) Replace(reports map[chicoryhall.DaemonID]Report, now time.Time) {
+func (e *Evidence) Replace(read map[chicoryhall.DaemonID]Report, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	reports := read
 	if now.Before(e.mergeUntil) {
-		e.others = mergeReports(e.others, reports)
-	} else {
-		e.others = maps.Clone(reports)
+		reports = mergeReports(e.others, read)
 	}
-	delete(e.others, e.self)
-	maps.DeleteFunc(e.alerts, func(_ chicoryhall.DaemonID, one alert) bool { return !one.at.After(now) })
+	e.replaceOthers(reports)
+	e.dropAlerts(now)
 	if !e.adopted {
-		e.adopted = true
-		for _, left := range reports[e.self].Involved {
-			if !slices.Contains(e.own.Involved, left) {
-				e.addOwn(left, now)
-			}
-		}
-		e.own.Cleared = append(e.own.Cleared, reports[e.self].Cleared...)
+		e.adopt(read[e.self], now)
 	}
 	e.changed = true
 }
 
+// adopt adds the report that an earlier process of this daemon has left. The caller holds e.mu.
+func (e *Evidence) adopt(report Report, now time.Time) {
+	e.adopted = true
+	for _, left := range report.Involved {
+		if !slices.Contains(e.own.Involved, left) {
+			e.addOwn(left, now)
+		}
+	}
+	e.own.Cleared = append(e.own.Cleared, report.Cleared...)
+	e.sources.addCleared(report.Cleared)
+}
+
+// replaceOthers replaces the reports of the other daemons. The caller holds e.mu.
+func (e *Evidence) replaceOthers(reports map[chicoryhall.DaemonID]Report) {
+	for daemon := range e.others {
+		if _, found := reports[daemon]; !found {
+			e.sources.set(sourceID{daemon: daemon}, Report{})
+		}
+	}
+	e.others = maps.Clone(reports)
+	delete(e.others, e.self)
+	for daemon, report := range e.others {
+		e.sources.set(sourceID{daemon: daemon}, report)
+	}
+}
+
+// dropAlerts drops the alerts until a time. The caller holds e.mu.
+func (e *Evidence) dropAlerts(until time.Time) {
+	maps.DeleteFunc(e.alerts, func(daemon chicoryhall.DaemonID, one alert) bool {
+		if one.at.After(until) {
+			return false
+		}
+		e.sources.set(sourceID{isAlert: true, daemon: daemon}, Report{})
+		return true
+	})
+}
+
 // Restored records that the reports in the store have returned to an earlier state. For restoreTime the daemons write theirs
 // again, and Replace forgets nothing.
 func (e *Evidence) Restored(now time.Time) {
@@ -193,7 +232,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.derive(now)
-	for _, known := range e.subjects {
+	for _, known := range e.rest.subjects {
 		if known.state(now) == StateUnsettled {
 			return true
 		}
@@ -208,7 +247,7 @@
 	e.derive(now)
 	var suspicious []Involvement
 	for _, one := range e.own.Involved {
-		if known := e.subjects[one.Fingerprint]; known != nil && known.state(now) != StateFree {
+		if known := e.rest.subjects[one.Fingerprint]; known != nil && known.state(now) != StateFree {
 			suspicious = append(suspicious, one)
 		}
 	}
@@ -222,10 +261,14 @@
 	e.derive(now)
 	e.own.Involved = slices.DeleteFunc(e.own.Involved, func(one Involvement) bool {
 		lifetime := InvolvementLifetime
-		if known := e.subjects[one.Fingerprint]; known != nil {
+		if known := e.rest.subjects[one.Fingerprint]; known != nil {
 			lifetime = known.lifetime(now)
 		}
-		return now.Sub(e.knownAt[one]) > lifetime
+		if now.Sub(e.known[one.Fingerprint].knownAt[one]) <= lifetime {
+			return false
+		}
+		e.sources.touched[one.Fingerprint] = true
+		return true
 	})
 	e.changed = true
 }
@@ -235,7 +278,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.derive(now)
-	for _, known := range e.subjects {
+	for _, known := range e.rest.subjects {
 		switch known.state(now) {
 		case StateConvicted:
 			convicted++
@@ -247,191 +290,94 @@
 	return suspects, convicted
 }
 
-// derive derives the subjects from the reports, if they may differ from the present ones. The caller holds e.mu.
+// derive brings the subjects up to date with the reports, if they may differ. The caller holds e.mu.
 func (e *Evidence) derive(now time.Time) {
 	if !e.changed && (e.staleAt.IsZero() || now.Before(e.staleAt)) {
 		return
 	}
 	e.changed = false
-	cleared := e.cleared()
-	isCleared := func(one Involvement) bool {
-		return cleared[Clearance{Fingerprint: one.Fingerprint, Incarnation: one.Incarnation}]
-	}
-	e.own.Involved = slices.DeleteFunc(e.own.Involved, isCleared)
-	involved := slices.DeleteFunc(e.involved(), isCleared)
-	e.updateKnownAt(involved, now)
-	e.subjects, e.staleAt = make(map[Fingerprint]*subject), time.Time{}
-	e.addSubjects(involved, now)
-	if explaining := e.convictedCrashes(now); len(explaining) > 0 {
-		e.subjects, e.staleAt = make(map[Fingerprint]*subject), time.Time{}
-		e.addSubjects(slices.DeleteFunc(involved, func(one Involvement) bool { return isExplained(one, explaining[one.Incarnation]) }), now)
-	}
-	e.dropUnneededClearances()
-}
-
-// addSubjects derives the subjects from involvements.
-func (e *Evidence) addSubjects(involved []Involvement, now time.Time) {
-	involvedIn := make(map[Incarnation][]Involvement)
-	for _, one := range involved {
-		known := e.subjects[one.Fingerprint]
-		if known == nil {
-			known = newSubject(one)
-			e.subjects[one.Fingerprint] = known
-		}
-		known.add(one, e.knownAt[one])
-		involvedIn[one.Incarnation] = append(involvedIn[one.Incarnation], one)
-	}
-	e.markRivals(involvedIn, now)
-	e.markExplained(involvedIn, now)
-}
-
-// convictedCrashes returns the convicted fingerprints that explain each crash, and makes the subjects stale when the
-// conviction of a part ends.
-func (e *Evidence) convictedCrashes(now time.Time) map[Incarnation][]convict {
-	explaining := make(map[Incarnation][]convict)
-	for fingerprint, known := range e.subjects {
-		if known.state(now) != StateConvicted {
-			continue
-		}
-		if known.isPart {
-			e.deriveAgainAt(known.lapsesAt())
-		}
-		for _, crash := range known.crashes() {
-			explaining[crash] = append(explaining[crash], convict{fingerprint: fingerprint, isPart: known.isPart})
-		}
-	}
-	return explaining
-}
-
-// convict is a convicted fingerprint.
-type convict struct {
-	fingerprint Fingerprint
-	isPart      bool
-}
-
-// isExplained reports whether an involvement says nothing, as others have caused the crash. A convicted part explains it to
-// all others, and a convicted content to parts only: other contents stay suspects, see markExplained.
-func isExplained(one Involvement, convicts []convict) bool {
-	others := false
-	for _, c := range convicts {
-		if c.fingerprint == one.Fingerprint {
-			return false
+	touched := e.sources.touched
+	e.sources.touched = make(map[Fingerprint]bool)
+	e.dropCleared(touched)
+	differing := make(map[Fingerprint]bool)
+	for fingerprint := range touched {
+		if e.collect(fingerprint, now) {
+			differing[fingerprint] = true
 		}
-		others = others || c.isPart || one.IsPart()
-	}
-	return others
-}
-
-// reports returns the reports of all daemons in a fixed order, this one's first, and then the alerts.
-func (e *Evidence) reports() []Report {
-	all := []Report{e.own}
-	for _, daemon := range slices.Sorted(maps.Keys(e.others)) {
-		all = append(all, e.others[daemon])
 	}
-	for _, daemon := range slices.Sorted(maps.Keys(e.alerts)) {
-		all = append(all, e.alerts[daemon].report)
+	e.dropUnneededClearances(touched)
+	for fingerprint := range differing {
+		known := e.known[fingerprint]
+		e.all.set(fingerprint, known.involved, known.knownAt)
 	}
-	return all
+	e.all.compare()
+	e.explain(differing, now)
+	e.rest.compare()
+	e.rest.markExplained(now)
+	e.staleAt = e.rest.settlesAt(now)
 }
 
-// involved returns the involvements of all reports, each once.
-func (e *Evidence) involved() []Involvement {
-	var all []Involvement
-	known := make(map[Involvement]bool)
-	for _, report := range e.reports() {
-		for _, one := range report.Involved {
-			if !known[one] {
-				known[one] = true
-				all = append(all, one)
-			}
-		}
-	}
-	return all
+// dropCleared drops this daemon's involvements of some fingerprints that a report withdraws.
+func (e *Evidence) dropCleared(touched map[Fingerprint]bool) {
+	e.own.Involved = slices.DeleteFunc(e.own.Involved, func(one Involvement) bool {
+		return touched[one.Fingerprint] && e.sources.isCleared(one)
+	})
 }
 
-// cleared returns the clearances of all reports.
-func (e *Evidence) cleared() map[Clearance]bool {
-	all := make(map[Clearance]bool)
-	for _, report := range e.reports() {
-		for _, one := range report.Cleared {
-			all[one] = true
-		}
+// collect collects the involvements that count of a fingerprint, this daemon's first, and reports whether they differ from
+// those before.
+func (e *Evidence) collect(fingerprint Fingerprint, now time.Time) bool {
+	before := e.known[fingerprint]
+	if before == nil {
+		before = &valid{}
 	}
-	return all
-}
-
-// updateKnownAt notes when each involvement became known, and forgets those that are gone.
-func (e *Evidence) updateKnownAt(involved []Involvement, now time.Time) {
-	before := e.knownAt
-	e.knownAt = make(map[Involvement]time.Time, len(involved))
-	for _, one := range involved {
-		at, known := before[one]
-		if !known {
-			at = now
+	found := &valid{knownAt: make(map[Involvement]time.Time, len(before.involved))}
+	for _, one := range e.own.Involved {
+		if one.Fingerprint == fingerprint {
+			found.add(one, before, now)
 		}
-		e.knownAt[one] = at
 	}
-}
-
-// markRivals marks the incidents that other fingerprints may explain, where that decides, and notes when the next isolated
-// incident settles.
-func (e *Evidence) markRivals(involvedIn map[Incarnation][]Involvement, now time.Time) {
-	for fingerprint, known := range e.subjects {
-		decides := known.isPart && known.weight() >= convictionContents
-		for _, one := range known.incidents {
-			if !one.isolated && !decides {
-				continue
-			}
-			for _, crash := range one.crashes {
-				for _, other := range involvedIn[crash] {
-					if other.Fingerprint != fingerprint {
-						known.compare(one, other, e.subjects[other.Fingerprint])
-					}
-				}
-			}
-			if settled := one.knownAt.Add(settleTime); one.isolated && settled.After(now) {
-				e.deriveAgainAt(settled)
+	for _, holder := range e.sources.holders[fingerprint] {
+		for _, one := range holder.involved[fingerprint] {
+			if !e.sources.isCleared(one) {
+				found.add(one, before, now)
 			}
 		}
 	}
-}
-
-// deriveAgainAt makes the subjects stale at the given time if that is sooner than staleAt.
-func (e *Evidence) deriveAgainAt(at time.Time) {
-	if e.staleAt.IsZero() || at.Before(e.staleAt) {
-		e.staleAt = at
+	e.known[fingerprint] = found
+	if len(before.involved)+len(found.involved) == 0 {
+		delete(e.known, fingerprint)
 	}
+	return !slices.Equal(before.involved, found.involved)
 }
 
-// markExplained marks the incidents that convicted fingerprints have caused at all others. They no longer count against
-// these, which stay suspects nevertheless: two fingerprints may cause a crash together.
-func (e *Evidence) markExplained(involvedIn map[Incarnation][]Involvement, now time.Time) {
-	convicted := make(map[Fingerprint]bool)
-	for fingerprint := range e.subjects {
-		if e.isConvicted(fingerprint, now) {
-			convicted[fingerprint] = true
+// explain derives the subjects again that others have to be convicted for, or no longer, and those of the given fingerprints.
+func (e *Evidence) explain(differing map[Fingerprint]bool, now time.Time) {
+	before := e.convictions
+	e.convictions = e.all.convictions(now)
+	for _, ended := range before.differences(e.convictions) {
+		if known := e.all.crashes[ended]; known != nil {
+			for fingerprint := range known.attempts {
+				differing[fingerprint] = true
+			}
 		}
 	}
-	if len(convicted) == 0 {
-		return
-	}
-	caused := make(map[Incarnation]bool)
-	for crash, involved := range involvedIn {
-		caused[crash] = slices.ContainsFunc(involved, func(one Involvement) bool { return convicted[one.Fingerprint] })
-	}
-	causedByConvicted := func(crash Incarnation) bool { return caused[crash] }
-	for fingerprint, known := range e.subjects {
-		for _, one := range known.incidents {
-			one.explained = !convicted[fingerprint] && slices.ContainsFunc(one.crashes, causedByConvicted)
+	for fingerprint := range differing {
+		known := e.known[fingerprint]
+		e.rest.set(fingerprint, slices.DeleteFunc(slices.Clone(known.involved), e.convictions.explain), known.knownAt)
+		if len(known.involved) == 0 {
+			delete(e.known, fingerprint)
 		}
 	}
 }
 
-// dropUnneededClearances drops this daemon's clearances of involvements that no report contains any more.
-func (e *Evidence) dropUnneededClearances() {
-	involved := make(map[Clearance]bool)
-	for _, one := range e.involved() {
-		involved[Clearance{Fingerprint: one.Fingerprint, Incarnation: one.Incarnation}] = true
-	}
-	e.own.Cleared = slices.DeleteFunc(e.own.Cleared, func(one Clearance) bool { return !involved[one] })
+// dropUnneededClearances drops this daemon's clearances of some fingerprints' involvements that no report contains any more.
+func (e *Evidence) dropUnneededClearances(touched map[Fingerprint]bool) {
+	e.own.Cleared = slices.DeleteFunc(e.own.Cleared, func(one Clearance) bool {
+		if !touched[one.Fingerprint] || containsCleared(e.own.Involved, one) || e.sources.contains(one) {
+			return false
+		}
+		e.sources.removeCleared([]Clearance{one})
+		return true
+	})
 }
--- a/quarantine/incident.go
+++ b/quarantine/incident.go
@@ -30,34 +30,18 @@
 	isolated bool
 	// knownAt is when this daemon first knew of the incident's isolated attempt.
 	knownAt time.Time
-	// hasRivals is set if other fingerprints were involved in one of the crashes and have not been cleared.
+	// order is that in which the last involvement of each incident was added.
+	order int
+	// hasRivals is set if other fingerprints were involved in one of the crashes and have not been cleared. It is only
+	// determined for an isolated incident.
 	hasRivals bool
-	// explained is set if a request with another, convicted fingerprint has caused one of the crashes.
+	// explained is set if a request with another, convicted fingerprint has caused one of the crashes. It is only determined
+	// for an isolated incident.
 	explained bool
 }
 
-// addToIncidents adds an involvement to the incident that it shares the attempt or the cause with. If there are two such
-// incidents, they become one; if there is none, the involvement makes a new one.
-func addToIncidents(incidents []*incident, added Involvement, knownAt time.Time) []*incident {
-	merged := &incident{attempts: []string{added.Attempt}, crashes: []Incarnation{added.Incarnation}, isolated: added.Isolated, knownAt: knownAt}
-	if !added.Later {
-		merged.causes = merged.crashes
-	}
-	separate := incidents[:0]
-	for _, known := range incidents {
-		if slices.Contains(known.attempts, added.Attempt) || !added.Later && slices.Contains(known.causes, added.Incarnation) {
-			merged.absorb(known)
-		} else {
-			separate = append(separate, known)
-		}
-	}
-	return append(separate, merged)
-}
-
-func (i *incident) absorb(other *incident) {
-	i.attempts = append(i.attempts, other.attempts...)
-	i.causes = slices.Concat(i.causes, other.causes)
-	i.crashes = slices.Concat(i.crashes, other.crashes)
+// takeTimesOf takes over whether another incident that this one absorbs was isolated, and when it became known, if that was sooner.
+func (i *incident) takeTimesOf(other *incident) {
 	if other.isolated && (!i.isolated || other.knownAt.Before(i.knownAt)) {
 		i.knownAt = other.knownAt
 	}
@@ -67,6 +51,11 @@
 // subject is what is known of one fingerprint.
 type subject struct {
 	incidents []*incident
+	// byAttempt and byCause are the incidents of each attempt and of each crash that explained a loss. added counts the
+	// involvements.
+	byAttempt map[string]*incident
+	byCause   map[Incarnation]*incident
+	added     int
 	// position is the highest position at which an attempt was lost.
 	position int64
 	// isPart is set if the fingerprint is that of a part of prompts. contents are then the lost contents that held the part,
@@ -76,36 +65,104 @@
 	strongestRival int
 }
 
-// newSubject returns the subject of an involvement's fingerprint, without any incident.
-func newSubject(one Involvement) *subject {
-	return &subject{isPart: one.IsPart(), contents: make(map[Fingerprint]bool)}
+// newSubject returns the subject of involvements that have been known since the given times. There is at least one.
+func newSubject(involved []Involvement, knownAt map[Involvement]time.Time) *subject {
+	s := &subject{
+		isPart: involved[0].IsPart(), byAttempt: make(map[string]*incident), byCause: make(map[Incarnation]*incident),
+		contents: make(map[Fingerprint]bool),
+	}
+	for _, one := range involved {
+		s.add(one, knownAt[one])
+	}
+	slices.SortFunc(s.incidents, func(a, b *incident) int { return a.order - b.order })
+	return s
 }
 
-// add adds an involvement that has been known since a time.
+// add adds an involvement to the incident that it shares the attempt or the cause with. If there are two such incidents, they
+// become one; if there is none, the involvement makes a new one.
 func (s *subject) add(one Involvement, knownAt time.Time) {
-	s.incidents = addToIncidents(s.incidents, one, knownAt)
+	s.added++
 	s.position = max(s.position, one.Position)
 	if one.IsPart() {
 		s.contents[one.Content] = true
 	}
+	known := s.incidentsOf(one)
+	times := incident{isolated: one.Isolated, knownAt: knownAt}
+	for _, i := range known {
+		times.takeTimesOf(i)
+	}
+	merged := s.merge(known)
+	merged.isolated, merged.knownAt, merged.order = times.isolated, times.knownAt, s.added
+	merged.crashes = appendMissing([]Incarnation{one.Incarnation}, merged.crashes)
+	if s.byAttempt[one.Attempt] == nil {
+		merged.attempts = append(merged.attempts, one.Attempt)
+		s.byAttempt[one.Attempt] = merged
+	}
+	if !one.Later && s.byCause[one.Incarnation] == nil {
+		merged.causes = append(merged.causes, one.Incarnation)
+		s.byCause[one.Incarnation] = merged
+	}
+}
+
+// incidentsOf returns the incidents that an involvement belongs to, in their order.
+func (s *subject) incidentsOf(one Involvement) []*incident {
+	var known []*incident
+	if i := s.byAttempt[one.Attempt]; i != nil {
+		known = append(known, i)
+	}
+	if i := s.byCause[one.Incarnation]; i != nil && !one.Later && !slices.Contains(known, i) {
+		known = append(known, i)
+	}
+	slices.SortFunc(known, func(a, b *incident) int { return a.order - b.order })
+	return known
+}
+
+// merge makes up to two incidents one, in the subject also.
+func (s *subject) merge(known []*incident) *incident {
+	if len(known) == 0 {
+		s.incidents = append(s.incidents, &incident{})
+		return s.incidents[len(s.incidents)-1]
+	}
+	merged := known[0]
+	for _, absorbed := range known[1:] {
+		for _, attempt := range absorbed.attempts {
+			s.byAttempt[attempt] = merged
+		}
+		for _, cause := range absorbed.causes {
+			s.byCause[cause] = merged
+		}
+		merged.attempts = append(merged.attempts, absorbed.attempts...)
+		merged.causes = append(merged.causes, absorbed.causes...)
+		merged.crashes = appendMissing(merged.crashes, absorbed.crashes)
+		s.incidents = slices.DeleteFunc(s.incidents, func(i *incident) bool { return i == absorbed })
+	}
+	return merged
 }
 
-// compare notes that another fingerprint was involved in a crash of an incident. Parts are lost in crashes as often as
-// requests have them, so a part is a rival only if it is suspicious itself, and within one request only if it is not less
-// suspicious. The content of a request is no rival of its own parts.
-func (s *subject) compare(one *incident, other Involvement, rival *subject) {
-	sameAttempt := slices.Contains(one.attempts, other.Attempt)
+// isRivalOf reports whether a fingerprint that was involved in a crash of another one's incident may explain it. Parts are
+// lost in crashes as often as requests have them, so a part is a rival only if it is suspicious itself, and within one
+// request only if it is not less suspicious. The content of a request is no rival of its own parts.
+func (s *subject) isRivalOf(other *subject, sharesAllAttempts bool) bool {
 	switch {
-	case s.isPart && rival.isPart:
-		s.strongestRival = max(s.strongestRival, rival.weight())
-		one.hasRivals = one.hasRivals || rival.isSuspicious() && (!sameAttempt || rival.weight() >= s.weight())
-	case s.isPart || rival.isPart:
-		one.hasRivals = one.hasRivals || rival.isSuspicious() && !sameAttempt
+	case s.isPart && other.isPart:
+		return s.isSuspicious() && (!sharesAllAttempts || s.weight() >= other.weight())
+	case s.isPart || other.isPart:
+		return s.isSuspicious() && !sharesAllAttempts
 	default:
-		one.hasRivals = true
+		return true
 	}
 }
 
+// mayBeConvicted reports whether the subject has incidents enough of the kind that convictions rest on.
+func (s *subject) mayBeConvicted() bool {
+	return s.isPart && s.weight() >= convictionContents || s.isIsolated()
+}
+
+// isIsolated reports whether the endpoints were reserved for the fingerprint in any incident.
+func (s *subject) isIsolated() bool {
+	return slices.ContainsFunc(s.incidents, func(one *incident) bool { return one.isolated })
+}
+
 // state returns the fingerprint's state at now.
 func (s *subject) state(now time.Time) State {
 	switch {
--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -79,12 +79,12 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.derive(now)
-	if len(e.subjects) == 0 {
+	if len(e.rest.subjects) == 0 {
 		return nil
 	}
 	var withdrawn []Clearance
 	for _, part := range parts {
-		known := e.subjects[part]
+		known := e.rest.subjects[part]
 		if known == nil || !known.isPart || len(known.incidents) == 1 && !e.isOwn(part, known.incidents[0]) {
 			continue
 		}
--- a/quarantine/standing.go
+++ b/quarantine/standing.go
@@ -35,7 +35,7 @@
 	defer e.mu.Unlock()
 	e.derive(now)
 	standing := e.standing(content.Whole, now)
-	if len(e.subjects) == 0 {
+	if len(e.rest.subjects) == 0 {
 		return standing
 	}
 	part, suspects := e.worstPart(content.Parts, now)
@@ -43,14 +43,14 @@
 		return standing
 	}
 	part.Crashes, part.ProvenAt = standing.Crashes, standing.ProvenAt
-	lastCrash := e.subjects[part.Subject].lastKnownAt()
+	lastCrash := e.rest.subjects[part.Subject].lastKnownAt()
 	part.Blocked = part.State == StateSuspect && suspects > 1 && now.Sub(lastCrash) < jointTrialPause
 	return part
 }
 
 // standing returns what is known of a fingerprint. The caller holds e.mu.
 func (e *Evidence) standing(fingerprint Fingerprint, now time.Time) Standing {
-	known := e.subjects[fingerprint]
+	known := e.rest.subjects[fingerprint]
 	switch {
 	case known == nil:
 		return Standing{Subject: fingerprint}
