platformdaemon: decode only the crash reports that differ

Cause: with each read a daemon decoded the reports of all others, although most are the same as in the read before. The pauses between exchanges, 1.2 to 5 s, do not hold back urgent ones.

Now a row with the value of the read before keeps the decoded report. Values are compared, not versions, as a restored store gives out versions again. Rows that are gone are forgotten.

Evidence: with decoding as before, TestUnchangedReportsAreDecodedOnce failed in the two cases with an equal value.

--- a/cmd/chicoryhall/platformdaemon/crashreports.go
+++ b/cmd/chicoryhall/platformdaemon/crashreports.go
@@ -7,7 +7,6 @@
 	mathrand "math/rand/v2"
 	"reflect"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -69,6 +68,7 @@
 	written quarantine.Report
 	version int64
 	alerted []quarantine.Involvement
+	rows    reportRows
 	// failures counts the exchanges that failed in a row. exchangedAt is when the last one began, and pause the least time
 	// from then to the next one.
 	failures    int
@@ -78,7 +78,7 @@
 
 func newCrashReports(self chicoryhall.DaemonID, timer chicoryhall.Timer, store chicoryhall.Table, evidence *quarantine.Evidence, log *event.Logger) *crashReports {
 	return &crashReports{
-		self: self, timer: timer, table: store, evidence: evidence, log: log,
+		self: self, timer: timer, table: store, evidence: evidence, log: log, rows: reportRows{log: log},
 		exchangeDue: make(chan struct{}, 1), writeDue: make(chan struct{}, 1),
 	}
 }
@@ -236,16 +236,7 @@
 		r.logFailure("read the reports on crashes", err)
 		return false
 	}
-	reports := make(map[chicoryhall.DaemonID]quarantine.Report, len(rows))
-	for _, row := range rows {
-		report, err := table.DecodeValue[quarantine.Report](row)
-		if err != nil {
-			r.log.Log(event.RowUnreadable, "row", row.Key, "version", row.Version, "error", err)
-			continue
-		}
-		reports[chicoryhall.DaemonID(strings.TrimPrefix(row.Key, reportPrefix))] = report
-	}
-	r.evidence.Replace(reports, begun)
+	r.evidence.Replace(r.rows.decode(rows), begun)
 	return true
 }
 
