quarantine: one subject for both derivations where they agree

A fingerprint that cannot be convicted, and of whose crashes no conviction explains any, is the same in both derivations. It is now derived once, and the maps that find its incidents are dropped after that: only isolated incidents are compared by their attempts.

--- a/quarantine/derivation.go
+++ b/quarantine/derivation.go
@@ -36,14 +36,20 @@
 	}
 }
 
-// set replaces the involvements of a fingerprint.
-func (d *derivation) set(fingerprint Fingerprint, involved []Involvement, knownAt map[Involvement]time.Time) {
-	before := d.subjects[fingerprint]
+// derive replaces the involvements of a fingerprint.
+func (d *derivation) derive(fingerprint Fingerprint, involved []Involvement, knownAt map[Involvement]time.Time) {
 	var after *subject
 	if len(involved) > 0 {
 		after = newSubject(involved, knownAt)
 		d.work += len(involved)
 	}
+	d.set(fingerprint, involved, after)
+}
+
+// set replaces the involvements of a fingerprint and the subject that follows from them, which is nil if there are none. The
+// subject may be shared with another derivation unless it may be convicted.
+func (d *derivation) set(fingerprint Fingerprint, involved []Involvement, after *subject) {
+	before := d.subjects[fingerprint]
 	d.setAttempts(fingerprint, before, involved, !isSameRival(before, after))
 	delete(d.candidates, fingerprint)
 	if after == nil {
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -308,7 +308,7 @@
 	e.dropUnneededClearances(touched)
 	for fingerprint := range differing {
 		known := e.known[fingerprint]
-		e.all.set(fingerprint, known.involved, known.knownAt)
+		e.all.derive(fingerprint, known.involved, known.knownAt)
 	}
 	e.all.compare()
 	e.explain(differing, now)
@@ -363,11 +363,22 @@
 		}
 	}
 	for fingerprint := range differing {
-		known := e.known[fingerprint]
-		e.rest.set(fingerprint, slices.DeleteFunc(slices.Clone(known.involved), e.convictions.explain), known.knownAt)
-		if len(known.involved) == 0 {
-			delete(e.known, fingerprint)
-		}
+		e.deriveRest(fingerprint)
+	}
+}
+
+// deriveRest derives the subject of a fingerprint without the involvements that convictions explain. Where these are none, it
+// is the one derived from all involvements, unless that may be convicted: it may have other rivals then.
+func (e *Evidence) deriveRest(fingerprint Fingerprint) {
+	known, subject := e.known[fingerprint], e.all.subjects[fingerprint]
+	left := slices.DeleteFunc(slices.Clone(known.involved), e.convictions.explain)
+	if len(left) < len(known.involved) || subject != nil && subject.mayBeConvicted() {
+		e.rest.derive(fingerprint, left, known.knownAt)
+	} else {
+		e.rest.set(fingerprint, left, subject)
+	}
+	if len(known.involved) == 0 {
+		delete(e.known, fingerprint)
 	}
 }
 
--- a/quarantine/incident.go
+++ b/quarantine/incident.go
@@ -51,8 +51,8 @@
 // subject is what is known of one fingerprint.
 type subject struct {
 	incidents []*incident
-	// byAttempt and byCause are the incidents of each attempt and of each crash that explained a loss. added counts the
-	// involvements.
+	// byAttempt and byCause are the incidents of each attempt and of each crash that explained a loss. They are kept only as
+	// long as they are needed: byAttempt if there is an isolated incident. added counts the involvements.
 	byAttempt map[string]*incident
 	byCause   map[Incarnation]*incident
 	added     int
@@ -67,14 +67,15 @@
 
 // newSubject returns the subject of involvements that have been known since the given times. There is at least one.
 func newSubject(involved []Involvement, knownAt map[Involvement]time.Time) *subject {
-	s := &subject{
-		isPart: involved[0].IsPart(), byAttempt: make(map[string]*incident), byCause: make(map[Incarnation]*incident),
-		contents: make(map[Fingerprint]bool),
-	}
+	s := &subject{isPart: involved[0].IsPart(), byAttempt: make(map[string]*incident), byCause: make(map[Incarnation]*incident)}
 	for _, one := range involved {
 		s.add(one, knownAt[one])
 	}
 	slices.SortFunc(s.incidents, func(a, b *incident) int { return a.order - b.order })
+	s.byCause = nil
+	if !s.isIsolated() {
+		s.byAttempt = nil
+	}
 	return s
 }
 
@@ -84,7 +85,7 @@
 	s.added++
 	s.position = max(s.position, one.Position)
 	if one.IsPart() {
-		s.contents[one.Content] = true
+		s.addContent(one.Content)
 	}
 	known := s.incidentsOf(one)
 	times := incident{isolated: one.Isolated, knownAt: knownAt}
@@ -104,6 +105,14 @@
 	}
 }
 
+// addContent adds a lost content that held the part.
+func (s *subject) addContent(content Fingerprint) {
+	if s.contents == nil {
+		s.contents = make(map[Fingerprint]bool)
+	}
+	s.contents[content] = true
+}
+
 // incidentsOf returns the incidents that an involvement belongs to, in their order.
 func (s *subject) incidentsOf(one Involvement) []*incident {
 	var known []*incident
