--- a/quarantine/derivation.go
+++ b/quarantine/derivation.go
@@ -37,13 +37,13 @@
 }
 
 // derive replaces the involvements of a fingerprint.
-func (d *derivation) derive(fingerprint Fingerprint, involved []Involvement, knownAt map[Involvement]time.Time) {
+func (d *derivation) derive(fingerprint Fingerprint, known *valid) {
 	var after *subject
-	if len(involved) > 0 {
-		after = newSubject(involved, knownAt)
-		d.work += len(involved)
+	if len(known.involved) > 0 {
+		after = newSubject(known)
+		d.work += len(known.involved)
 	}
-	d.set(fingerprint, involved, after)
+	d.set(fingerprint, known.involved, after)
 }
 
 // set replaces the involvements of a fingerprint and the subject that follows from them, which is nil if there are none. The
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -264,7 +264,7 @@
 		if known := e.rest.subjects[one.Fingerprint]; known != nil {
 			lifetime = known.lifetime(now)
 		}
-		if now.Sub(e.known[one.Fingerprint].knownAt[one]) <= lifetime {
+		if now.Sub(e.known[one.Fingerprint].since(one, now)) <= lifetime {
 			return false
 		}
 		e.sources.touched[one.Fingerprint] = true
@@ -307,8 +307,7 @@
 	}
 	e.dropUnneededClearances(touched)
 	for fingerprint := range differing {
-		known := e.known[fingerprint]
-		e.all.derive(fingerprint, known.involved, known.knownAt)
+		e.all.derive(fingerprint, e.known[fingerprint])
 	}
 	e.all.compare()
 	e.explain(differing, now)
@@ -331,16 +330,16 @@
 	if before == nil {
 		before = &valid{}
 	}
-	found := &valid{knownAt: make(map[Involvement]time.Time, len(before.involved))}
+	found := &valid{}
 	for _, one := range e.own.Involved {
 		if one.Fingerprint == fingerprint {
-			found.add(one, before, now)
+			found.add(one, before.since(one, now))
 		}
 	}
 	for _, holder := range e.sources.holders[fingerprint] {
 		for _, one := range holder.involved[fingerprint] {
 			if !e.sources.isCleared(one) {
-				found.add(one, before, now)
+				found.add(one, before.since(one, now))
 			}
 		}
 	}
@@ -371,11 +370,11 @@
 // is the one derived from all involvements, unless that may be convicted: it may have other rivals then.
 func (e *Evidence) deriveRest(fingerprint Fingerprint) {
 	known, subject := e.known[fingerprint], e.all.subjects[fingerprint]
-	left := slices.DeleteFunc(slices.Clone(known.involved), e.convictions.explain)
-	if len(left) < len(known.involved) || subject != nil && subject.mayBeConvicted() {
-		e.rest.derive(fingerprint, left, known.knownAt)
+	left := known.without(e.convictions.explain)
+	if left != known || subject != nil && subject.mayBeConvicted() {
+		e.rest.derive(fingerprint, left)
 	} else {
-		e.rest.set(fingerprint, left, subject)
+		e.rest.set(fingerprint, left.involved, subject)
 	}
 	if len(known.involved) == 0 {
 		delete(e.known, fingerprint)
--- a/quarantine/incident.go
+++ b/quarantine/incident.go
@@ -65,11 +65,11 @@
 	strongestRival int
 }
 
-// newSubject returns the subject of involvements that have been known since the given times. There is at least one.
-func newSubject(involved []Involvement, knownAt map[Involvement]time.Time) *subject {
-	s := &subject{isPart: involved[0].IsPart(), byAttempt: make(map[string]*incident), byCause: make(map[Incarnation]*incident)}
-	for _, one := range involved {
-		s.add(one, knownAt[one])
+// newSubject returns the subject of involvements. There is at least one.
+func newSubject(known *valid) *subject {
+	s := &subject{isPart: known.involved[0].IsPart(), byAttempt: make(map[string]*incident), byCause: make(map[Incarnation]*incident)}
+	for i, one := range known.involved {
+		s.add(one, known.knownAt[i])
 	}
 	slices.SortFunc(s.incidents, func(a, b *incident) int { return a.order - b.order })
 	s.byCause = nil
--- a/quarantine/sources.go
+++ b/quarantine/sources.go
@@ -152,21 +152,63 @@
 	return all
 }
 
+// manyInvolvements is the number from which on they are found by a map: most fingerprints have one or two.
+const manyInvolvements = 16
+
 // valid holds the involvements of a fingerprint that no report withdraws, each once, and since when each is known.
 type valid struct {
 	involved []Involvement
-	knownAt  map[Involvement]time.Time
+	knownAt  []time.Time
+	// indexes is nil if there are few.
+	indexes map[Involvement]int
 }
 
-// add adds an involvement that was known before if the other ones contain it, and is known since now if not.
-func (v *valid) add(one Involvement, before *valid, now time.Time) {
-	if _, known := v.knownAt[one]; known {
+// index returns the index of an involvement, or -1.
+func (v *valid) index(one Involvement) int {
+	if v.indexes == nil {
+		return slices.Index(v.involved, one)
+	}
+	if index, found := v.indexes[one]; found {
+		return index
+	}
+	return -1
+}
+
+// add adds an involvement, unless it is contained, that is known since a time.
+func (v *valid) add(one Involvement, at time.Time) {
+	if v.index(one) >= 0 {
 		return
 	}
-	at, known := before.knownAt[one]
-	if !known {
-		at = now
+	v.involved, v.knownAt = append(v.involved, one), append(v.knownAt, at)
+	switch {
+	case v.indexes != nil:
+		v.indexes[one] = len(v.involved) - 1
+	case len(v.involved) >= manyInvolvements:
+		v.indexes = make(map[Involvement]int)
+		for i, known := range v.involved {
+			v.indexes[known] = i
+		}
+	}
+}
+
+// since returns since when an involvement is known, or now if it is not.
+func (v *valid) since(one Involvement, now time.Time) time.Time {
+	if index := v.index(one); index >= 0 {
+		return v.knownAt[index]
+	}
+	return now
+}
+
+// without returns the involvements that are not explained.
+func (v *valid) without(isExplained func(Involvement) bool) *valid {
+	if !slices.ContainsFunc(v.involved, isExplained) {
+		return v
+	}
+	left := &valid{}
+	for i, one := range v.involved {
+		if !isExplained(one) {
+			left.involved, left.knownAt = append(left.involved, one), append(left.knownAt, v.knownAt[i])
+		}
 	}
-	v.knownAt[one] = at
-	v.involved = append(v.involved, one)
+	return left
 }
