passthrough: an abandoned connection does not write what the event loop reads

go test -race reported that onClose, which package nbio calls on another goroutine if this daemon closes a connection, writes answerEnded while the event loop handles the last bytes from the endpoint. Hedges make that common: the attempt that is behind is abandoned while its answer arrives. No wrong answer was seen, as the connection has no receiver by then. The field is written there only if the event loop has read the end of the connection.

Evidence: go test -race -count=3 -run EventsBefore reported it in 3 of 3 runs before and in none of 3 after.

--- a/passthrough/endpoint.go
+++ b/passthrough/endpoint.go
@@ -158,8 +158,7 @@
 	conn.closed = true
 	conn.mu.Unlock()
 	conn.pool.idle.Remove(conn.address, conn)
-	conn.answerEnded = false
-	if errors.Is(err, io.EOF) && conn.reader.End() == nil && conn.answerEnded {
+	if errors.Is(err, io.EOF) && conn.endsAnswer() {
 		if current := conn.takeReceiver(); current != nil {
 			current.onEnd()
 		}
@@ -173,6 +172,13 @@
 	}
 }
 
+// endsAnswer reports whether the end of the connection completes the current answer. The event loop must have read that end: it
+// may still read a connection that was closed from elsewhere.
+func (conn *endpointConnection) endsAnswer() bool {
+	conn.answerEnded = false
+	return conn.reader.End() == nil && conn.answerEnded
+}
+
 // OnHead checks that the answer belongs to the request in progress and forwards its head to the receiver.
 func (conn *endpointConnection) OnHead(response *http.Response) error {
 	current := conn.receiver()
