--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -77,8 +77,8 @@
 	endpointWorks      bool
 	progressReportedAt time.Time
 	// stalled is set from when the attempt stalls until more of the answer arrives. silenceReportedAt and hedgeSoughtAt are when
-	// its endpoints were last reported as silent and when a hedge was last sought since then. excludedAsSilent are the endpoints
-	// that are excluded for that reason only.
+	// its silence was last reported to the circuit breakers and when a hedge was last sought since then. excludedAsSilent are the
+	// endpoints that are excluded only because it has stalled.
 	stalled           bool
 	silenceReportedAt time.Time
 	hedgeSoughtAt     time.Time
--- /dev/null
+++ b/passthrough/endpoints_test.go
@@ -0,0 +1,82 @@
+package passthrough_test
+
+import (
+	"sync"
+	"time"
+
+	"chicoryhall.example/chicoryhall"
+)
+
+// fakeEndpoints is a passthrough.Endpoints in which every endpoint is ready. It records the observations and
+// counts the requests in flight.
+type fakeEndpoints struct {
+	mu       sync.Mutex
+	inFlight map[chicoryhall.EndpointID]int
+	// observed lists the observations, except progress, which progressed names the endpoints of.
+	observed   []string
+	progressed []chicoryhall.EndpointID
+	// pausedUntil holds the ends of the pauses that endpoints have asked for.
+	pausedUntil map[chicoryhall.EndpointID]time.Time
+	// unreachable holds the endpoints that accept no connection.
+	unreachable sync.Map
+	// isBusy is set if all endpoints make progress at any time, for other requests.
+	isBusy bool
+}
+
+func (e *fakeEndpoints) setBusy() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.isBusy = true
+}
+
+func (e *fakeEndpoints) View(chicoryhall.EndpointID) chicoryhall.EndpointView {
+	return chicoryhall.EndpointView{}
+}
+
+func (e *fakeEndpoints) Observe(id chicoryhall.EndpointID, observed chicoryhall.Observation) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if observed == chicoryhall.ObservedProgress {
+		e.progressed = append(e.progressed, id)
+		return
+	}
+	e.observed = append(e.observed, string(id)+" "+observed.String())
+}
+
+func (e *fakeEndpoints) Begin(id chicoryhall.EndpointID) { e.count(id, 1) }
+
+func (e *fakeEndpoints) End(id chicoryhall.EndpointID) { e.count(id, -1) }
+
+func (e *fakeEndpoints) count(id chicoryhall.EndpointID, change int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.inFlight[id] += change
+}
+
+func (e *fakeEndpoints) Subscribe(func(chicoryhall.EndpointID, chicoryhall.EndpointState)) {}
+
+func (e *fakeEndpoints) LastProgress(chicoryhall.EndpointID) time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.isBusy {
+		return time.Now()
+	}
+	return time.Time{}
+}
+
+func (e *fakeEndpoints) MarkUnreachable(id chicoryhall.EndpointID) { e.unreachable.Store(id, true) }
+
+func (e *fakeEndpoints) IsUnreachable(id chicoryhall.EndpointID) bool {
+	_, found := e.unreachable.Load(id)
+	return found
+}
+
+func (e *fakeEndpoints) Pause(id chicoryhall.EndpointID, until time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.pausedUntil[id] = until
+}
+
+func (e *fakeEndpoints) ByAddress(string) (chicoryhall.EndpointID, bool) { return "", false }
+
+func (e *fakeEndpoints) ReportRunning(chicoryhall.EndpointID, int) {}
--- a/passthrough/stall.go
+++ b/passthrough/stall.go
@@ -29,8 +29,7 @@
 	return at
 }
 
-// silentAt returns when the attempt's endpoints are reported as silent, at first or again, unless more of the answer arrives
-// before.
+// silentAt returns when the attempt stalls, or when its silence is reported again, unless more of the answer arrives before.
 func (a *attempt) silentAt() time.Time {
 	x := a.exchange
 	maxPause := headStallFactor * x.rule.TargetLatency
@@ -63,8 +62,8 @@
 	a.seekHedge(now)
 }
 
-// reportStall reports that the attempt may be lost, once for each stall. That of a suspect proves no more than that, so its
-// endpoints are released.
+// reportStall reports that the endpoints are silent and the attempt may be lost, once for each stall. The trial of a suspect
+// proves no more than that, so its endpoints are released.
 func (a *attempt) reportStall(now time.Time) {
 	if a.stalled {
 		return
