passthrough: test servers listen at an address that connections do not come from

A run of the package's tests did not end within ten minutes, without using the processor. Suspected, not shown: a connection of another test took the port that a server was about to listen at, and the fixture dialled it forever. Servers listen at 127.0.0.2 now, which is no source of connections, and a server that does not listen within 10 s fails its test. No check changes.

--- a/passthrough/fixture_test.go
+++ b/passthrough/fixture_test.go
@@ -113,6 +113,13 @@
 
 func eventText(id int) string { return fmt.Sprintf("id: %d\ndata: d%d\n\n", id, id) }
 
+const (
+	// serverIP is not the address that connections come from, so that none of them takes a port that a server is about to use.
+	serverIP = "127.0.0.2"
+	// maxStartTime bounds the wait until a server listens.
+	maxStartTime = 10 * time.Second
+)
+
 // testServer is a passthrough.Server together with fakes of what it depends on.
 type testServer struct {
 	address string
@@ -308,12 +315,12 @@
 	t *testing.T, late time.Duration, set *chicoryhall.RuleSet, router orderedRouter, configure func(*testServer, *passthrough.Config),
 ) *testServer {
 	t.Helper()
-	free, err := net.Listen("tcp", "127.0.0.1:0")
+	free, err := net.Listen("tcp", serverIP+":0")
 	must.NoError(t, err)
 	w := &testServer{quarantine: &fakeQuarantine{}, limits: &fakeLimits{}, address: free.Addr().String(), retries: 10, logs: &logBuffer{}, endpoints: &fakeEndpoints{
 		inFlight: make(map[chicoryhall.EndpointID]int), pausedUntil: make(map[chicoryhall.EndpointID]time.Time),
 	}}
-	freePeer, err := net.Listen("tcp", "127.0.0.1:0")
+	freePeer, err := net.Listen("tcp", serverIP+":0")
 	must.NoError(t, err)
 	w.relays, w.peerAddress = &fakeRelays{key: "key"}, freePeer.Addr().String()
 	must.NoError(t, freePeer.Close())
@@ -339,14 +346,15 @@
 		serving.Wait()
 	}
 	t.Cleanup(w.stop)
-	for {
+	for deadline := time.Now().Add(maxStartTime); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
 		conn, err := net.Dial("tcp", w.address)
 		if err == nil {
 			must.NoError(t, conn.Close())
 			return w
 		}
-		time.Sleep(time.Millisecond)
 	}
+	t.Fatalf("the server does not listen at %s", w.address)
+	return nil
 }
 
 // dial opens a caller's connection.
