--- a/cmd/chicorystand/hall/control.go
+++ b/cmd/chicorystand/hall/control.go
@@ -17,6 +17,9 @@
 	mux.HandleFunc("GET /ledger", func(rw http.ResponseWriter, _ *http.Request) { reply(rw, http.StatusOK, p.ledger.entries()) })
 	mux.HandleFunc("GET /arrivals", func(rw http.ResponseWriter, _ *http.Request) { reply(rw, http.StatusOK, p.arrivals.entries()) })
 	mux.HandleFunc("GET /requests", func(rw http.ResponseWriter, _ *http.Request) { reply(rw, http.StatusOK, p.requests.entries()) })
+	mux.HandleFunc("GET /statements", func(rw http.ResponseWriter, _ *http.Request) {
+		reply(rw, http.StatusOK, p.statements.entries())
+	})
 	mux.HandleFunc("POST /store", func(rw http.ResponseWriter, r *http.Request) {
 		var faults StoreFaults
 		if decode(rw, r, &faults) {
@@ -56,6 +59,17 @@
 			endpoint.Crash(endpoint.crashTime())
 		}
 	})
+	mux.HandleFunc("POST /engines/{id}/depart", func(_ http.ResponseWriter, r *http.Request) {
+		if endpoint := p.byID(r.PathValue("id")); endpoint != nil {
+			endpoint.Depart()
+		}
+	})
+	mux.HandleFunc("POST /engines/{id}/vanish", func(rw http.ResponseWriter, r *http.Request) {
+		var pause Pause
+		if endpoint := p.byID(r.PathValue("id")); endpoint != nil && decode(rw, r, &pause) {
+			endpoint.Vanish(time.Duration(pause.Millis) * time.Millisecond)
+		}
+	})
 	mux.HandleFunc("POST /engines/{id}/leave", func(_ http.ResponseWriter, r *http.Request) {
 		if endpoint := p.byID(r.PathValue("id")); endpoint != nil {
 			p.stopOnError(endpoint.Leave())
--- a/cmd/chicorystand/hall/endpoint.go
+++ b/cmd/chicorystand/hall/endpoint.go
@@ -44,6 +44,10 @@
 	faults  EndpointFaults
 	// pausedUntil is when the endpoint goes on.
 	pausedUntil time.Time
+	// unwantedUntil is until when the endpoint wants nothing from the daemon at an IP address.
+	unwantedUntil map[string]time.Time
+	// departing is set if answers say that the endpoint is leaving.
+	departing bool
 }
 
 // hop is one stage of a request's route.
@@ -107,6 +111,7 @@
 	e.faults.Dead = true
 	e.from, e.to, e.sequence, e.running, e.used = 0, 0, 0, 0, 0
 	e.pausedUntil = time.Time{}
+	clear(e.unwantedUntil)
 	e.mu.Unlock()
 	id := e.id()
 	e.platform.after(lapseTime, func() {
@@ -117,7 +122,7 @@
 	e.platform.after(downtime, func() {
 		e.mu.Lock()
 		e.restarts++
-		e.faults, e.born, e.loading = EndpointFaults{}, time.Now().UnixMilli(), false
+		e.faults, e.born, e.loading, e.departing = EndpointFaults{}, time.Now().UnixMilli(), false, false
 		e.mu.Unlock()
 		e.platform.stopOnError(e.register())
 	})
@@ -172,17 +177,20 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	e.stateLeaving(w, r)
 	switch r.URL.Path {
 	case "/-/report":
 		e.report(w)
 	case "/-/order":
 		e.order(w, r)
 	default:
-		e.platform.requests.add(RequestArrival{Endpoint: e.id(), AtMillis: time.Now().UnixMilli()})
+		e.platform.requests.add(RequestArrival{Endpoint: e.id(), Address: e.settings.Address, From: sourceOf(r), AtMillis: time.Now().UnixMilli()})
 		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-		if e.settings.Kind == "" {
+		switch {
+		case e.refuseWithPause(w, r):
+		case e.settings.Kind == "":
 			e.servePlain(w, r)
-		} else {
+		default:
 			e.serveStream(w, r)
 		}
 	}
--- a/cmd/chicorystand/hall/ledger.go
+++ b/cmd/chicorystand/hall/ledger.go
@@ -35,6 +35,10 @@
 // RequestArrival records that a request arrived at an endpoint, also if the endpoint refused it.
 type RequestArrival struct {
 	Endpoint string `json:"engine"`
+	// Address is that of the endpoint, which it keeps when it starts again.
+	Address string `json:"address"`
+	// From is the IP address that the daemon's connections come from.
+	From string `json:"from"`
 	// AtMillis is the Unix time in milliseconds.
 	AtMillis int64 `json:"atMillis"`
 }
--- a/cmd/chicorystand/hall/platform.go
+++ b/cmd/chicorystand/hall/platform.go
@@ -27,13 +27,15 @@
 
 // Platform is a simulated platform with all of its endpoints, in one process.
 type Platform struct {
-	settings  Settings
-	store     *Store
-	ledger    records[LedgerEntry]
-	arrivals  arrivals
-	requests  records[RequestArrival]
-	endpoints []*Endpoint
-	cuts      *cuts
+	settings Settings
+	store    *Store
+	ledger   records[LedgerEntry]
+	arrivals arrivals
+	requests records[RequestArrival]
+	// statements are those of all endpoints.
+	statements records[Statement]
+	endpoints  []*Endpoint
+	cuts       *cuts
 	// configuration is the one that the operator wrote last.
 	configuration atomic.Pointer[json.RawMessage]
 	group         *errgroup.Group
@@ -44,7 +46,9 @@
 func New(settings Settings) *Platform {
 	p := &Platform{settings: settings, store: NewStore(), cuts: newCuts()}
 	for _, one := range settings.Endpoints {
-		p.endpoints = append(p.endpoints, &Endpoint{platform: p, settings: one, born: time.Now().UnixMilli()})
+		p.endpoints = append(p.endpoints, &Endpoint{
+			platform: p, settings: one, born: time.Now().UnixMilli(), unwantedUntil: make(map[string]time.Time),
+		})
 	}
 	return p
 }
--- a/cmd/chicorystand/hall/settings.go
+++ b/cmd/chicorystand/hall/settings.go
@@ -57,6 +57,10 @@
 	NewID bool `yaml:"newId,omitempty"`
 	// SilentAfterCrash leaves connections unanswered until the endpoint restarts, where others are reset.
 	SilentAfterCrash bool `yaml:"silentAfterCrash,omitempty"`
+	// The endpoint refuses PausePercent of the requests, and asks each time for a pause of PauseMillis without any from the
+	// same daemon.
+	PausePercent int     `yaml:"pausePercent,omitempty"`
+	PauseMillis  float64 `yaml:"pauseMillis,omitempty"`
 }
 
 // Load reads settings from a YAML file.
--- a/proof/soak_limit_test.go
+++ b/proof/soak_limit_test.go
@@ -20,6 +20,8 @@
 // requestArrival is an arrival of a request at an endpoint, as recorded by the simulated platform.
 type requestArrival struct {
 	Engine   string `json:"engine"`
+	Address  string `json:"address"`
+	From     string `json:"from"`
 	AtMillis int64  `json:"atMillis"`
 }
 
