watch: what an endpoint says of itself outlives changes of the list

Callers saw: requests sent to endpoints that had asked for a pause were refused there one after another, at the cost of their time and of the service's retries; an endpoint got N requests and more in N s.

Cause: the pause and the leaving that an endpoint states on the wire were kept in the entry of the list and cleared whenever the list showed another incarnation, lacked the entry for a moment or showed another ID at the address. The list is an older and slower witness than the endpoint. Class: first-hand knowledge erased by a late second-hand one.

Now statements are held apart from the entries and combined on reading. A pause ends by time only; it also holds for an endpoint of the same service that is listed at the address before the end, since endpoints start again under other IDs and the rule takes a restart for no excuse. Leaving ends with a process that was started after it was said; where the list shows one started before, it is doubted after 30 s, as clocks may be wrong. Statements of endpoints without an entry are dropped once they hold no more, leaving after 2 minutes.

Event 2058 names the request, 2046 says whether the endpoint is paused, and there are chicoryhall_endpoint_pauses_total and chicoryhall_paused_endpoints.

TestPauseOutlivesTheList, TestPauseHoldsForTheNextEndpointAtTheAddress, TestLeavingOutlivesTheList.

Tests changed: TestPausedEndpointGetsNoRequests said that a restart ends a pause; the rule says that it does not, and its other checks are in TestPauseOutlivesTheList. TestListedNewIncarnationClearsState used an incarnation, a Unix time, of 1970 for the later start; it uses a later one. The soak's check of leaving now tells processes apart: one that has started anew is not leaving.

--- a/cmd/chicorystand/hall/endpoint.go
+++ b/cmd/chicorystand/hall/endpoint.go
@@ -92,6 +92,13 @@
 	return fmt.Sprintf("%s-%d", e.settings.ID, e.restarts)
 }
 
+// bornAt returns when the endpoint's process was started, in Unix milliseconds.
+func (e *Endpoint) bornAt() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.born
+}
+
 // crashTime returns the time from a crash to the restart.
 func (e *Endpoint) crashTime() time.Duration {
 	if e.settings.RestartMillis == 0 {
@@ -184,7 +191,9 @@
 	case "/-/order":
 		e.order(w, r)
 	default:
-		e.platform.requests.add(RequestArrival{Endpoint: e.id(), Address: e.settings.Address, From: sourceOf(r), AtMillis: time.Now().UnixMilli()})
+		e.platform.requests.add(RequestArrival{
+			Endpoint: e.id(), Address: e.settings.Address, Born: e.bornAt(), From: sourceOf(r), AtMillis: time.Now().UnixMilli(),
+		})
 		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 		switch {
 		case e.refuseWithPause(w, r):
--- a/cmd/chicorystand/hall/ledger.go
+++ b/cmd/chicorystand/hall/ledger.go
@@ -37,6 +37,8 @@
 	Endpoint string `json:"engine"`
 	// Address is that of the endpoint, which it keeps when it starts again.
 	Address string `json:"address"`
+	// Born is when the endpoint's process was started, in Unix milliseconds.
+	Born int64 `json:"born"`
 	// From is the IP address that the daemon's connections come from.
 	From string `json:"from"`
 	// AtMillis is the Unix time in milliseconds.
--- a/cmd/chicorystand/hall/statement.go
+++ b/cmd/chicorystand/hall/statement.go
@@ -17,6 +17,8 @@
 	Endpoint string `json:"engine"`
 	// Address is that of the endpoint, which it keeps when it starts again.
 	Address string `json:"address"`
+	// Born is when the endpoint's process was started, in Unix milliseconds.
+	Born int64 `json:"born"`
 	// From is the IP address that the daemon's connections come from.
 	From    string `json:"from"`
 	Leaving bool   `json:"leaving"`
@@ -40,7 +42,7 @@
 		return false
 	}
 	e.platform.statements.add(Statement{
-		Endpoint: e.id(), Address: e.settings.Address, From: sourceOf(r),
+		Endpoint: e.id(), Address: e.settings.Address, Born: e.bornAt(), From: sourceOf(r),
 		AtMillis: now.UnixMilli(), UntilMillis: now.Add(left).UnixMilli(),
 	})
 	w.Header().Set("Retry-After", fmt.Sprintf("%.3f", left.Seconds()))
@@ -78,7 +80,7 @@
 	if departing {
 		w.Header().Set("Server-Leaving", "1")
 		e.platform.statements.add(Statement{
-			Endpoint: e.id(), Address: e.settings.Address, From: sourceOf(r), Leaving: true, AtMillis: time.Now().UnixMilli(),
+			Endpoint: e.id(), Address: e.settings.Address, Born: e.bornAt(), From: sourceOf(r), Leaving: true, AtMillis: time.Now().UnixMilli(),
 		})
 	}
 }
--- a/event/requests.go
+++ b/event/requests.go
@@ -69,7 +69,7 @@
 		"What an answer of the endpoint states as its limit is not a number of requests a second; it is ignored.",
 		"Correct what the endpoint states.")
 	EndpointPaused = define(2058, log.InfoLevel, "endpoint wants no requests",
-		"An answer of the endpoint asks this daemon to send it nothing for the time in pause; requests go to other endpoints until then.",
+		"The answer to request asks this daemon to send the endpoint nothing for the time in pause; requests go to other endpoints until then. An event 2046 with paused=true before the end is a fault of the daemon.",
 		"Find out why the endpoint takes no requests, if it should.")
 	EndpointFailed = define(2500, log.WarnLevel, "endpoint failed a request",
 		"An endpoint refused or broke a connection or stopped responding; the request continues on another one.",
--- a/passthrough/answer.go
+++ b/passthrough/answer.go
@@ -60,7 +60,8 @@
 		return
 	}
 	until := a.exchange.config().Timer.Now().Add(a.answerHeaders.RetryAfter)
-	a.exchange.config().Endpoints.Pause(a.route.Hops[0].Engine, until)
+	a.exchange.config().Metrics.pauseAsked(a.exchange.service)
+	a.exchange.config().Endpoints.Pause(a.route.Hops[0].Engine, until, a.exchange.callerHeaders.ID)
 }
 
 // recordLimit records what the answer says of the limit of the first endpoint, unless another endpoint has answered.
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -151,7 +151,7 @@
 	x.config().Log.Log(event.ExchangeAdmitted, "request", x.callerHeaders.ID, "attempt", a.number, "service", x.service, "class", x.class.Name,
 		"organisation", x.organisation, "fingerprint", x.fingerprint, "parts", x.parts, "rules", x.rulesVersion, "waited", now.Sub(x.startedAt), "left", x.deadline.Sub(now),
 		"route", routeText(a.route), "expectedFirst", a.route.TimeToFirstToken, "expectedGap", a.route.TimePerToken,
-		"ownInFlight", first.InFlight, "othersBelieved", first.Load.Running, "resumeBehind", a.resumeAfter())
+		"ownInFlight", first.InFlight, "othersBelieved", first.Load.Running, "paused", first.Paused, "resumeBehind", a.resumeAfter())
 }
 
 // resumeAfter returns the ID of the event after which the attempt resumes, or an empty string.
--- a/passthrough/metrics.go
+++ b/passthrough/metrics.go
@@ -67,6 +67,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("chicoryhall_retries_total{service=%q,allowed=\"%t\"}", service, allowed)).Inc()
 }
 
+// pauseAsked counts an answer of an endpoint that wants no requests for some time.
+func (m *Metrics) pauseAsked(service chicoryhall.ServiceName) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("chicoryhall_endpoint_pauses_total{service=%q}", service)).Inc()
+}
+
 // exchangeEnded counts an exchange and its duration.
 func (m *Metrics) exchangeEnded(class chicoryhall.ClassName, status int, duration time.Duration) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("chicoryhall_exchanges_total{class=%q,status=\"%d\"}", class, status)).Inc()
--- a/proof/soak_limit_test.go
+++ b/proof/soak_limit_test.go
@@ -21,6 +21,7 @@
 type requestArrival struct {
 	Engine   string `json:"engine"`
 	Address  string `json:"address"`
+	Born     int64  `json:"born"`
 	From     string `json:"from"`
 	AtMillis int64  `json:"atMillis"`
 }
--- a/watch/listed.go
+++ b/watch/listed.go
@@ -59,6 +59,7 @@
 
 	mu           sync.Mutex
 	entries      map[chicoryhall.EndpointID]*listedEntry
+	statements   statements
 	requestTimes map[chicoryhall.ServiceName]*requestTime
 	// platformDown is set while the platform cannot be reached.
 	platformDown bool
@@ -74,7 +75,8 @@
 // NewListedEndpoints returns a ListedEndpoints that knows no endpoint yet.
 func NewListedEndpoints(config ListedConfig) *ListedEndpoints {
 	return &ListedEndpoints{
-		config: config, entries: make(map[chicoryhall.EndpointID]*listedEntry), requestTimes: make(map[chicoryhall.ServiceName]*requestTime),
+		config: config, entries: make(map[chicoryhall.EndpointID]*listedEntry), statements: newStatements(),
+		requestTimes: make(map[chicoryhall.ServiceName]*requestTime),
 	}
 }
 
@@ -164,10 +166,9 @@
 		listing.Leaving = listing.Leaving || e.listing.Leaving
 	}
 	if !known {
-		// The call of change below lists the new endpoint, so that the subscribers are notified.
-		l.entries[listing.ID] = &listedEntry{listing: listing, gone: true}
-		e = l.entries[listing.ID]
+		e = l.newEntry(listing, now)
 	}
+	e.said.pause(l.statements.pausedPlaces[placeOf(listing)])
 	unchanged := !e.gone && e.missingSince.IsZero() && equalListings(e.listing, listing)
 	l.mu.Unlock()
 	if !unchanged {
@@ -175,6 +176,15 @@
 	}
 }
 
+// newEntry adds the entry of an endpoint. The change that follows lists it, so that the subscribers are notified. The caller
+// holds l.mu.
+func (l *ListedEndpoints) newEntry(listing chicoryhall.Listing, now time.Time) *listedEntry {
+	l.statements.expire(func(id chicoryhall.EndpointID) bool { return l.entries[id] != nil }, now)
+	e := &listedEntry{listing: listing, gone: true, said: l.statements.of(listing.ID)}
+	l.entries[listing.ID] = e
+	return e
+}
+
 // remove applies the removal of an endpoint from the list.
 func (l *ListedEndpoints) remove(id chicoryhall.EndpointID, now time.Time) {
 	l.mu.Lock()
@@ -208,18 +218,6 @@
 	l.change(id, observed.String(), func(e *listedEntry) { e.observe(observed, now) })
 }
 
-// Pause records that an endpoint wants no requests of this daemon until a time. An earlier end of a pause is ignored.
-func (l *ListedEndpoints) Pause(id chicoryhall.EndpointID, until time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	e, known := l.entries[id]
-	if !known || !until.After(e.pausedUntil) {
-		return
-	}
-	e.pausedUntil = until
-	l.config.Log.Log(event.EndpointPaused, "endpoint", id, "service", e.listing.Service, "pause", until.Sub(l.config.Timer.Now()))
-}
-
 // Begin counts one more request of this daemon at the endpoint.
 func (l *ListedEndpoints) Begin(id chicoryhall.EndpointID) {
 	l.mu.Lock()
--- a/watch/listedentry.go
+++ b/watch/listedentry.go
@@ -19,8 +19,8 @@
 	// missingSince is when the endpoint went missing from the list during an outage of the platform, or zero. The
 	// endpoint then stays in use and gone is not set, until it is listed again or dropMissing drops it.
 	missingSince time.Time
-	// refusedAsLeaving is set once the endpoint has refused a request because it is leaving.
-	refusedAsLeaving bool
+	// said is what the endpoint has said of itself. It outlives the entry.
+	said *statement
 	// failures counts the consecutive failures that made the endpoint suspect.
 	failures     int
 	lastFailure  time.Time
@@ -29,8 +29,6 @@
 	ambiguousFailures []time.Time
 	// refusedAt is when the endpoint last refused a request for lack of room.
 	refusedAt time.Time
-	// pausedUntil is the end of the time for which the endpoint wants no requests of this daemon.
-	pausedUntil time.Time
 	// unreachableAt is when the endpoint last accepted no connection, or zero.
 	unreachableAt time.Time
 	// loadRatio is the estimated ratio of all daemons' requests at the endpoint to this daemon's own. It is 0
@@ -45,7 +43,7 @@
 	inFlightAtReport int
 }
 
-// setListing stores a listing. A restart of the endpoint clears its failures and leaving state.
+// setListing stores a listing. A restart of the endpoint clears its failures.
 func (e *listedEntry) setListing(listing chicoryhall.Listing, now time.Time) {
 	if e.listedAt.IsZero() || listing.Address != e.listing.Address {
 		e.listedAt = now
@@ -54,9 +52,8 @@
 	e.listing = listing
 	e.gone = false
 	e.missingSince = time.Time{}
+	e.said.onListing(listing, now)
 	if restarted {
-		e.refusedAsLeaving = false
-		e.pausedUntil = time.Time{}
 		e.unreachableAt = time.Time{}
 		e.failures = 0
 		e.suspectUntil = time.Time{}
@@ -75,7 +72,7 @@
 	switch {
 	case e.gone:
 		return chicoryhall.EndpointDead
-	case e.refusedAsLeaving || e.listing.Leaving:
+	case e.said.isLeaving(now) || e.listing.Leaving:
 		return chicoryhall.EndpointLeaving
 	case now.Before(e.suspectUntil):
 		return chicoryhall.EndpointSuspect
@@ -136,7 +133,7 @@
 	case chicoryhall.ObservedBrokenConnection, chicoryhall.ObservedSlow:
 		e.addAmbiguousFailure(now)
 	case chicoryhall.ObservedLeaving:
-		e.refusedAsLeaving = true
+		e.said.sayLeaving(e.listing.Incarnation, now)
 	case chicoryhall.ObservedFull:
 		e.refusedAt = now
 	}
--- a/watch/listedview.go
+++ b/watch/listedview.go
@@ -27,7 +27,7 @@
 		l.loadRatiosUpdatedAt = now
 	}
 	expected, slots := e.expectedRequests(), l.slotsOf(e)
-	paused := now.Before(e.pausedUntil)
+	paused := now.Before(e.said.pausedUntil)
 	return chicoryhall.EndpointView{
 		State: e.state(now), Load: e.load(expected), InFlight: e.inFlight, Utilization: math.Max(e.refusalWeight(now)/2, l.promptShare(e, expected)),
 		Occupancy: occupancyOf(expected, slots),
