pace: a limit that an endpoint states outlives a moment without its entry

A limit was forgotten as soon as the endpoint's entry was gone, so that an entry that vanished for a moment, or a restored older list, let this daemon send without a limit until the next answer stated it again; callers got the refusals.

Now it is kept for a minute without an entry, in which it neither excludes the endpoint nor tells callers when to return.

--- a/pace/limiter.go
+++ b/pace/limiter.go
@@ -1,6 +1,7 @@
 package pace
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -14,6 +15,9 @@
 // still gets a few requests, as only its answers tell when the limit ends.
 const minLimit = 0.5
 
+// unlistedMemory is how long a limit is kept of an endpoint that is not listed any more. Its entry may be back soon.
+const unlistedMemory = time.Minute
+
 // Endpoints tells where endpoints are.
 type Endpoints interface {
 	// FailureDomain returns the failure domain of a listed endpoint.
@@ -40,6 +44,9 @@
 	// perSecond is the number of requests a second from all daemons, statedAt when it was last stated.
 	perSecond float64
 	statedAt  time.Time
+	// isListed is set while the endpoint is listed, which was last seen at listedAt.
+	isListed bool
+	listedAt time.Time
 }
 
 // Limiter keeps this daemon's part of the limits that endpoints state. It is safe for concurrent use.
@@ -68,6 +75,7 @@
 func (l *Limiter) Record(statement Statement, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.expire(now)
 	known := l.limits[statement.Endpoint]
 	switch statement.Limit.Kind {
 	case chicoryhall.LimitNone:
@@ -90,7 +98,7 @@
 // add adds the limit of an endpoint. It starts with a random part of a token: most daemons learn of a limit at the same time,
 // and should not all have the first token at the same time.
 func (l *Limiter) add(statement Statement, now time.Time) *endpointLimit {
-	added := &endpointLimit{bucket: bucket{tokens: l.random(), filledAt: now}, service: statement.Service}
+	added := &endpointLimit{bucket: bucket{tokens: l.random(), filledAt: now}, service: statement.Service, isListed: true, listedAt: now}
 	l.limits[statement.Endpoint] = added
 	l.log.Log(event.EndpointLimitStated, "endpoint", statement.Endpoint, "service", statement.Service,
 		"limit", statement.Limit.PerSecond, "share", l.shareOf(statement.Endpoint, now))
@@ -102,10 +110,11 @@
 func (l *Limiter) Exhausted(service chicoryhall.ServiceName, now time.Time) ([]chicoryhall.EndpointID, time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.expire(now)
 	var exhausted []chicoryhall.EndpointID
 	wait := time.Duration(0)
 	for id, limit := range l.limits {
-		if limit.service != service {
+		if limit.service != service || !limit.isListed {
 			continue
 		}
 		rate := l.fill(id, limit, now)
@@ -152,12 +161,21 @@
 	return l.shares.Of(domain, now)
 }
 
-// onEndpoint forgets the limit of an endpoint that is no longer listed.
+// onEndpoint records whether an endpoint is listed.
 func (l *Limiter) onEndpoint(id chicoryhall.EndpointID, state chicoryhall.EndpointState) {
-	if state != chicoryhall.EndpointDead {
-		return
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.limits, id)
+	if known := l.limits[id]; known != nil {
+		known.isListed = state != chicoryhall.EndpointDead
+	}
+}
+
+// expire forgets the limits of endpoints that have not been listed for unlistedMemory. The caller holds l.mu.
+func (l *Limiter) expire(now time.Time) {
+	maps.DeleteFunc(l.limits, func(_ chicoryhall.EndpointID, limit *endpointLimit) bool {
+		if limit.isListed {
+			limit.listedAt = now
+		}
+		return now.Sub(limit.listedAt) > unlistedMemory
+	})
 }
