passthrough: a trial heeds what came while its reservation was asked for

Cause: the route of a suspect is chosen, then its endpoints are reserved in the store, which may take up to 2 s, and onReservation launched on that route without looking again. Class: a decision that outlives what it rests on.

Now the endpoints are looked at again; if one is paused or not ready any more, the reservation is released as not started and the exchange chooses anew after the usual pause, within the usual bound.

--- a/passthrough/endpoints_test.go
+++ b/passthrough/endpoints_test.go
@@ -17,6 +17,8 @@
 	progressed []chicoryhall.EndpointID
 	// pausedUntil holds the ends of the pauses that endpoints have asked for.
 	pausedUntil map[chicoryhall.EndpointID]time.Time
+	// leaving holds the endpoints that are leaving.
+	leaving map[chicoryhall.EndpointID]bool
 	// unreachable holds the endpoints that accept no connection.
 	unreachable sync.Map
 	// isBusy is set if all endpoints make progress at any time, for other requests.
@@ -29,8 +31,15 @@
 	e.isBusy = true
 }
 
-func (e *fakeEndpoints) View(chicoryhall.EndpointID) chicoryhall.EndpointView {
-	return chicoryhall.EndpointView{}
+// View returns that an endpoint is ready, or the state that leaving has for it, and whether it is paused.
+func (e *fakeEndpoints) View(id chicoryhall.EndpointID) chicoryhall.EndpointView {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	view := chicoryhall.EndpointView{Paused: time.Now().Before(e.pausedUntil[id])}
+	if e.leaving[id] {
+		view.State = chicoryhall.EndpointLeaving
+	}
+	return view
 }
 
 func (e *fakeEndpoints) Observe(id chicoryhall.EndpointID, observed chicoryhall.Observation) {
--- a/passthrough/quarantine.go
+++ b/passthrough/quarantine.go
@@ -102,6 +102,12 @@
 		x.config().Quarantine.Release(attempt, quarantine.TrialNotStarted)
 		return
 	}
+	runs := answer.Decision == quarantine.DecisionReserved || answer.Decision == quarantine.DecisionFree
+	if runs && !x.isOpen(route) {
+		x.config().Quarantine.Release(attempt, quarantine.TrialNotStarted)
+		x.awaitReservation(standing)
+		return
+	}
 	switch answer.Decision {
 	case quarantine.DecisionReserved:
 		x.config().Log.Log(event.SuspectIsolated, "request", x.callerHeaders.ID, "fingerprint", standing.Subject,
@@ -118,6 +124,14 @@
 	}
 }
 
+// isOpen reports whether the endpoints of a route that was chosen some time ago still take requests.
+func (x *callerExchange) isOpen(route chicoryhall.Route) bool {
+	return !slices.ContainsFunc(route.Hops, func(hop chicoryhall.Hop) bool {
+		view := x.config().Endpoints.View(hop.Engine)
+		return view.Paused || view.State != chicoryhall.EndpointReady
+	})
+}
+
 // awaitReservation starts the attempt again after a pause, or ends the exchange if it has waited for too long.
 func (x *callerExchange) awaitReservation(standing quarantine.Standing) {
 	now := x.config().Timer.Now()
--- a/passthrough/quarantine_test.go
+++ b/passthrough/quarantine_test.go
@@ -25,6 +25,8 @@
 	passed    []quarantine.Incarnation
 	wentOn    []quarantine.Fingerprint
 	losses    []quarantine.Loss
+	// onReserve is called before Reserve decides. It may be nil.
+	onReserve func()
 }
 
 func (q *fakeQuarantine) Standing(quarantine.Content, time.Time) quarantine.Standing {
@@ -34,6 +36,9 @@
 }
 
 func (q *fakeQuarantine) Reserve(attempt string, _ quarantine.Fingerprint, stages []quarantine.Stage, decided func(quarantine.Answer)) {
+	if q.onReserve != nil {
+		q.onReserve()
+	}
 	q.mu.Lock()
 	answer := quarantine.Answer{Decision: q.decisions[0]}
 	if len(q.decisions) > 1 {
@@ -130,6 +135,50 @@
 	}
 }
 
+// TestTrialHeedsWhatCameDuringItsReservation guards against trials at an endpoint that wants no requests since its reservation
+// was asked for.
+func TestTrialHeedsWhatCameDuringItsReservation(t *testing.T) {
+	const pause = 300 * time.Millisecond
+	cases := []struct {
+		name     string
+		decision quarantine.Decision
+		leaves   bool
+		status   int
+		sent     int
+	}{
+		{"reserved, a pause", quarantine.DecisionReserved, false, 200, 1},
+		{"no reservations can be made, a pause", quarantine.DecisionFree, false, 200, 1},
+		{"reserved, the endpoint leaves", quarantine.DecisionReserved, true, 503, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			endpoint := newEndpoint(t, answerWith("hello"))
+			w := startServer(t, testRules(), endpoint)
+			w.quarantine.standing, w.quarantine.decisions = crashedBefore(quarantine.StateSuspect), []quarantine.Decision{c.decision}
+			begun := time.Now()
+			w.quarantine.onReserve = func() {
+				w.endpoints.mu.Lock()
+				defer w.endpoints.mu.Unlock()
+				w.endpoints.pausedUntil["e0"] = begun.Add(pause)
+				w.endpoints.leaving = map[chicoryhall.EndpointID]bool{"e0": c.leaves}
+			}
+			got := w.ask(t, requestText("POST", "/safe/a", "1", "x"))
+			must.NoError(t, got.err)
+			must.Eq(t, c.status, got.status)
+			must.Len(t, c.sent, endpoint.requests())
+			must.GreaterEq(t, pause, time.Since(begun))
+			if c.decision != quarantine.DecisionReserved {
+				return
+			}
+			w.waitIdle(t)
+			w.quarantine.mu.Lock()
+			defer w.quarantine.mu.Unlock()
+			must.Eq(t, len(w.quarantine.reserved), len(w.quarantine.released))
+			must.Eq(t, "1/1 not-started", w.quarantine.released[0])
+		})
+	}
+}
+
 // TestTrialIsNotRepeatedAtOnce lets the trial of a suspect fail; a request that is no suspect goes to the second endpoint.
 func TestTrialIsNotRepeatedAtOnce(t *testing.T) {
 	cases := []struct {
