passthrough: what an answer says of its endpoint counts although nobody waits for it

What callers saw: an endpoint that asked for a pause, or said that it leaves, in the refusal of a request whose time was over, or in an answer to an earlier request on the connection, went on getting requests and refusing them.

Cause: pauses and leaving were read in the mailbox of the caller's exchange. An answer to an earlier request was discarded before that, one for an attempt that had ended meanwhile was dropped, and at the deadline the connection was closed at the very moment at which an endpoint with a queue sends its 503. Class: first-hand knowledge lost because it comes with something that is not wanted.

Now the connection knows which endpoint it leads to, and records what each answer says as soon as its head has been read. Bytes behind a complete answer still belong to no request and are not believed.

--- a/passthrough/answer.go
+++ b/passthrough/answer.go
@@ -25,8 +25,6 @@
 		a.exchange.config().Endpoints.Observe(a.route.Hops[0].Engine, chicoryhall.ObservedFull)
 	}
 	a.recordLimit()
-	a.recordLeaving()
-	a.recordPause()
 	a.reportProgress()
 	if response.StatusCode >= http.StatusMultipleChoices || a.answerHeaders.NotRun {
 		return
@@ -47,23 +45,6 @@
 	}
 }
 
-// recordLeaving records that the first endpoint is leaving, if its answer says so.
-func (a *attempt) recordLeaving() {
-	if a.answerHeaders.Leaving && !a.answerHeaders.Misdirected {
-		a.observeFirst(chicoryhall.ObservedLeaving)
-	}
-}
-
-// recordPause records that the first endpoint wants no requests for some time, if its answer says so.
-func (a *attempt) recordPause() {
-	if a.answerHeaders.RetryAfter <= 0 || a.answerHeaders.Misdirected || a.peer != nil {
-		return
-	}
-	until := a.exchange.config().Timer.Now().Add(a.answerHeaders.RetryAfter)
-	a.exchange.config().Metrics.pauseAsked(a.exchange.service)
-	a.exchange.config().Endpoints.Pause(a.route.Hops[0].Engine, until, a.exchange.callerHeaders.ID)
-}
-
 // recordLimit records what the answer says of the limit of the first endpoint, unless another endpoint has answered.
 func (a *attempt) recordLimit() {
 	if a.answerHeaders.Misdirected || a.peer != nil {
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -140,7 +140,7 @@
 	x.checkTimer.wakeBy(a.dueAt())
 	a.logStart(now)
 	x.server.pool.send(endpointRequest{
-		address: route.Hops[0].Address, method: x.head.Method, id: x.callerHeaders.ID, message: a.message(now), receiver: a,
+		address: route.Hops[0].Address, endpoint: route.Hops[0].Engine, method: x.head.Method, id: x.callerHeaders.ID, message: a.message(now), receiver: a,
 	})
 }
 
@@ -180,6 +180,24 @@
 	if a.ended {
 		return
 	}
+	a.release()
+	if abandon && a.conn != nil {
+		a.conn.abandon(a)
+	}
+}
+
+// endLate ends the attempt because the deadline has passed.
+func (a *attempt) endLate() {
+	if a.response != nil || a.peer != nil || a.conn == nil || a.ended {
+		a.end(true)
+		return
+	}
+	a.release()
+	a.conn.abandonLate(a)
+}
+
+// release releases what the attempt holds, but for the connection.
+func (a *attempt) release() {
 	a.ended = true
 	for _, hop := range a.route.Hops {
 		a.exchange.config().Endpoints.End(hop.Engine)
@@ -188,9 +206,6 @@
 		a.exchange.config().Relays.Release(a.peer.ID, a.exchange.service, a.peerOutcome)
 	}
 	a.endTrial(a.trialOutcome())
-	if abandon && a.conn != nil {
-		a.conn.abandon(a)
-	}
 }
 
 // onSending is called when the request is about to be written to a connection.
--- a/passthrough/callerexchange.go
+++ b/passthrough/callerexchange.go
@@ -294,7 +294,7 @@
 	if running {
 		x.current.reportLoss(quarantine.LossSilent)
 	}
-	x.abandonAttempts()
+	x.endAttempts((*attempt).endLate)
 	switch x.machine.FinalVerdict(running) {
 	case exchange.VerdictCut:
 		x.cutOff("the time for the answer is over")
@@ -356,11 +356,16 @@
 
 // abandonAttempts ends the attempts in progress.
 func (x *callerExchange) abandonAttempts() {
+	x.endAttempts(func(a *attempt) { a.end(true) })
+}
+
+// endAttempts ends each attempt in progress with a function.
+func (x *callerExchange) endAttempts(end func(*attempt)) {
 	for _, a := range x.held {
-		a.end(true)
+		end(a)
 	}
 	if x.current != nil {
-		x.current.end(true)
+		end(x.current)
 	}
 	x.current, x.held = nil, nil
 }
--- a/passthrough/endpoint.go
+++ b/passthrough/endpoint.go
@@ -40,6 +40,10 @@
 	current answerReceiver
 	id      chicoryhall.RequestID
 	method  string
+	// endpoint is the endpoint that the connection leads to, or empty if it leads to another daemon.
+	endpoint chicoryhall.EndpointID
+	// isLate is set once the request has been abandoned because its deadline has passed.
+	isLate bool
 
 	// The fields below are only used by the event loop.
 
@@ -78,7 +82,7 @@
 		conn.mu.Unlock()
 		return false
 	}
-	conn.current, conn.id, conn.method = request.receiver, request.id, request.method
+	conn.current, conn.id, conn.method, conn.endpoint = request.receiver, request.id, request.method, request.endpoint
 	conn.mu.Unlock()
 	request.receiver.onSending(conn)
 	// A failed write closes the connection, which ends the request through onClose.
@@ -112,6 +116,13 @@
 	return conn.current
 }
 
+// endpointID returns the endpoint that the connection leads to, or nothing if it leads to another daemon.
+func (conn *endpointConnection) endpointID() chicoryhall.EndpointID {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	return conn.endpoint
+}
+
 // takeReceiver ends the request in progress and returns its receiver.
 func (conn *endpointConnection) takeReceiver() answerReceiver {
 	conn.mu.Lock()
@@ -193,14 +204,19 @@
 
 // OnHead checks that the answer belongs to the request in progress and forwards its head to the receiver.
 func (conn *endpointConnection) OnHead(response *http.Response) error {
-	current := conn.receiver()
-	if current == nil || conn.answerEnded {
+	current, headers := conn.receiver(), conn.pool.dialect.ParseAnswer(response)
+	if current == nil {
+		conn.heedLate(headers)
+		return errUnsolicited
+	}
+	if conn.answerEnded {
 		return errUnsolicited
 	}
 	if response.StatusCode < http.StatusOK {
 		return conn.discard()
 	}
-	id := conn.pool.dialect.ParseAnswer(response).RequestID
+	conn.pool.heed(conn.endpointID(), headers)
+	id := headers.RequestID
 	// An answer with another ID belongs to an earlier request. One without an ID may do so too, unless it is the
 	// first on the connection.
 	if id != conn.id && (id != "" || conn.answerCount > 0) {
--- a/passthrough/metrics.go
+++ b/passthrough/metrics.go
@@ -20,6 +20,7 @@
 	stalled          *metrics.Counter
 	hedges           *metrics.Counter
 	hedgesAhead      *metrics.Counter
+	pauses           *metrics.Counter
 }
 
 // NewMetrics returns Metrics with all counters at zero.
@@ -33,6 +34,7 @@
 		stalled:          set.NewCounter("chicoryhall_attempts_stalled_total"),
 		hedges:           set.NewCounter("chicoryhall_hedges_total"),
 		hedgesAhead:      set.NewCounter("chicoryhall_hedges_ahead_total"),
+		pauses:           set.NewCounter("chicoryhall_endpoint_pauses_total"),
 		refusedExchanges: set.NewCounter("chicoryhall_exchanges_refused_total"),
 	}
 }
@@ -68,9 +70,7 @@
 }
 
 // pauseAsked counts an answer of an endpoint that wants no requests for some time.
-func (m *Metrics) pauseAsked(service chicoryhall.ServiceName) {
-	m.set.GetOrCreateCounter(fmt.Sprintf("chicoryhall_endpoint_pauses_total{service=%q}", service)).Inc()
-}
+func (m *Metrics) pauseAsked() { m.pauses.Inc() }
 
 // exchangeEnded counts an exchange and its duration.
 func (m *Metrics) exchangeEnded(class chicoryhall.ClassName, status int, duration time.Duration) {
--- a/passthrough/pool.go
+++ b/passthrough/pool.go
@@ -32,7 +32,9 @@
 // endpointRequest is a request to an endpoint.
 type endpointRequest struct {
 	address string
-	method  string
+	// endpoint is the endpoint at the address, or empty if another daemon is there.
+	endpoint chicoryhall.EndpointID
+	method   string
 	// id is the request's ID. The answer has to carry it, unless it is the first on its connection and carries none.
 	id chicoryhall.RequestID
 	// message is the encoded request.
@@ -59,6 +61,8 @@
 	loop    *nbio.Engine
 	dialect chicoryhall.Dialect
 	metrics *Metrics
+	// endpoints gets what answers say of their endpoints.
+	endpoints Endpoints
 	// source is the address that connections come from, or nil.
 	source  net.Addr
 	dials   errgroup.Group
@@ -68,7 +72,7 @@
 
 func newPool(config *Config, loop *nbio.Engine) *pool {
 	p := &pool{
-		timer: config.Timer, loop: loop, dialect: config.Dialect, metrics: config.Metrics,
+		timer: config.Timer, loop: loop, dialect: config.Dialect, metrics: config.Metrics, endpoints: config.Endpoints,
 		idle: idle.New[*endpointConnection](maxIdlePerEndpoint),
 	}
 	if config.SourceIP != nil {
