--- a/passthrough/config.go
+++ b/passthrough/config.go
@@ -43,8 +43,8 @@
 	MarkUnreachable(id chicoryhall.EndpointID)
 	// IsUnreachable reports whether an endpoint has accepted no connection, also one of a probe, and shown no progress since.
 	IsUnreachable(id chicoryhall.EndpointID) bool
-	// Pause records that an endpoint wants no requests of this daemon until a time, as its answer to a request said.
-	Pause(id chicoryhall.EndpointID, until time.Time, request chicoryhall.RequestID)
+	// RecordAnswer records what an answer says of the endpoint that sent it: that it is leaving, or wants no requests for some time.
+	RecordAnswer(id chicoryhall.EndpointID, headers chicoryhall.AnswerHeaders)
 	// ByAddress returns the endpoint that is listed at an address.
 	ByAddress(address string) (chicoryhall.EndpointID, bool)
 }
--- a/passthrough/endpoint.go
+++ b/passthrough/endpoint.go
@@ -206,7 +206,7 @@
 func (conn *endpointConnection) OnHead(response *http.Response) error {
 	current, headers := conn.receiver(), conn.pool.dialect.ParseAnswer(response)
 	if current == nil {
-		conn.heedLate(headers)
+		conn.recordLate(headers)
 		return errUnsolicited
 	}
 	if conn.answerEnded {
@@ -215,7 +215,7 @@
 	if response.StatusCode < http.StatusOK {
 		return conn.discard()
 	}
-	conn.pool.heed(conn.endpointID(), headers)
+	conn.pool.recordAnswer(conn.endpointID(), headers)
 	id := headers.RequestID
 	// An answer with another ID belongs to an earlier request. One without an ID may do so too, unless it is the
 	// first on the connection.
--- a/passthrough/endpoints_test.go
+++ b/passthrough/endpoints_test.go
@@ -80,10 +80,18 @@
 	return found
 }
 
-func (e *fakeEndpoints) Pause(id chicoryhall.EndpointID, until time.Time, _ chicoryhall.RequestID) {
+func (e *fakeEndpoints) RecordAnswer(id chicoryhall.EndpointID, headers chicoryhall.AnswerHeaders) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.pausedUntil[id] = until
+	if headers.Misdirected {
+		return
+	}
+	if headers.Leaving {
+		e.observed = append(e.observed, string(id)+" leaving")
+	}
+	if headers.RetryAfter > 0 {
+		e.pausedUntil[id] = time.Now().Add(headers.RetryAfter)
+	}
 }
 
 func (e *fakeEndpoints) ByAddress(string) (chicoryhall.EndpointID, bool) { return "", false }
--- a/passthrough/statement.go
+++ b/passthrough/statement.go
@@ -10,23 +10,19 @@
 // then, and may say that it wants no others.
 const lateAnswerTime = 100 * time.Millisecond
 
-// heed records what an answer says of the endpoint that sent it: that it is leaving, or wants no requests for some time. It does so
-// for each answer, whether or not somebody waits for it still.
-func (p *pool) heed(endpoint chicoryhall.EndpointID, headers chicoryhall.AnswerHeaders) {
-	if endpoint == "" || headers.Misdirected {
+// recordAnswer records what an answer says of the endpoint that sent it, whether or not somebody waits for it still.
+func (p *pool) recordAnswer(endpoint chicoryhall.EndpointID, headers chicoryhall.AnswerHeaders) {
+	if endpoint == "" {
 		return
 	}
-	if headers.Leaving {
-		p.endpoints.Observe(endpoint, chicoryhall.ObservedLeaving)
-	}
-	if headers.RetryAfter > 0 {
+	if headers.RetryAfter > 0 && !headers.Misdirected {
 		p.metrics.pauseAsked()
-		p.endpoints.Pause(endpoint, p.timer.Now().Add(headers.RetryAfter), headers.RequestID)
 	}
+	p.endpoints.RecordAnswer(endpoint, headers)
 }
 
 // abandonLate is abandon for a request whose deadline has passed. If no answer has begun, the connection is closed only after
-// lateAnswerTime, so that one which crosses the deadline is heeded.
+// lateAnswerTime, so that one which crosses the deadline is read.
 func (conn *endpointConnection) abandonLate(receiver answerReceiver) {
 	conn.mu.Lock()
 	waits := conn.current == receiver
@@ -39,12 +35,12 @@
 	}
 }
 
-// heedLate heeds an answer for which nobody waits, if its request was abandoned lately.
-func (conn *endpointConnection) heedLate(headers chicoryhall.AnswerHeaders) {
+// recordLate records an answer for which nobody waits, if its request was abandoned lately.
+func (conn *endpointConnection) recordLate(headers chicoryhall.AnswerHeaders) {
 	conn.mu.Lock()
 	isLate, endpoint := conn.isLate && headers.RequestID == conn.id, conn.endpoint
 	conn.mu.Unlock()
 	if isLate {
-		conn.pool.heed(endpoint, headers)
+		conn.pool.recordAnswer(endpoint, headers)
 	}
 }
--- a/watch/pause.go
+++ b/watch/pause.go
@@ -7,6 +7,20 @@
 	"chicoryhall.example/chicoryhall/event"
 )
 
+// RecordAnswer records what an answer says of the endpoint that sent it: that it is leaving, or wants no requests of this daemon for
+// some time. An answer of another endpoint at the address says nothing of it.
+func (l *ListedEndpoints) RecordAnswer(id chicoryhall.EndpointID, headers chicoryhall.AnswerHeaders) {
+	if headers.Misdirected {
+		return
+	}
+	if headers.Leaving {
+		l.Observe(id, chicoryhall.ObservedLeaving)
+	}
+	if headers.RetryAfter > 0 {
+		l.Pause(id, l.config.Timer.Now().Add(headers.RetryAfter), headers.RequestID)
+	}
+}
+
 // Pause records that an endpoint wants no requests of this daemon until a time, as it said in the answer to a request. An
 // earlier end of a pause is ignored. The pause also holds for an endpoint of the same service that is listed at the address
 // before it is over: it is the same one, which has started again.
--- a/watch/statement_test.go
+++ b/watch/statement_test.go
@@ -181,3 +181,28 @@
 		})
 	}
 }
+
+// TestAnswersSayWhatTheirEndpointWants checks what answers change.
+func TestAnswersSayWhatTheirEndpointWants(t *testing.T) {
+	cases := []struct {
+		name    string
+		headers chicoryhall.AnswerHeaders
+		state   chicoryhall.EndpointState
+		paused  bool
+	}{
+		{"nothing said", chicoryhall.AnswerHeaders{}, chicoryhall.EndpointReady, false},
+		{"leaving", chicoryhall.AnswerHeaders{Leaving: true}, chicoryhall.EndpointLeaving, false},
+		{"a pause", chicoryhall.AnswerHeaders{RetryAfter: time.Second}, chicoryhall.EndpointReady, true},
+		{"both", chicoryhall.AnswerHeaders{Leaving: true, RetryAfter: time.Second}, chicoryhall.EndpointLeaving, true},
+		{"of another endpoint", chicoryhall.AnswerHeaders{Misdirected: true, Leaving: true, RetryAfter: time.Second}, chicoryhall.EndpointReady, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newListedFixture()
+			w.Replace([]chicoryhall.Listing{listing("e")})
+			w.RecordAnswer("e", c.headers)
+			must.Eq(t, c.state, w.state("e"))
+			must.Eq(t, c.paused, w.View("e").Paused)
+		})
+	}
+}
