passthrough: callers are told when the endpoints' pauses end

Now a request that can't start before its wait is over is refused at once, and callers return soon after the first pause ends, spread over a quarter of it and at most a second, so that not all come at once.

TestCallersReturnWhenThePauseEnds: three of three cases failed before.

--- a/passthrough/callerexchange.go
+++ b/passthrough/callerexchange.go
@@ -213,6 +213,9 @@
 	if x.mustRelay() && x.handOver() {
 		return
 	}
+	if x.refuseDuringPause() {
+		return
+	}
 	query := chicoryhall.AdmissionQuery{
 		Service: x.service, Class: x.class.Name, Organisation: x.organisation, Deadline: x.deadline,
 		ExpectedDuration: x.expectedDuration(), Tokens: x.callerHeaders.PromptTokens + x.callerHeaders.AnswerTokens, MaxWait: x.maxAdmissionWait(),
--- a/passthrough/config.go
+++ b/passthrough/config.go
@@ -45,6 +45,8 @@
 	IsUnreachable(id chicoryhall.EndpointID) bool
 	// RecordAnswer records what an answer says of the endpoint that sent it: that it is leaving, or wants no requests for some time.
 	RecordAnswer(id chicoryhall.EndpointID, headers chicoryhall.AnswerHeaders)
+	// AllPaused reports whether all ready endpoints of a service want no requests now, and when the first of these pauses ends.
+	AllPaused(service chicoryhall.ServiceName) (until time.Time, all bool)
 	// ByAddress returns the endpoint that is listed at an address.
 	ByAddress(address string) (chicoryhall.EndpointID, bool)
 }
--- a/passthrough/endpoints_test.go
+++ b/passthrough/endpoints_test.go
@@ -94,6 +94,22 @@
 	}
 }
 
+// AllPaused considers the endpoints that have ever asked for a pause.
+func (e *fakeEndpoints) AllPaused(chicoryhall.ServiceName) (until time.Time, all bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, end := range e.pausedUntil {
+		if !time.Now().Before(end) {
+			return time.Time{}, false
+		}
+		if !all || end.Before(until) {
+			until = end
+		}
+		all = true
+	}
+	return until, all
+}
+
 func (e *fakeEndpoints) ByAddress(string) (chicoryhall.EndpointID, bool) { return "", false }
 
 func (e *fakeEndpoints) ReportRunning(chicoryhall.EndpointID, int) {}
--- a/passthrough/failure.go
+++ b/passthrough/failure.go
@@ -29,7 +29,7 @@
 	if verdict != exchange.VerdictNotRun {
 		reason = "no endpoints to go on at: " + reason
 	}
-	x.endWithoutAnswer(verdict, retryAfterOf(err), reason)
+	x.endWithoutAnswer(verdict, x.retryAfterPause(retryAfterOf(err)), reason)
 }
 
 // finalVerdict returns the verdict on a request that is not sent again. It may be called before admission.
@@ -115,7 +115,7 @@
 		if x.handOverUnsent() {
 			return
 		}
-		x.endWithoutAnswer(verdict, retryAfterRefused, "endpoints refused or were not reached: "+cause.Error())
+		x.endWithoutAnswer(verdict, x.retryAfterPause(retryAfterRefused), "endpoints refused or were not reached: "+cause.Error())
 	case exchange.VerdictPassOn:
 		x.forwardAnswer(a)
 	default: // VerdictCut and VerdictUnknown.
--- a/passthrough/pause_test.go
+++ b/passthrough/pause_test.go
@@ -4,11 +4,14 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"chicoryhall.example/chicoryhall"
 )
 
 // TestPausesThatEndpointsAskForAreRecorded guards against requests to endpoints that have asked for none.
@@ -78,3 +81,39 @@
 		})
 	}
 }
+
+// TestCallersReturnWhenThePauseEnds guards against callers that come back while all endpoints want no requests, and against such
+// that wait for nothing.
+func TestCallersReturnWhenThePauseEnds(t *testing.T) {
+	cases := []struct {
+		name  string
+		pause time.Duration
+		// before says whether the pause has begun when the request comes; otherwise its answer asks for it.
+		before bool
+		sent   int
+	}{
+		{"before the request", 3 * time.Second, true, 0},
+		{"by the answer to the request", 3 * time.Second, false, 1},
+		{"short, by the answer to the request", 200 * time.Millisecond, false, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			endpoint := newEndpoint(t, func(conn net.Conn, _ int, request *http.Request) bool {
+				return send(conn, fmt.Sprintf("HTTP/1.1 503 Full\r\nId: %s\r\nNot-Run: 1\r\nPause: %s\r\nContent-Length: 0\r\n\r\n", request.Header.Get("Id"), c.pause))
+			})
+			w := startServer(t, testRules(), endpoint)
+			if c.before {
+				w.endpoints.RecordAnswer("e0", chicoryhall.AnswerHeaders{RetryAfter: c.pause})
+			}
+			begun := time.Now()
+			got := w.ask(t, requestText("POST", "/unsafe/a", "1", "x"))
+			must.NoError(t, got.err)
+			must.Eq(t, http.StatusServiceUnavailable, got.status)
+			must.Less(t, 200*time.Millisecond, time.Since(begun))
+			after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+			must.NoError(t, err)
+			must.Between(t, c.pause.Seconds()*0.9, after, c.pause.Seconds()*1.3)
+			must.Len(t, c.sent, endpoint.requests())
+		})
+	}
+}
