quarantine: a content lost at two endpoints runs in a trial before the list shows why

Cause: where the address of a crashed endpoint is silent, only the list shows the crash, 3 s later, to each daemon at another time. One had lost an attempt at y-p0 by a broken connection and one at x-p0 by silence; x-p0 was shown to have ended, y-p0 not yet, and the other daemon's report was still on its way, so the content was free there and ran with a retry: 3.40 and 3.44 s, two endpoints instead of one. Class: first-hand evidence is not used until a slower witness confirms it.

Now a connection that broke under an attempt, at an endpoint from which nothing has come since, counts as an incident for the choice between a free run and a trial, at the daemon that saw it.

--- a/cmd/chicoryhall/platformdaemon/crashes.go
+++ b/cmd/chicoryhall/platformdaemon/crashes.go
@@ -134,6 +134,13 @@
 	return true
 }
 
+// pending returns what the losses show of a fingerprint before their cause is known.
+func (c *crashes) pending(fingerprint quarantine.Fingerprint, now time.Time) quarantine.Pending {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.losses.Pending(fingerprint, c.endpoints.LastProgress, now)
+}
+
 func (c *crashes) isCrashed(incarnation quarantine.Incarnation) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/cmd/chicoryhall/platformdaemon/quarantine.go
+++ b/cmd/chicoryhall/platformdaemon/quarantine.go
@@ -56,9 +56,14 @@
 	return ctx.Err()
 }
 
-// Standing returns what the daemons know of a content.
+// Standing returns what the daemons know of a content. One that they know too little of is a suspect also with what this daemon
+// has seen and has no proof of yet.
 func (s *quarantineService) Standing(content quarantine.Content, now time.Time) quarantine.Standing {
-	return s.evidence.ContentStanding(content, now)
+	standing := s.evidence.ContentStanding(content, now)
+	if standing.State != quarantine.StateFree {
+		return standing
+	}
+	return standing.WithPending(content.Whole, s.crashes.pending(content.Whole, now))
 }
 
 // Lost looks for a crash of the endpoints of a lost attempt.
--- a/cmd/chicoryhall/platformdaemon/quarantine_test.go
+++ b/cmd/chicoryhall/platformdaemon/quarantine_test.go
@@ -260,3 +260,31 @@
 	one.reports.exchange(ctx)
 	must.MapContainsKeys(t, restored.Snapshot(), []string{reportPrefix + "one", platform.AlertKey("one")})
 }
+
+// TestLossesWithoutProofMakeSuspects guards against free runs of a content that this daemon has lost at two endpoints, of which the
+// list shows only one to have ended yet.
+func TestLossesWithoutProofMakeSuspects(t *testing.T) {
+	clock := timer.NewManual(time.Unix(1000, 0))
+	s := newTestQuarantineAt(clock, "one", &tabletest.Store{})
+	s.crashes.probeAddress = func(context.Context, string) crashProbe { return probeAlive }
+	listings := []chicoryhall.Listing{{ID: "x", Service: "s", Address: "x:1", Incarnation: 1}, {ID: "y", Service: "s", Address: "y:1", Incarnation: 1}}
+	s.crashes.endpoints.Replace(listings)
+	lose := func(attempt string, listing chicoryhall.Listing, cause quarantine.LossCause) {
+		stage := quarantine.Stage{Incarnation: quarantine.Incarnation{Endpoint: listing.ID, Number: 1}, Address: listing.Address}
+		s.Lost(quarantine.Loss{
+			Fingerprint: suspect, Attempt: attempt, Stages: []quarantine.Stage{stage}, Cause: cause, StartedAt: clock.Now(), LostAt: clock.Now(),
+		})
+	}
+	state := func() quarantine.State { return s.Standing(quarantine.Content{Whole: suspect}, clock.Now()).State }
+	lose("a/1", listings[0], quarantine.LossBroken)
+	lose("a/2", listings[1], quarantine.LossSilent)
+	must.Eq(t, quarantine.StateFree, state())
+	clock.Advance(3 * time.Second)
+	listings[1].ID, listings[1].Incarnation = "y-1", 2
+	s.crashes.endpoints.Replace(listings)
+	must.Eq(t, quarantine.StateSuspect, state())
+	standing := s.Standing(quarantine.Content{Whole: suspect}, clock.Now())
+	s.Passed(suspect, standing.Crashes)
+	s.crashes.endpoints.Observe("x", chicoryhall.ObservedProgress)
+	must.Eq(t, quarantine.StateFree, state())
+}
--- a/quarantine/losses.go
+++ b/quarantine/losses.go
@@ -122,6 +122,35 @@
 	return explained
 }
 
+// Pending is what the losses show of a fingerprint before a crash is known that explains them.
+type Pending struct {
+	// Crashes are the incarnations that attempts may have crashed.
+	Crashes []Incarnation
+	// Position is the highest position at which one of the attempts was lost.
+	Position int64
+}
+
+// Pending returns the incarnations that attempts with a fingerprint may have crashed: their connections broke there, no crash is
+// known yet that explains it, and nothing has come from there since. lastProgress returns when an endpoint was last seen working.
+func (l *Losses) Pending(fingerprint Fingerprint, lastProgress func(chicoryhall.EndpointID) time.Time, now time.Time) Pending {
+	l.expire(now)
+	var pending Pending
+	for i := range l.recent {
+		loss := &l.recent[i]
+		if loss.Fingerprint != fingerprint || loss.Cause != LossBroken || loss.Explained || len(loss.Stages) == 0 {
+			continue
+		}
+		first := loss.Stages[0].Incarnation // It answers for the whole route.
+		isAlive := lastProgress(first.Endpoint).After(loss.LostAt.Add(progressTolerance))
+		if isAlive || l.Crashed(first) {
+			continue
+		}
+		pending.Crashes = appendMissing(pending.Crashes, []Incarnation{first})
+		pending.Position = max(pending.Position, loss.Position)
+	}
+	return pending
+}
+
 // Unexplained returns the stages at an endpoint that have losses without a known crash.
 func (l *Losses) Unexplained(id chicoryhall.EndpointID, now time.Time) []Stage {
 	return l.unexplained(now, func(stage Stage, _ *Loss) bool { return stage.Endpoint == id })
--- a/quarantine/losses_test.go
+++ b/quarantine/losses_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/quarantine"
 )
 
@@ -100,3 +101,55 @@
 	must.True(t, l.CrashedElsewhere(lossAt(0, other), time.Second, lossStart.Add(time.Second)))
 	must.False(t, l.CrashedElsewhere(lossAt(0, other), time.Second, lossStart.Add(2*time.Second)))
 }
+
+// TestPendingLossesMakeSuspects guards against free runs of a content whose attempts broke off at several endpoints, before
+// anything shows that these have crashed.
+func TestPendingLossesMakeSuspects(t *testing.T) {
+	broken := func(endpoint quarantine.Incarnation, position int64) quarantine.Loss {
+		loss := lossAt(0, endpoint, quarantine.Incarnation{Endpoint: "later stage"})
+		loss.Cause, loss.Position = quarantine.LossBroken, position
+		return loss
+	}
+	silent, foreign := broken(other, 0), broken(other, 0)
+	silent.Cause, foreign.Fingerprint = quarantine.LossSilent, 8
+	never, later := lossStart.Add(-time.Minute), lossStart.Add(time.Second)
+	cases := []struct {
+		name         string
+		losses       []quarantine.Loss
+		known        int // incidents that are known anyway
+		lastProgress time.Time
+		crash        *quarantine.Incarnation
+		after        time.Duration
+		want         quarantine.State
+	}{
+		{"two endpoints", []quarantine.Loss{broken(first, 3), broken(other, 5)}, 0, never, nil, 0, quarantine.StateSuspect},
+		{"one endpoint twice", []quarantine.Loss{broken(first, 0), broken(first, 0)}, 0, never, nil, 0, quarantine.StateFree},
+		{"one endpoint", []quarantine.Loss{broken(first, 0)}, 0, never, nil, 0, quarantine.StateFree},
+		{"one endpoint, one incident known", []quarantine.Loss{broken(first, 0)}, 1, never, nil, 0, quarantine.StateSuspect},
+		{"two endpoints that work", []quarantine.Loss{broken(first, 0), broken(other, 0)}, 0, later, nil, 0, quarantine.StateFree},
+		{"one broken, one silent", []quarantine.Loss{broken(first, 0), silent}, 0, never, nil, 0, quarantine.StateFree},
+		{"one of another content", []quarantine.Loss{broken(first, 0), foreign}, 0, never, nil, 0, quarantine.StateFree},
+		{"one explained by a crash", []quarantine.Loss{broken(first, 0), broken(other, 0)}, 0, never, &other, 0, quarantine.StateFree},
+		{"long ago", []quarantine.Loss{broken(first, 0), broken(other, 0)}, 0, never, nil, time.Minute, quarantine.StateFree},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := quarantine.NewLosses()
+			for _, loss := range c.losses {
+				l.Add(loss)
+			}
+			if c.crash != nil {
+				l.AddCrash(*c.crash, never, lossStart)
+			}
+			lastProgress := func(chicoryhall.EndpointID) time.Time { return c.lastProgress }
+			pending := l.Pending(7, lastProgress, lossStart.Add(c.after))
+			standing := quarantine.Standing{Incidents: c.known}.WithPending(7, pending)
+			must.Eq(t, c.want, standing.State)
+			if c.want == quarantine.StateSuspect {
+				must.Eq(t, quarantine.Fingerprint(7), standing.Subject)
+				must.Eq(t, c.known+len(pending.Crashes), standing.Incidents)
+				must.Eq(t, pending.Position+2, standing.ProvenAt)
+			}
+		})
+	}
+}
--- a/quarantine/standing.go
+++ b/quarantine/standing.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Standing is what is known of requests with one content, or with one fingerprint.
 type Standing struct {
@@ -20,6 +23,19 @@
 	ProvenAt int64
 }
 
+// WithPending returns the standing of a free content whose attempts may also have caused pending crashes, each an incident. It is a
+// suspect if these and what is known are incidents enough: a trial costs little, and another free run may end endpoints.
+func (s Standing) WithPending(content Fingerprint, pending Pending) Standing {
+	if len(pending.Crashes) == 0 || s.Incidents+len(pending.Crashes) < suspectIncidents {
+		return s
+	}
+	s.State, s.Subject = StateSuspect, content
+	s.Incidents += len(pending.Crashes)
+	s.Crashes = append(slices.Clone(s.Crashes), pending.Crashes...)
+	s.ProvenAt = max(s.ProvenAt, pending.Position+provenEvents)
+	return s
+}
+
 // Standing returns what is known of a fingerprint.
 func (e *Evidence) Standing(fingerprint Fingerprint, now time.Time) Standing {
 	e.mu.Lock()
