passthrough: a caller's connection is published to the event loop that reads it

What the race detector saw, in each run of TestDrainFinishesExchangesInProgress: newConnection in the goroutine that accepts against onData in the one that reads, ordered only by epoll, which the detector does not know. Nothing was seen to go wrong by it.

The mailbox, through which all events enter, is now set last and atomically. go test -race ./passthrough passes, three times for that test; before, two reports each time.

--- a/passthrough/connection.go
+++ b/passthrough/connection.go
@@ -40,7 +40,8 @@
 	socket *nbio.Conn
 	// isPeer is set if another daemon has opened the connection, at the address for daemons.
 	isPeer bool
-	box    *mailbox.Box[message]
+	// box is set last, as the event loop that reads the connection runs in another goroutine than the one that accepts it.
+	box    atomic.Pointer[mailbox.Box[message]]
 	reader *http1.Reader[*http.Request]
 
 	// head and body are those of the request that is being read.
@@ -76,13 +77,13 @@
 func newConnection(s *Server, socket *nbio.Conn) *connection {
 	isPeer := s.config.PeerAddress != "" && socket.LocalAddr().String() == s.config.PeerAddress
 	conn := &connection{server: s, socket: socket, isPeer: isPeer}
-	conn.box = mailbox.New(conn.handle, func(m message) message {
-		m.data = slices.Clone(m.data)
-		return m
-	})
 	conn.limits = conn.currentLimits()
 	conn.reader = http1.NewRequestReader(conn, conn.limits)
 	conn.closeTimer = wakeupTimer{timer: s.config.Timer, post: conn.post, wake: conn.onCloseDue}
+	conn.box.Store(mailbox.New(conn.handle, func(m message) message {
+		m.data = slices.Clone(m.data)
+		return m
+	}))
 	return conn
 }
 
@@ -121,9 +122,9 @@
 }
 
 // post runs a function in the connection's mailbox.
-func (conn *connection) post(function func()) { conn.box.Post(message{call: function}) }
+func (conn *connection) post(function func()) { conn.box.Load().Post(message{call: function}) }
 
-func (conn *connection) onData(data []byte) { conn.box.Post(message{data: data}) }
+func (conn *connection) onData(data []byte) { conn.box.Load().Post(message{data: data}) }
 
 func (conn *connection) onClose(err error) { conn.post(func() { conn.handleClose(err) }) }
 
