quarantine: a content explains crashes beside a part that is heavy enough to be convicted

Class: a conclusion from evidence that is shared by many erases evidence of its own.

Now a part is convicted by weight only if no content was lost apart from it in as many of its incidents, or one less. Attempts that hold the part don't count as apart, so contents never protect their own guilty part. Without the conviction the part runs in a trial, which shows more. Only contents in three incidents or more are compared, so the work stays within the bounds of TestChangeInStormTakesBoundedWork.

--- a/quarantine/derivation.go
+++ b/quarantine/derivation.go
@@ -13,6 +13,8 @@
 	crashes  map[Incarnation]*crashLosses
 	// candidates are the fingerprints that may be convicted.
 	candidates map[Fingerprint]bool
+	// repeated are the contents that were lost in as many incidents as a conviction takes.
+	repeated map[Fingerprint]bool
 	// changed are the fingerprints to be compared again, and changedCrashes the crashes in which others have to be.
 	changed        map[Fingerprint]bool
 	changedCrashes map[Incarnation]bool
@@ -32,7 +34,8 @@
 func newDerivation() *derivation {
 	return &derivation{
 		subjects: make(map[Fingerprint]*subject), crashes: make(map[Incarnation]*crashLosses), candidates: make(map[Fingerprint]bool),
-		changed: make(map[Fingerprint]bool), changedCrashes: make(map[Incarnation]bool),
+		repeated: make(map[Fingerprint]bool),
+		changed:  make(map[Fingerprint]bool), changedCrashes: make(map[Incarnation]bool),
 	}
 }
 
@@ -52,11 +55,15 @@
 	before := d.subjects[fingerprint]
 	d.setAttempts(fingerprint, before, involved, !isSameRival(before, after))
 	delete(d.candidates, fingerprint)
+	delete(d.repeated, fingerprint)
 	if after == nil {
 		delete(d.subjects, fingerprint)
 		return
 	}
 	d.subjects[fingerprint] = after
+	if !after.isPart && len(after.incidents) >= convictionIncidents {
+		d.repeated[fingerprint] = true
+	}
 	if after.mayBeConvicted() {
 		d.candidates[fingerprint] = true
 		d.changed[fingerprint] = true
@@ -160,6 +167,34 @@
 			known.strongestRival = max(known.strongestRival, d.crashes[ended].strongestBeside(fingerprint))
 		}
 	}
+	if known.isPart && known.weight() >= convictionContents {
+		known.strongestRival = max(known.strongestRival, d.strongestContentBeside(known))
+	}
+}
+
+// strongestContentBeside returns the greatest number of a part's incidents in which one content was lost by attempts that did not
+// hold the part. Contents in fewer incidents than a conviction takes explain too little.
+func (d *derivation) strongestContentBeside(part *subject) int {
+	strongest := 0
+	for content := range d.repeated {
+		shared := 0
+		for _, one := range part.incidents {
+			if d.isLostBeside(content, one) {
+				shared++
+			}
+		}
+		strongest = max(strongest, shared)
+	}
+	return strongest
+}
+
+// isLostBeside reports whether a content was lost in an incident's crashes by an attempt that is not the incident's.
+func (d *derivation) isLostBeside(content Fingerprint, one *incident) bool {
+	isBeside := func(attempt string) bool { return !slices.Contains(one.attempts, attempt) }
+	return slices.ContainsFunc(one.crashes, func(ended Incarnation) bool {
+		d.work++
+		return slices.ContainsFunc(d.crashes[ended].attempts[content], isBeside)
+	})
 }
 
 // strongestBeside returns the greatest weight of another part.
--- a/quarantine/incident.go
+++ b/quarantine/incident.go
@@ -59,7 +59,9 @@
 	// position is the highest position at which an attempt was lost.
 	position int64
 	// isPart is set if the fingerprint is that of a part of prompts. contents are then the lost contents that held the part,
-	// and strongestRival is the greatest weight of another part that was involved in one of the crashes.
+	// and strongestRival is the greatest weight of another part that was involved in one of the crashes, or the number of incidents
+	// in which one content was lost apart from the part, if that is greater. Contents are only counted if the part has the weight
+	// for a conviction.
 	isPart         bool
 	contents       map[Fingerprint]bool
 	strongestRival int
--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -41,6 +41,26 @@
 	return all
 }
 
+// repeatedly returns the involvements of a content in so many crashes, those of partLostOften.
+func repeatedly(content quarantine.Fingerprint, count int) []quarantine.Involvement {
+	var all []quarantine.Involvement
+	for i := range count {
+		endpoint := string(rune('a' + i))
+		all = append(all, lost(content, fmt.Sprintf("%s at %s", content, endpoint), endpoint))
+	}
+	return all
+}
+
+// held returns the involvements of a part in so many crashes, each by attempts of another content and of one that is in all.
+func held(part, content quarantine.Fingerprint, count int) []quarantine.Involvement {
+	all := append(partLostOften(part, count), repeatedly(content, count)...)
+	for _, one := range repeatedly(content, count) {
+		one.Fingerprint, one.Content = part, content
+		all = append(all, one)
+	}
+	return all
+}
+
 func TestPartStandings(t *testing.T) {
 	with := func(count int, more ...quarantine.Involvement) []quarantine.Involvement {
 		return append(partLostOften(guiltyPart, count), more...)
@@ -77,6 +97,11 @@
 		{"in crashes that a convicted part explains", append(with(5), partLostOften(soundPart, 3)...), nil, 0, soundPart, quarantine.StateFree},
 		{"in as many crashes without a conviction", partLostOften(soundPart, 3), nil, 0, soundPart, quarantine.StateSuspect},
 		{"trial, reports may be missing", with(2, partIsolated(guiltyPart, 20, "x")), nil, time.Second, guiltyPart, quarantine.StateUnsettled},
+		{"a content in all of the crashes, apart from it", with(5, repeatedly(culprit, 5)...), nil, 0, guiltyPart, quarantine.StateSuspect},
+		{"that content", with(5, repeatedly(culprit, 5)...), nil, 0, culprit, quarantine.StateSuspect},
+		{"a content in all but one, apart from it", with(5, repeatedly(culprit, 4)...), nil, 0, guiltyPart, quarantine.StateSuspect},
+		{"a content in some, apart from it", with(5, repeatedly(culprit, 3)...), nil, 0, guiltyPart, quarantine.StateConvicted},
+		{"a content that holds it, in all of them", with(0, held(guiltyPart, culprit, 4)...), nil, 0, guiltyPart, quarantine.StateConvicted},
 		{"trial", with(2, partIsolated(guiltyPart, 20, "x")), nil, 1500 * time.Millisecond, guiltyPart, quarantine.StateConvicted},
 		{
 			"trial beside the request's own content", with(2, partIsolated(guiltyPart, 20, "x"), lost(20, "20 at x", "x"), lost(20, "20 at y", "y")),
--- a/quarantine/reference_test.go
+++ b/quarantine/reference_test.go
@@ -454,6 +454,8 @@
 	isPart         bool
 	contents       map[Fingerprint]bool
 	strongestRival int
+	// beside are the incidents in which each content was lost by attempts that did not hold the part.
+	beside map[Fingerprint]map[*referenceIncident]bool
 }
 
 // newReferenceSubject returns the subject of an involvement's fingerprint, without any incident.
@@ -470,6 +472,18 @@
 	}
 }
 
+// addBeside notes that a content was lost in an incident by an attempt that did not hold the part.
+func (s *referenceSubject) addBeside(content Fingerprint, one *referenceIncident) {
+	if s.beside == nil {
+		s.beside = make(map[Fingerprint]map[*referenceIncident]bool)
+	}
+	if s.beside[content] == nil {
+		s.beside[content] = make(map[*referenceIncident]bool)
+	}
+	s.beside[content][one] = true
+	s.strongestRival = max(s.strongestRival, len(s.beside[content]))
+}
+
 // compare notes that another fingerprint was involved in a crash of an incident. Parts are lost in crashes as often as
 // requests have them, so a part is a rival only if it is suspicious itself, and within one request only if it is not less
 // suspicious. The content of a request is no rival of its own parts.
@@ -481,6 +495,9 @@
 		one.hasRivals = one.hasRivals || rival.isSuspicious() && (!sameAttempt || rival.weight() >= s.weight())
 	case s.isPart || rival.isPart:
 		one.hasRivals = one.hasRivals || rival.isSuspicious() && !sameAttempt
+		if s.isPart && !sameAttempt {
+			s.addBeside(other.Fingerprint, one)
+		}
 	default:
 		one.hasRivals = true
 	}
