quarantine: a content lost in three incidents is not freed by a part's conviction

The bound of three trials, kept by the store, holds only for suspects, so free runs came on top of it.

Now what a convicted part explains still frees contents that were lost once or twice beside it, which is most of them, but one with as many incidents as a conviction takes stays a suspect. It runs in a trial and clears itself if it is sound. So whatever is concluded elsewhere, it comes to three trials at most.

Evidence: the case 'a content in more crashes than a convicted part hides' of TestPartStandings failed before (free). The reference of TestIncrementalDerivationEqualsFullOne has the same rule.

--- a/quarantine/derivation.go
+++ b/quarantine/derivation.go
@@ -61,7 +61,7 @@
 		return
 	}
 	d.subjects[fingerprint] = after
-	if !after.isPart && len(after.incidents) >= convictionIncidents {
+	if after.isLostOften() {
 		d.repeated[fingerprint] = true
 	}
 	if after.mayBeConvicted() {
--- a/quarantine/incident.go
+++ b/quarantine/incident.go
@@ -164,6 +164,9 @@
 	}
 }
 
+// isLostOften reports whether the subject is a content that was lost in as many incidents as a conviction takes.
+func (s *subject) isLostOften() bool { return !s.isPart && len(s.incidents) >= convictionIncidents }
+
 // mayBeConvicted reports whether the subject has incidents enough of the kind that convictions rest on.
 func (s *subject) mayBeConvicted() bool {
 	return s.isPart && s.weight() >= convictionContents || s.isIsolated()
--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -121,6 +121,7 @@
 		},
 		{"the conviction has lapsed", with(4), nil, 2 * time.Minute, guiltyPart, quarantine.StateSuspect},
 		{"a content in crashes that a convicted part explains", with(4, lost(innocent, "i1", "a"), lost(innocent, "i2", "b")), nil, 0, innocent, quarantine.StateFree},
+		{"a content in more crashes than a convicted part hides", with(5, repeatedly(culprit, 3)...), nil, 0, culprit, quarantine.StateSuspect},
 		{"a content in as many crashes without a conviction", with(3, lost(innocent, "i1", "a"), lost(innocent, "i2", "b")), nil, 0, innocent, quarantine.StateSuspect},
 	}
 	for _, c := range cases {
--- a/quarantine/reference_test.go
+++ b/quarantine/reference_test.go
@@ -27,6 +27,8 @@
 	subjects map[Fingerprint]*referenceSubject
 	changed  bool
 	staleAt  time.Time
+	// all are the subjects without regard to what convicted parts explain.
+	all map[Fingerprint]*referenceSubject
 	// work counts the involvements added to subjects, and the comparisons of fingerprints.
 	work int
 }
@@ -225,6 +227,7 @@
 	e.updateKnownAt(involved, now)
 	e.subjects, e.staleAt = make(map[Fingerprint]*referenceSubject), time.Time{}
 	e.addSubjects(involved, now)
+	e.all = e.subjects
 	if explaining := e.convictedCrashes(now); len(explaining) > 0 {
 		e.subjects, e.staleAt = make(map[Fingerprint]*referenceSubject), time.Time{}
 		e.addSubjects(slices.DeleteFunc(involved, func(one Involvement) bool { return isExplainedIn(one, explaining[one.Incarnation]) }), now)
@@ -678,7 +681,16 @@
 
 // standing returns what is known of a fingerprint. The caller holds e.mu.
 func (e *reference) standing(fingerprint Fingerprint, now time.Time) Standing {
-	known := e.subjects[fingerprint]
+	known := referenceStandingOf(e.subjects[fingerprint], fingerprint, now)
+	all := e.all[fingerprint]
+	if known.State == StateFree && all != nil && !all.isPart && len(all.incidents) >= convictionIncidents {
+		known = referenceStandingOf(all, fingerprint, now)
+		known.State = StateSuspect
+	}
+	return known
+}
+
+func referenceStandingOf(known *referenceSubject, fingerprint Fingerprint, now time.Time) Standing {
 	switch {
 	case known == nil:
 		return Standing{Subject: fingerprint}
--- a/quarantine/standing.go
+++ b/quarantine/standing.go
@@ -64,9 +64,19 @@
 	return part
 }
 
-// standing returns what is known of a fingerprint. The caller holds e.mu.
+// standing returns what is known of a fingerprint. A content that was lost too often stays a suspect although convicted parts explain
+// its incidents, as the convictions may be wrong. The caller holds e.mu.
 func (e *Evidence) standing(fingerprint Fingerprint, now time.Time) Standing {
-	known := e.rest.subjects[fingerprint]
+	known := standingOf(e.rest.subjects[fingerprint], fingerprint, now)
+	if all := e.all.subjects[fingerprint]; known.State == StateFree && all != nil && all.isLostOften() {
+		known = standingOf(all, fingerprint, now)
+		known.State = StateSuspect
+	}
+	return known
+}
+
+// standingOf returns what a subject, which may be nil, says of a fingerprint.
+func standingOf(known *subject, fingerprint Fingerprint, now time.Time) Standing {
 	switch {
 	case known == nil:
 		return Standing{Subject: fingerprint}
