Known red: a sound part is convicted before the reports of others arrive

Traced: the topic was lost in four crashes within 0.4 s at one daemon, beside the guilty part, half of whose losses were other daemons' and not yet reported; a conviction by weight waits for no reports, as one by a trial does (settleTime).

--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -168,6 +168,18 @@
 	}
 }
 
+// TestSoundPartIsNotConvictedBeforeReportsArrive guards against the conviction of a part that was lost in four crashes at one daemon,
+// while the losses of the guilty part are in reports that have not arrived.
+func TestSoundPartIsNotConvictedBeforeReportsArrive(t *testing.T) {
+	e := quarantine.NewEvidence("self")
+	for _, one := range append(partLostOften(soundPart, 4), partLostOften(guiltyPart, 2)...) {
+		e.Record(one, lossStart)
+	}
+	must.NotEq(t, quarantine.StateConvicted, e.Standing(soundPart, lossStart).State)
+	e.Replace(reportsOf("other", quarantine.Report{Involved: partLostOften(guiltyPart, 4)[2:]}), lossStart.Add(time.Second))
+	must.NotEq(t, quarantine.StateConvicted, e.Standing(soundPart, lossStart.Add(2*time.Second)).State)
+}
+
 // TestAnswersOutweighCrashes lets answers to prompts with a part begin and go on after crashes.
 func TestAnswersOutweighCrashes(t *testing.T) {
 	cases := []struct {
