--- a/cmd/chicoryhall/platformdaemon/quarantine.go
+++ b/cmd/chicoryhall/platformdaemon/quarantine.go
@@ -56,8 +56,8 @@
 	return ctx.Err()
 }
 
-// Standing returns what the daemons know of a content. One that they know too little of is a suspect also with what this daemon
-// has seen and has no proof of yet.
+// Standing returns what the daemons know of a content. If that leaves the content free, this daemon's own losses whose cause is not
+// known yet count as well.
 func (s *quarantineService) Standing(content quarantine.Content, now time.Time) quarantine.Standing {
 	standing := s.evidence.ContentStanding(content, now)
 	if standing.State != quarantine.StateFree {
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -186,7 +186,7 @@
 	}
 }
 
-// endLate ends the attempt because the deadline has passed.
+// endLate ends the attempt because the deadline has passed. An answer that has not begun yet may still say something of the endpoint.
 func (a *attempt) endLate() {
 	if a.response != nil || a.peer != nil || a.conn == nil || a.ended {
 		a.end(true)
--- a/passthrough/statement.go
+++ b/passthrough/statement.go
@@ -21,8 +21,8 @@
 	p.endpoints.RecordAnswer(endpoint, headers)
 }
 
-// abandonLate is abandon for a request whose deadline has passed. If no answer has begun, the connection is closed only after
-// lateAnswerTime, so that one which crosses the deadline is read.
+// abandonLate is abandon for a request whose deadline has passed without an answer. The connection is closed only after
+// lateAnswerTime, so that an answer which is on its way is read.
 func (conn *endpointConnection) abandonLate(receiver answerReceiver) {
 	conn.mu.Lock()
 	waits := conn.current == receiver
--- a/quarantine/standing.go
+++ b/quarantine/standing.go
@@ -23,8 +23,8 @@
 	ProvenAt int64
 }
 
-// WithPending returns the standing of a free content whose attempts may also have caused pending crashes, each an incident. It is a
-// suspect if these and what is known are incidents enough: a trial costs little, and another free run may end endpoints.
+// WithPending returns the standing of a free content with its pending crashes, each counted as an incident. The content becomes a
+// suspect if that makes enough incidents: a trial costs little, and another free run may end endpoints.
 func (s Standing) WithPending(content Fingerprint, pending Pending) Standing {
 	if len(pending.Crashes) == 0 || s.Incidents+len(pending.Crashes) < suspectIncidents {
 		return s
