passthrough: test servers listen at ports that the system chooses

The fixture looked for two free ports, closed them and let the server listen there again; in between another parallel test could get one of them, as both ask for 127.0.0.2:0.

The server listens at port 0 now and tells where: Listening, Address and PeerAddress. So no port is free between its choice and its use.

--- a/passthrough/connection.go
+++ b/passthrough/connection.go
@@ -75,7 +75,7 @@
 }
 
 func newConnection(s *Server, socket *nbio.Conn) *connection {
-	isPeer := s.config.PeerAddress != "" && socket.LocalAddr().String() == s.config.PeerAddress
+	isPeer := socket.LocalAddr().String() == s.PeerAddress()
 	conn := &connection{server: s, socket: socket, isPeer: isPeer}
 	conn.limits = conn.currentLimits()
 	conn.reader = http1.NewRequestReader(conn, conn.limits)
--- a/passthrough/fixture_test.go
+++ b/passthrough/fixture_test.go
@@ -114,8 +114,8 @@
 func eventText(id int) string { return fmt.Sprintf("id: %d\ndata: d%d\n\n", id, id) }
 
 const (
-	// serverIP is not the address that connections come from, so that none of them takes a port that a server is about to use.
-	serverIP = "127.0.0.2"
+	// anyPort lets the system choose a port, which no other test can take.
+	anyPort = "127.0.0.1:0"
 	// maxStartTime bounds the wait until a server listens.
 	maxStartTime = 10 * time.Second
 )
@@ -315,16 +315,9 @@
 	t *testing.T, late time.Duration, set *chicoryhall.RuleSet, router orderedRouter, configure func(*testServer, *passthrough.Config),
 ) *testServer {
 	t.Helper()
-	free, err := net.Listen("tcp", serverIP+":0")
-	must.NoError(t, err)
-	w := &testServer{quarantine: &fakeQuarantine{}, limits: &fakeLimits{}, address: free.Addr().String(), retries: 10, logs: &logBuffer{}, endpoints: &fakeEndpoints{
+	w := &testServer{quarantine: &fakeQuarantine{}, limits: &fakeLimits{}, relays: &fakeRelays{key: "key"}, retries: 10, logs: &logBuffer{}, endpoints: &fakeEndpoints{
 		inFlight: make(map[chicoryhall.EndpointID]int), pausedUntil: make(map[chicoryhall.EndpointID]time.Time),
 	}}
-	freePeer, err := net.Listen("tcp", serverIP+":0")
-	must.NoError(t, err)
-	w.relays, w.peerAddress = &fakeRelays{key: "key"}, freePeer.Addr().String()
-	must.NoError(t, freePeer.Close())
-	must.NoError(t, free.Close())
 	clock := timer.New()
 	current := routing.NewCurrentRules()
 	w.rules = current
@@ -332,8 +325,8 @@
 		current.Apply(set)
 	}
 	config := passthrough.Config{
-		Address: w.address, Timer: lateTimer{Service: clock, late: late}, Rules: current, Documents: w, Endpoints: w.endpoints, Router: router, Admission: w,
-		Retries: w, Limits: w.limits, Relays: w.relays, PeerAddress: w.peerAddress, Quarantine: w.quarantine, Dialect: testDialect{}, OnStaleView: func() {}, Metrics: passthrough.NewMetrics(), Log: event.NewLogger(w.logs, "test", log.InfoLevel),
+		Address: anyPort, Timer: lateTimer{Service: clock, late: late}, Rules: current, Documents: w, Endpoints: w.endpoints, Router: router, Admission: w,
+		Retries: w, Limits: w.limits, Relays: w.relays, PeerAddress: anyPort, Quarantine: w.quarantine, Dialect: testDialect{}, OnStaleView: func() {}, Metrics: passthrough.NewMetrics(), Log: event.NewLogger(w.logs, "test", log.InfoLevel),
 	}
 	configure(w, &config)
 	w.server = passthrough.NewServer(config)
@@ -346,15 +339,13 @@
 		serving.Wait()
 	}
 	t.Cleanup(w.stop)
-	for deadline := time.Now().Add(maxStartTime); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
-		conn, err := net.Dial("tcp", w.address)
-		if err == nil {
-			must.NoError(t, conn.Close())
-			return w
-		}
+	select {
+	case <-w.server.Listening():
+	case <-time.After(maxStartTime):
+		t.Fatal("the server does not listen")
 	}
-	t.Fatalf("the server does not listen at %s", w.address)
-	return nil
+	w.address, w.peerAddress = w.server.Address(), w.server.PeerAddress()
+	return w
 }
 
 // dial opens a caller's connection.
--- a/passthrough/server.go
+++ b/passthrough/server.go
@@ -47,6 +47,8 @@
 	config Config
 	loop   *nbio.Engine
 	pool   *pool
+	// listening is closed once the server accepts connections.
+	listening chan struct{}
 
 	// draining is set when Drain is called: each connection is closed after its next answer.
 	draining atomic.Bool
@@ -73,6 +75,7 @@
 func NewServer(config Config) *Server {
 	s := &Server{
 		config:      config,
+		listening:   make(chan struct{}),
 		connections: make(map[*nbio.Conn]*connection),
 		exchanges:   make(map[*callerExchange]struct{}),
 		random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -103,7 +106,8 @@
 	if err := s.loop.Start(); err != nil {
 		return errors.WithMessagef(err, "listen for callers at %s", s.config.Address)
 	}
-	s.config.Log.Log(event.CallersListening, "address", s.config.Address)
+	close(s.listening)
+	s.config.Log.Log(event.CallersListening, "address", s.Address())
 	ticks := s.config.Timer.Every(idleCheckPeriod, s.pool.idle.CloseExpired)
 	defer ticks.Cancel()
 	<-ctx.Done()
@@ -113,6 +117,21 @@
 	return ctx.Err()
 }
 
+// Listening is closed once the server accepts connections.
+func (s *Server) Listening() <-chan struct{} { return s.listening }
+
+// Address returns where the server accepts callers, IP:PORT. If the configured port is 0, the port is the one that the
+// system has chosen, once the server listens.
+func (s *Server) Address() string { return s.loop.Addrs[0] }
+
+// PeerAddress returns where the server accepts other daemons, as Address does, or "" if it accepts none.
+func (s *Server) PeerAddress() string {
+	if s.config.PeerAddress == "" {
+		return ""
+	}
+	return s.loop.Addrs[1]
+}
+
 // Drain waits until all exchanges have ended, or until ctx ends. It keeps accepting requests for
 // readinessDelay; then it refuses new ones and closes connections that are between two requests. Each
 // connection is closed after its next answer.
