quarantine: a part's conviction that has lapsed explains nothing

After the two minutes of a part's conviction, a content that was lost in its crashes stayed free until the next report or the next search for old involvements, up to a minute later: nothing derived the states again at the lapse. The new test failed before ("after 2m0s": free, not suspect).

The reference of the tests noted that time and lost it again; it keeps it.

--- a/quarantine/derivation.go
+++ b/quarantine/derivation.go
@@ -262,15 +262,33 @@
 	var next time.Time
 	for fingerprint := range d.candidates {
 		for _, one := range d.subjects[fingerprint].incidents {
-			settled := one.knownAt.Add(settleTime)
-			if one.isolated && settled.After(now) && (next.IsZero() || settled.Before(next)) {
-				next = settled
+			if settled := one.knownAt.Add(settleTime); one.isolated && settled.After(now) {
+				next = earlier(next, settled)
 			}
 		}
 	}
 	return next
 }
 
+// lapsesAt returns when the next conviction of a part ends, or zero if no part is convicted.
+func (d *derivation) lapsesAt(now time.Time) time.Time {
+	var next time.Time
+	for _, fingerprint := range d.convicted(now) {
+		if known := d.subjects[fingerprint]; known.isPart {
+			next = earlier(next, known.lapsesAt())
+		}
+	}
+	return next
+}
+
+// earlier returns the earlier one of two times, of which zero stands for never.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // convictions maps crashes to the convicted fingerprints that explain them, and these to whether they are parts.
 type convictions map[Incarnation]map[Fingerprint]bool
 
--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -180,6 +180,20 @@
 	must.NotEq(t, quarantine.StateConvicted, e.Standing(soundPart, lossStart.Add(2*time.Second)).State)
 }
 
+// TestLapsedConvictionExplainsNothing guards against a conviction that goes on hiding the crashes of others after its end.
+func TestLapsedConvictionExplainsNothing(t *testing.T) {
+	e := quarantine.NewEvidence("self")
+	involved := append(partLostOften(guiltyPart, 5), repeatedly(innocent, 2)...)
+	e.Replace(reportsOf("other", quarantine.Report{Involved: involved}), lossStart)
+	states := []struct {
+		after time.Duration
+		want  quarantine.State
+	}{{0, quarantine.StateFree}, {time.Minute, quarantine.StateFree}, {2 * time.Minute, quarantine.StateSuspect}}
+	for _, s := range states {
+		must.Eq(t, s.want, e.Standing(innocent, lossStart.Add(s.after)).State, must.Sprint("after ", s.after))
+	}
+}
+
 // TestAnswersOutweighCrashes lets answers to prompts with a part begin and go on after crashes.
 func TestAnswersOutweighCrashes(t *testing.T) {
 	cases := []struct {
--- a/quarantine/reference_test.go
+++ b/quarantine/reference_test.go
@@ -229,7 +229,7 @@
 	e.addSubjects(involved, now)
 	e.all = e.subjects
 	if explaining := e.convictedCrashes(now); len(explaining) > 0 {
-		e.subjects, e.staleAt = make(map[Fingerprint]*referenceSubject), time.Time{}
+		e.subjects = make(map[Fingerprint]*referenceSubject)
 		e.addSubjects(slices.DeleteFunc(involved, func(one Involvement) bool { return isExplainedIn(one, explaining[one.Incarnation]) }), now)
 	}
 	e.dropUnneededClearances()
