quarantine: a content explains a part's crashes also if it was lost in them in one incident

An attempt that ends all engines of its route is one incident, so a part of other requests on these engines was convicted. The new case failed before (convicted, not suspect).

--- a/quarantine/derivation.go
+++ b/quarantine/derivation.go
@@ -13,7 +13,7 @@
 	crashes  map[Incarnation]*crashLosses
 	// candidates are the fingerprints that may be convicted.
 	candidates map[Fingerprint]bool
-	// repeated are the contents that were lost in as many incidents as a conviction takes.
+	// repeated are the contents that may explain the crashes of a part.
 	repeated map[Fingerprint]bool
 	// changed are the fingerprints to be compared again, and changedCrashes the crashes in which others have to be.
 	changed        map[Fingerprint]bool
@@ -61,7 +61,7 @@
 		return
 	}
 	d.subjects[fingerprint] = after
-	if after.isLostOften() {
+	if after.mayExplainPart() {
 		d.repeated[fingerprint] = true
 	}
 	if after.mayBeConvicted() {
@@ -173,7 +173,7 @@
 }
 
 // strongestContentBeside returns the greatest number of a part's incidents in which one content was lost by attempts that did not
-// hold the part. Contents in fewer incidents than a conviction takes explain too little.
+// hold the part.
 func (d *derivation) strongestContentBeside(part *subject) int {
 	strongest := 0
 	for content := range d.repeated {
--- a/quarantine/incident.go
+++ b/quarantine/incident.go
@@ -167,6 +167,12 @@
 // isLostOften reports whether the subject is a content that was lost in as many incidents as a conviction takes.
 func (s *subject) isLostOften() bool { return !s.isPart && len(s.incidents) >= convictionIncidents }
 
+// mayExplainPart reports whether the subject is a content that was lost in as many crashes as a conviction takes, be it in a single
+// incident: an attempt may end all engines of its route.
+func (s *subject) mayExplainPart() bool {
+	return !s.isPart && len(appendMissing(nil, s.crashes())) >= convictionIncidents
+}
+
 // mayBeConvicted reports whether the subject has incidents enough of the kind that convictions rest on.
 func (s *subject) mayBeConvicted() bool {
 	return s.isPart && s.weight() >= convictionContents || s.isIsolated()
--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -51,6 +51,15 @@
 	return all
 }
 
+// attemptLostIn returns the involvements of one attempt that was lost in so many crashes at once, those of partLostOften.
+func attemptLostIn(count int) []quarantine.Involvement {
+	all := repeatedly(culprit, count)
+	for i := range all {
+		all[i].Attempt = all[0].Attempt
+	}
+	return all
+}
+
 // held returns the involvements of a part in so many crashes, each by attempts of another content and of one that is in all.
 func held(part, content quarantine.Fingerprint, count int) []quarantine.Involvement {
 	all := append(partLostOften(part, count), repeatedly(content, count)...)
@@ -102,6 +111,7 @@
 		{"a content in all but one, apart from it", with(5, repeatedly(culprit, 4)...), nil, 0, guiltyPart, quarantine.StateSuspect},
 		{"a content in some, apart from it", with(5, repeatedly(culprit, 3)...), nil, 0, guiltyPart, quarantine.StateConvicted},
 		{"a content that holds it, in all of them", with(0, held(guiltyPart, culprit, 4)...), nil, 0, guiltyPart, quarantine.StateConvicted},
+		{"an attempt that ended as many endpoints, apart from it", with(4, attemptLostIn(4)...), nil, 0, guiltyPart, quarantine.StateSuspect},
 		{"trial", with(2, partIsolated(guiltyPart, 20, "x")), nil, 1500 * time.Millisecond, guiltyPart, quarantine.StateConvicted},
 		{
 			"trial beside the request's own content", with(2, partIsolated(guiltyPart, 20, "x"), lost(20, "20 at x", "x"), lost(20, "20 at y", "y")),
