quarantine: a conviction by weight waits for the reports of all daemons

Only incidents that have been known for settleTime (1.5 s) weigh for a conviction without a trial, as they do after a trial. Meanwhile the part is unsettled: refused with 503 and 1 s, no trial, and it explains nothing to others.

--- a/quarantine/derivation.go
+++ b/quarantine/derivation.go
@@ -257,12 +257,13 @@
 	}
 }
 
-// settlesAt returns when the next isolated incident settles, or zero if all have.
+// settlesAt returns when the next incident settles that may then convict a fingerprint, or zero if all have.
 func (d *derivation) settlesAt(now time.Time) time.Time {
 	var next time.Time
 	for fingerprint := range d.candidates {
-		for _, one := range d.subjects[fingerprint].incidents {
-			if settled := one.knownAt.Add(settleTime); one.isolated && settled.After(now) {
+		known := d.subjects[fingerprint]
+		for _, one := range known.incidents {
+			if settled := one.knownAt.Add(settleTime); settled.After(now) && (one.isolated || known.isPart) {
 				next = earlier(next, settled)
 			}
 		}
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -313,7 +313,7 @@
 	e.explain(differing, now)
 	e.rest.compare()
 	e.rest.markExplained(now)
-	e.staleAt = earlier(e.rest.settlesAt(now), e.all.lapsesAt(now))
+	e.staleAt = earlier(e.all.lapsesAt(now), earlier(e.all.settlesAt(now), e.rest.settlesAt(now)))
 }
 
 // dropCleared drops this daemon's involvements of some fingerprints that a report withdraws.
--- a/quarantine/incident.go
+++ b/quarantine/incident.go
@@ -13,7 +13,7 @@
 	// A fingerprint is convicted after isolatedIncidents of them in which its endpoints were reserved for it, also if
 	// other requests may have caused each of them.
 	isolatedIncidents = 2
-	// settleTime is how long after an isolated incident the reports of other daemons on it may arrive.
+	// settleTime is how long after an incident became known the reports of other daemons on it may arrive.
 	settleTime = 1500 * time.Millisecond
 	// A request has outlived its incidents once the caller has received provenEvents more events than before them.
 	provenEvents = 2
@@ -28,7 +28,7 @@
 	causes   []Incarnation
 	crashes  []Incarnation
 	isolated bool
-	// knownAt is when this daemon first knew of the incident's isolated attempt.
+	// knownAt is when this daemon first knew of the incident's isolated attempt or, if there is none, of the last of its attempts.
 	knownAt time.Time
 	// order is that in which the last involvement of each incident was added.
 	order int
--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -9,7 +9,8 @@
 	// A part is a suspect once suspectContents requests with different contents that hold it were lost in crashes, with no
 	// answer to outweigh them. As a request that is repeated counts once, sound parts hardly get there.
 	suspectContents = 3
-	// A part is convicted without a trial once so many were lost, unless another part explains the crashes nearly as well.
+	// A part is convicted without a trial once so many were lost and the reports on them should have arrived, unless another part
+	// explains the crashes nearly as well.
 	convictionContents = 4
 	// suspiciousContents is the number of them from which on a part may explain a crash beside another one.
 	suspiciousContents = 2
@@ -39,7 +40,7 @@
 		return StateFree
 	case s.isPartCause(now) && now.Before(s.lapsesAt()):
 		return StateConvicted
-	case s.hasUnsettled(now):
+	case s.hasUnsettled(now) || s.isHeavy(s.weight()) && !s.isHeavy(s.settledWeight(now)):
 		return StateUnsettled
 	default:
 		return StateSuspect
@@ -48,7 +49,24 @@
 
 // isPartCause reports whether a trial, or the lack of another explanation, shows that the part causes crashes.
 func (s *subject) isPartCause(now time.Time) bool {
-	return s.isProven(now) || s.weight() >= convictionContents && s.weight() > s.strongestRival+1
+	return s.isProven(now) || s.isHeavy(s.settledWeight(now))
+}
+
+// isHeavy reports whether a part with a weight is convicted without a trial.
+func (s *subject) isHeavy(weight int) bool {
+	return weight >= convictionContents && weight > s.strongestRival+1
+}
+
+// settledWeight is the weight by those incidents on which the reports of all daemons should have arrived: they may show another
+// part, or a content, that explains them as well.
+func (s *subject) settledWeight(now time.Time) int {
+	settled := 0
+	for _, one := range s.incidents {
+		if one.settled(now) {
+			settled++
+		}
+	}
+	return min(settled, len(s.contents))
 }
 
 // lastKnownAt returns when the last of the incidents became known.
