exchange: an incomplete event is not copied with each of its pieces

A daemon used up to a gigabyte of short-lived memory, and time by the square of the length, for one long event of a stream: each piece copied the whole beginning twice and searched it again.

The pieces are appended to one buffer now, and only what is new is searched. TestLongEventInPiecesIsCopiedOnce failed before: 598,603,808 bytes for an event of 1,000 KiB, 8 MiB allowed. TestEventsInPiecesAreThoseInOne passed before and after.

--- a/exchange/events.go
+++ b/exchange/events.go
@@ -58,13 +58,13 @@
 
 // Feed handles the next bytes of the stream and appends the events that are complete now to out.
 func (s *EventSplitter) Feed(out, piece []byte) ([]byte, error) {
-	data := piece
-	if len(s.pending) > 0 {
-		data = append(s.pending, piece...)
-		s.pending = nil
+	data, searched := piece, len(s.pending)
+	if searched > 0 {
+		s.pending = append(s.pending, piece...)
+		data = s.pending
 	}
 	for {
-		end := eventLength(data)
+		end := eventLength(data, searched)
 		if end < 0 {
 			break
 		}
@@ -72,15 +72,24 @@
 		if out, err = s.appendEvent(out, data[:end]); err != nil {
 			return out, err
 		}
-		data = data[end:]
+		data, searched = data[end:], 0
 	}
 	if len(data) > maxPendingBytes {
 		return out, errors.Errorf("an incomplete event of the stream is longer than %d bytes", maxPendingBytes)
 	}
-	if len(data) > 0 {
+	s.keep(data)
+	return out, nil
+}
+
+// keep keeps the beginning of an incomplete event. data may be a part of s.pending.
+func (s *EventSplitter) keep(data []byte) {
+	switch len(data) {
+	case 0:
+		s.pending = nil
+	case len(s.pending):
+	default:
 		s.pending = append([]byte(nil), data...)
 	}
-	return out, nil
 }
 
 // appendEvent checks the ID of an event and appends the event to out. While it is resuming,
@@ -105,12 +114,14 @@
 	return append(out, event...), nil
 }
 
-// eventLength returns the length of the first complete event in data, or -1. An event ends with an empty line.
-func eventLength(data []byte) int {
+// eventLength returns the length of the first complete event in data, or -1. An event ends with an empty line. The first bytes of
+// data, searched in number, contain none.
+func eventLength(data []byte, searched int) int {
 	length := -1
 	for _, separator := range []string{"\n\n", "\r\n\r\n"} {
-		if at := bytes.Index(data, []byte(separator)); at >= 0 && (length < 0 || at+len(separator) < length) {
-			length = at + len(separator)
+		from := max(0, searched-len(separator)+1)
+		if at := bytes.Index(data[from:], []byte(separator)); at >= 0 && (length < 0 || from+at+len(separator) < length) {
+			length = from + at + len(separator)
 		}
 	}
 	return length
--- a/exchange/events_test.go
+++ b/exchange/events_test.go
@@ -1,7 +1,9 @@
 package exchange_test
 
 import (
+	"bytes"
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -143,3 +145,48 @@
 		must.Eq(t, length > longest, err != nil)
 	}
 }
+
+// TestLongEventInPiecesIsCopiedOnce guards against copies of an incomplete event with each of its pieces.
+func TestLongEventInPiecesIsCopiedOnce(t *testing.T) {
+	const pieces, maxAllocated = 1000, 8 << 20 // The event has 1,000 KiB.
+	piece := bytes.Repeat([]byte("x"), 1024)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	var splitter exchange.EventSplitter
+	for range pieces {
+		out, err := splitter.Feed(nil, piece)
+		must.NoError(t, err)
+		must.Len(t, 0, out)
+	}
+	out, err := splitter.Feed(nil, []byte("\n\nid: 2\n"))
+	must.NoError(t, err)
+	runtime.ReadMemStats(&after)
+	must.Eq(t, pieces*len(piece)+2, len(out))
+	must.False(t, splitter.AtBoundary())
+	must.Less(t, uint64(maxAllocated), after.TotalAlloc-before.TotalAlloc)
+}
+
+// TestEventsInPiecesAreThoseInOne splits a stream at each place, and between all bytes.
+func TestEventsInPiecesAreThoseInOne(t *testing.T) {
+	stream := []byte("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\n\n\r\n\r\nid: 3\r\n\ndata: d\n\n")
+	var whole exchange.EventSplitter
+	want, err := whole.Feed(nil, stream)
+	must.NoError(t, err)
+	for at := range stream {
+		var splitter exchange.EventSplitter
+		got, err := splitter.Feed(nil, stream[:at])
+		must.NoError(t, err)
+		got, err = splitter.Feed(got, stream[at:])
+		must.NoError(t, err)
+		must.Eq(t, string(want), string(got), must.Sprint("split at ", at))
+		must.Eq(t, whole.LastID(), splitter.LastID())
+	}
+	var splitter exchange.EventSplitter
+	var got []byte
+	for i := range stream {
+		got, err = splitter.Feed(got, stream[i:i+1])
+		must.NoError(t, err)
+	}
+	must.Eq(t, string(want), string(got))
+	must.Eq(t, whole.AtBoundary(), splitter.AtBoundary())
+}
