mailbox, passthrough: the queue from an endpoint to a caller's mailbox is bounded

An endpoint that sends faster than its answers are handled, as on a busy VM, filled the memory of the daemon: the event loop queued without a limit while another goroutine handled the mailbox (TestEndlessBodyReachesItsCaller, KNOWN-RED.txt: 24,722 KiB of 24,576).

The event loop waits for room now once 256 KiB are queued. It may wait, as it holds no lock then and no handler waits for it; messages without a size never wait. Alternatives: to stop reading that one connection, which nbio does not offer without changing the mode of the whole loop; to close it, which cuts off sound callers.

What remains is the buffer of 8 MiB to a caller that reads slowly.

--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -221,22 +221,26 @@
 }
 
 // post runs a step in the mailbox of the caller's connection, unless the attempt has ended by then.
-func (a *attempt) post(step func()) {
-	a.exchange.conn.post(func() {
+func (a *attempt) post(step func()) { a.exchange.conn.post(a.unlessEnded(step)) }
+
+// unlessEnded returns a function that runs a step unless the attempt has ended by then.
+func (a *attempt) unlessEnded(step func()) func() {
+	return func() {
 		if !a.ended {
 			step()
 		}
-	})
+	}
 }
 
 func (a *attempt) onHead(response *http.Response) {
 	a.post(func() { a.handleHead(response) })
 }
 
-// onBody copies the piece, as the connection's reader reuses its buffer.
+// onBody copies the piece, as the connection's reader reuses its buffer. It waits for room in the caller's mailbox if an endpoint
+// sends faster than the answer is handled. It is only called by the event loop, for which no handler waits.
 func (a *attempt) onBody(piece []byte) {
 	copied := slices.Clone(piece)
-	a.post(func() { a.handleBody(copied) })
+	a.exchange.conn.postLimited(a.unlessEnded(func() { a.handleBody(copied) }), len(copied))
 }
 
 func (a *attempt) onEnd() {
--- a/passthrough/connection.go
+++ b/passthrough/connection.go
@@ -124,6 +124,11 @@
 // post runs a function in the connection's mailbox.
 func (conn *connection) post(function func()) { conn.box.Load().Post(message{call: function}) }
 
+// postLimited is post for a function that holds so many bytes. It waits while too many are queued.
+func (conn *connection) postLimited(function func(), size int) {
+	conn.box.Load().PostLimited(message{call: function}, size)
+}
+
 func (conn *connection) onData(data []byte) { conn.box.Load().Post(message{data: data}) }
 
 func (conn *connection) onClose(err error) { conn.post(func() { conn.handleClose(err) }) }
