quarantine, platformdaemon: reservations that the store rejects are not repeated for each suspect

AskPace limits the tries of a daemon: for each fingerprint the pause doubles from 90 to 360 ms while others hold the endpoints, and for all of them from 0.2 to 1.6 s while the store rejects tries or does not answer, with one try for each pause, at random within half of it. Each answer halves the pause. Meanwhile a suspect is treated as without a store. No endpoint is probed for a try that is not made.

TestRejectedReservationsAreNotRepeatedForEachSuspect failed before: 5,000 calls in ten seconds for 50 suspects, 16 allowed.

--- a/cmd/chicoryhall/platformdaemon/quarantine.go
+++ b/cmd/chicoryhall/platformdaemon/quarantine.go
@@ -188,10 +188,15 @@
 }
 
 func (s *quarantineService) reserve(attempt string, fingerprint quarantine.Fingerprint, stages []quarantine.Stage) quarantine.Answer {
-	if !s.trials.mayAsk(fingerprint) {
+	switch s.trials.mayAsk(fingerprint) {
+	case quarantine.AskLater:
 		return quarantine.Answer{Decision: quarantine.DecisionWait}
+	case quarantine.AskStoreBusy:
+		return s.withoutStore(fingerprint)
+	case quarantine.AskNow:
 	}
 	if gone := s.crashes.unreachable(stages); len(gone) > 0 {
+		s.trials.denied(fingerprint)
 		return quarantine.Answer{Decision: quarantine.DecisionWait, Busy: gone}
 	}
 	endpoints := make([]chicoryhall.EndpointID, 0, len(stages))
@@ -203,6 +208,11 @@
 		return answer
 	}
 	s.log.Log(event.StoreCallFailed, "step", "reserve endpoints", "attempt", attempt, "error", err)
+	return s.withoutStore(fingerprint)
+}
+
+// withoutStore returns what a suspect may do while the store makes no reservations.
+func (s *quarantineService) withoutStore(fingerprint quarantine.Fingerprint) quarantine.Answer {
 	if s.evidence.Standing(fingerprint, s.timer.Now()).Incidents < maxUnreserved {
 		return quarantine.Answer{Decision: quarantine.DecisionFree}
 	}
--- a/cmd/chicoryhall/platformdaemon/quarantine_test.go
+++ b/cmd/chicoryhall/platformdaemon/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -288,3 +289,29 @@
 	s.crashes.endpoints.Observe("x", chicoryhall.ObservedProgress)
 	must.Eq(t, quarantine.StateFree, state())
 }
+
+// TestRejectedReservationsAreNotRepeatedForEachSuspect guards against suspects that overload the store and their endpoints while the
+// store rejects their reservations.
+func TestRejectedReservationsAreNotRepeatedForEachSuspect(t *testing.T) {
+	const suspects, maxTries = 50, 16 // In ten seconds.
+	clock, store := timer.NewManual(time.Now()), &tabletest.Store{}
+	s := newTestQuarantineAt(clock, "one", store)
+	var probes atomic.Int64
+	s.crashes.probeAddress = func(context.Context, string) crashProbe {
+		probes.Add(1)
+		return probeAlive
+	}
+	store.SetDown(true)
+	stages := []quarantine.Stage{{Address: "a"}, {Address: "b"}, {Address: "c"}}
+	for range 100 {
+		for i := range suspects {
+			must.NotEq(t, quarantine.DecisionReserved, s.reserve("a/1", quarantine.Fingerprint(i), stages).Decision)
+		}
+		clock.Advance(100 * time.Millisecond)
+	}
+	must.Between(t, 5, store.Transactions(), maxTries)
+	must.LessEq(t, int64(3*maxTries), probes.Load())
+	store.SetDown(false)
+	clock.Advance(2 * time.Second)
+	must.Eq(t, quarantine.DecisionReserved, s.reserve("a/1", 1, stages).Decision)
+}
--- a/cmd/chicoryhall/platformdaemon/trials.go
+++ b/cmd/chicoryhall/platformdaemon/trials.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"maps"
 	"sync"
 	"time"
 
@@ -21,11 +20,6 @@
 	// lostTrialPause is the time from the loss of a trial to the end of its reservation. It is longer than an exchange of
 	// reports may be delayed and a crash may take to settle.
 	lostTrialPause = 2 * time.Second
-	// askPause is the least time between two tries to reserve endpoints for one fingerprint. Many requests may wait for its
-	// trial, and each try costs calls to the store and connections to endpoints.
-	askPause = 90 * time.Millisecond
-	// maxAsked bounds the fingerprints whose last try is remembered.
-	maxAsked = 256
 )
 
 // trials holds the reservations of this daemon's trials in the store.
@@ -39,8 +33,7 @@
 
 	mu           sync.Mutex
 	reservations *quarantine.Reservations
-	// askedAt is when a reservation was last asked for, for each fingerprint.
-	askedAt map[quarantine.Fingerprint]time.Time
+	pace         *quarantine.AskPace
 	// held maps attempts to their reservations.
 	held map[string]*quarantine.Reservation
 }
@@ -49,7 +42,7 @@
 	return &trials{
 		self: self, timer: timer, table: store, log: log,
 		reservations: quarantine.NewReservations(self), held: make(map[string]*quarantine.Reservation),
-		askedAt: make(map[quarantine.Fingerprint]time.Time),
+		pace: quarantine.NewAskPace(),
 	}
 }
 
@@ -70,24 +63,37 @@
 	return t.held[attempt].Valid(now)
 }
 
-// mayAsk reports whether the last try to reserve endpoints for a fingerprint is long enough ago, and if so, notes a new one.
-func (t *trials) mayAsk(fingerprint quarantine.Fingerprint) bool {
+// mayAsk reports whether the store may be asked to reserve endpoints for a fingerprint now, and if so, notes the try.
+func (t *trials) mayAsk(fingerprint quarantine.Fingerprint) quarantine.AskDecision {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.pace.May(fingerprint, t.timer.Now())
+}
+
+// denied notes that the endpoints for a trial of a fingerprint accept no connections.
+func (t *trials) denied(fingerprint quarantine.Fingerprint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.pace.Denied(fingerprint, t.timer.Now())
+}
+
+// reserve reserves endpoints for an attempt, and notes whether the store has answered. An error means that it has not.
+func (t *trials) reserve(attempt string, fingerprint quarantine.Fingerprint, endpoints []chicoryhall.EndpointID) (quarantine.Answer, error) {
+	answer, err := t.tryToReserve(attempt, fingerprint, endpoints)
 	now := t.timer.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if last, asked := t.askedAt[fingerprint]; asked && now.Sub(last) < askPause {
-		return false
+	if err != nil {
+		t.pace.Failed(now)
+		return answer, err
 	}
-	if len(t.askedAt) >= maxAsked {
-		maps.DeleteFunc(t.askedAt, func(_ quarantine.Fingerprint, at time.Time) bool { return now.Sub(at) >= askPause })
-	}
-	t.askedAt[fingerprint] = now
-	return true
+	t.pace.Answered(fingerprint, answer.Decision == quarantine.DecisionReserved, now)
+	return answer, nil
 }
 
-// reserve reserves endpoints for an attempt. It tries again while conflicts show only that rows are free in another
+// tryToReserve reserves endpoints for an attempt. It tries again while conflicts show only that rows are free in another
 // version than known. An error means that the store cannot be reached.
-func (t *trials) reserve(attempt string, fingerprint quarantine.Fingerprint, endpoints []chicoryhall.EndpointID) (quarantine.Answer, error) {
+func (t *trials) tryToReserve(attempt string, fingerprint quarantine.Fingerprint, endpoints []chicoryhall.EndpointID) (quarantine.Answer, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), reservationTimeout)
 	defer cancel()
 	for {
