quarantine: a single failed call to the store frees no suspect

The store is taken for away only after several failures in a row; until then they wait for the next try. Found in reading the commit again; the changed case of TestBusyStoreIsToldFromBusyEndpoints failed before.

--- a/quarantine/askpace.go
+++ b/quarantine/askpace.go
@@ -28,9 +28,9 @@
 const (
 	// AskNow means that it may.
 	AskNow AskDecision = iota
-	// AskLater means that it has asked for the same fingerprint just before.
+	// AskLater means that it has asked for the same fingerprint just before, or that the last try for any has failed.
 	AskLater
-	// AskStoreBusy means that the store has rejected tries, or not answered them, for whichever fingerprint.
+	// AskStoreBusy means that the store has rejected several tries in a row, or not answered them, for whichever fingerprint.
 	AskStoreBusy
 )
 
@@ -64,7 +64,7 @@
 		return AskLater
 	}
 	if p.storePause > 0 && now.Before(p.nextAt) {
-		return AskStoreBusy
+		return p.whileStorePauses()
 	}
 	p.pauseStore(now)
 	p.expire(now)
@@ -72,6 +72,15 @@
 	return AskNow
 }
 
+// whileStorePauses returns the decision on a try before the next one may start. A single failure does not show that the store is
+// away, and a suspect may run without a reservation while it is.
+func (p *AskPace) whileStorePauses() AskDecision {
+	if p.storePause > minStorePause {
+		return AskStoreBusy
+	}
+	return AskLater
+}
+
 // Answered notes that the store has answered a try for a fingerprint, with or without a reservation.
 func (p *AskPace) Answered(fingerprint Fingerprint, reserved bool, now time.Time) {
 	if p.storePause /= 2; p.storePause < minStorePause {
--- a/quarantine/askpace_test.go
+++ b/quarantine/askpace_test.go
@@ -79,7 +79,11 @@
 	must.Eq(t, quarantine.AskLater, p.May(1, lossStart.Add(askStep)))
 	must.Eq(t, quarantine.AskNow, p.May(2, lossStart.Add(askStep)))
 	p.Failed(lossStart.Add(askStep))
-	must.Eq(t, quarantine.AskStoreBusy, p.May(3, lossStart.Add(2*askStep)))
+	must.Eq(t, quarantine.AskLater, p.May(3, lossStart.Add(2*askStep)))
+	p.Failed(lossStart.Add(2 * askStep))
+	must.Eq(t, quarantine.AskStoreBusy, p.May(3, lossStart.Add(3*askStep)))
+	p.Answered(1, false, lossStart.Add(3*askStep))
+	must.Eq(t, quarantine.AskLater, p.May(3, lossStart.Add(4*askStep)))
 }
 
 // TestManyFingerprintsAreForgotten bounds what is remembered of requests that no longer ask.
