review/1: an encoded slash in a path chooses another route

The daemon matches routes against the decoded path, so that /file/open%2F2026-12/7 goes by an added route /file/open/ that does not begin it: an at-most-once request is run by another service, and one with a key that nobody holds is run where the added route is anonymous (rule ROUTE). Shown by a script with the daemon as a process; it also brings the stand-ins that the other cases share.

--- /dev/null
+++ b/review/stand/engine.go
@@ -0,0 +1,220 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// engine is a stand-in of an engine of a plain service: slots, a queue in the order of arrival, and time budgets.
+type engine struct {
+	id, service, zone string
+	address           string
+	slots, queue      int
+	work              time.Duration
+	// answerBytes is the length of an answer's body.
+	answerBytes int
+	record      *record
+	server      *http.Server
+	// stream writes the answer instead, if it is set.
+	stream func(w http.ResponseWriter, r *http.Request, id string)
+
+	mu      sync.Mutex
+	running int
+	waiting []*waiter
+	// runs counts how often each request has begun to run, by its Request-Id.
+	runs map[string]int
+	// answered holds the requests whose whole answer has been written.
+	answered map[string]bool
+	// sequence counts the pings.
+	sequence int64
+	crashed  bool
+}
+
+// waiter is a request in the queue.
+type waiter struct {
+	begin chan struct{}
+	begun bool
+}
+
+func newEngine(id, service, zone string, slots, queue int, work time.Duration, r *record) *engine {
+	e := &engine{id: id, service: service, zone: zone, slots: slots, queue: queue, work: work, record: r, runs: make(map[string]int), answered: make(map[string]bool)}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	e.address = listener.Addr().String()
+	e.server = &http.Server{Handler: http.HandlerFunc(e.handle)}
+	go func() { _ = e.server.Serve(listener) }()
+	return e
+}
+
+// crash ends the engine's channels at once. It accepts no others from then on.
+func (e *engine) crash() {
+	e.mu.Lock()
+	e.crashed = true
+	e.mu.Unlock()
+	e.stop()
+}
+
+func (e *engine) hasCrashed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashed
+}
+
+// noteAnswered records that the whole answer to a request has been written.
+func (e *engine) noteAnswered(id string) {
+	e.mu.Lock()
+	e.answered[id] = true
+	e.mu.Unlock()
+}
+
+func (e *engine) stop() { _ = e.server.Close() }
+
+// entry returns what the engine writes to the store.
+func (e *engine) entry() map[string]any {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sequence++
+	return map[string]any{
+		"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": e.slots, "state": "ready",
+		"coldRemainingMs": 0, "sequence": e.sequence, "born": begun.UnixMilli(),
+	}
+}
+
+// hasAnswered reports whether the whole answer to a request has been written.
+func (e *engine) hasAnswered(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.answered[id]
+}
+
+func (e *engine) runsOf(id string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs[id]
+}
+
+// reject answers that the request has not run.
+func (e *engine) reject(w http.ResponseWriter, status int) {
+	w.Header().Set("Not-Executed", "1")
+	w.WriteHeader(status)
+}
+
+func (e *engine) handle(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Request-Id")
+	w.Header().Set("Request-Id", id)
+	w.Header().Set("Instance-Id", e.id)
+	w.Header().Set("Keep-Alive", "timeout=15")
+	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != e.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if id == "" {
+		e.reject(w, http.StatusBadRequest)
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	left, err := strconv.ParseFloat(r.Header.Get("Deadline-Ms"), 64)
+	if err != nil {
+		left = 60_000
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(left*float64(time.Millisecond)))
+	defer cancel()
+	if !e.awaitSlot(ctx) {
+		if r.Context().Err() == nil {
+			e.record.add("engine %s rejects %s (full, or its time was over in the queue)", e.id, id)
+			e.reject(w, http.StatusServiceUnavailable)
+		}
+		return
+	}
+	defer e.release()
+	e.mu.Lock()
+	e.runs[id]++
+	e.mu.Unlock()
+	e.record.add("engine %s begins %s, Deadline-Ms %s, Last-Event-Id %q", e.id, id, r.Header.Get("Deadline-Ms"), r.Header.Get("Last-Event-Id"))
+	if e.stream != nil {
+		e.stream(w, r, id)
+		return
+	}
+	select {
+	case <-time.After(e.work):
+		w.Header().Set("Server-Seal", "seal."+id)
+		body := bytes.Repeat([]byte{'x'}, max(20, e.answerBytes))
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		w.WriteHeader(http.StatusOK)
+		if r.Method == http.MethodHead {
+			return
+		}
+		if _, err := w.Write(body); err == nil && http.NewResponseController(w).Flush() == nil {
+			e.noteAnswered(id)
+			e.record.add("engine %s has answered %s with 200 and %d bytes", e.id, id, len(body))
+		}
+	case <-ctx.Done():
+		if r.Context().Err() == nil {
+			w.Header().Set("Server-Seal", "seal."+id)
+			w.WriteHeader(http.StatusGatewayTimeout)
+		}
+	}
+}
+
+// awaitSlot waits in the queue for a slot. It returns false if the queue is full or the time is over before.
+func (e *engine) awaitSlot(ctx context.Context) bool {
+	e.mu.Lock()
+	if e.running < e.slots {
+		e.running++
+		e.mu.Unlock()
+		return true
+	}
+	if len(e.waiting) >= e.queue {
+		e.mu.Unlock()
+		return false
+	}
+	one := &waiter{begin: make(chan struct{})}
+	e.waiting = append(e.waiting, one)
+	e.mu.Unlock()
+	select {
+	case <-one.begin:
+		return true
+	case <-ctx.Done():
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if one.begun { // It has just got the slot of another one, which goes to the next.
+		e.next()
+		return false
+	}
+	for i, other := range e.waiting {
+		if other == one {
+			e.waiting = append(e.waiting[:i], e.waiting[i+1:]...)
+			break
+		}
+	}
+	return false
+}
+
+func (e *engine) release() {
+	e.mu.Lock()
+	e.next()
+	e.mu.Unlock()
+}
+
+// next gives a slot that has become free to the next request.
+func (e *engine) next() {
+	if len(e.waiting) == 0 {
+		e.running--
+		return
+	}
+	one := e.waiting[0]
+	e.waiting = e.waiting[1:]
+	one.begun = true
+	close(one.begin)
+}
