--- a/review/stand/consumer.go
+++ b/review/stand/consumer.go
@@ -32,8 +32,6 @@
 	before func()
 	// rate is how many bytes of the answer are read a second, or 0 for as fast as possible.
 	rate int
-	// events and tokens are the number of events of a stream, and of tokens in each, or 0 for another answer.
-	events, tokens int
 }
 
 // reply is what a consumer got.
@@ -42,8 +40,6 @@
 	status int
 	seal   string
 	bytes  int
-	// last is the id of the last event of a stream.
-	last int
 	// kept is set if the channel had carried an earlier request.
 	kept bool
 	err  error
@@ -111,10 +107,6 @@
 	if wanted.rate > 0 {
 		body = &slowReader{source: body, rate: wanted.rate}
 	}
-	if wanted.events > 0 && got.status == http.StatusOK {
-		got.last, err = readStream(body, wanted.tokens, wanted.events)
-		return err
-	}
 	read, err := io.Copy(io.Discard, body)
 	got.bytes = int(read)
 	if err == nil && response.Close {
--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -24,7 +24,6 @@
 	prefix, kind string
 	timeout, aim time.Duration
 	anonymous    bool
-	resumable    bool
 	// service is where the route goes, or empty for the first one.
 	service string
 }
@@ -43,7 +42,7 @@
 		all = append(all, map[string]any{
 			"name": fmt.Sprintf("r-%d", i), "host": hostName, "pathPrefix": one.prefix, "kind": one.kind, "timeoutMs": one.timeout.Milliseconds(),
 			"targetLatencyMs": one.aim.Milliseconds(), "priority": 1, "service": target, "maxAttempts": 2, "anonymous": one.anonymous,
-			"sticky": false, "resumable": one.resumable, "gapAimMs": 500,
+			"sticky": false, "resumable": false,
 		})
 	}
 	return map[string]any{
@@ -123,9 +122,7 @@
 		case <-time.After(heartbeat):
 		}
 		for _, e := range d.engines {
-			if !e.hasCrashed() {
-				d.platform.put("servers", e.id, e.entry())
-			}
+			d.platform.put("servers", e.id, e.entry())
 		}
 	}
 }
--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -21,8 +21,6 @@
 	answerBytes int
 	record      *record
 	server      *http.Server
-	// stream writes the answer instead, if it is set.
-	stream func(w http.ResponseWriter, r *http.Request, id string)
 
 	mu      sync.Mutex
 	running int
@@ -33,7 +31,6 @@
 	answered map[string]bool
 	// sequence counts the pings.
 	sequence int64
-	crashed  bool
 }
 
 // waiter is a request in the queue.
@@ -54,20 +51,6 @@
 	return e
 }
 
-// crash ends the engine's channels at once. It accepts no others from then on.
-func (e *engine) crash() {
-	e.mu.Lock()
-	e.crashed = true
-	e.mu.Unlock()
-	e.stop()
-}
-
-func (e *engine) hasCrashed() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.crashed
-}
-
 // noteAnswered records that the whole answer to a request has been written.
 func (e *engine) noteAnswered(id string) {
 	e.mu.Lock()
@@ -140,11 +123,7 @@
 	e.mu.Lock()
 	e.runs[id]++
 	e.mu.Unlock()
-	e.record.add("engine %s begins %s, Deadline-Ms %s, Last-Event-Id %q", e.id, id, r.Header.Get("Deadline-Ms"), r.Header.Get("Last-Event-Id"))
-	if e.stream != nil {
-		e.stream(w, r, id)
-		return
-	}
+	e.record.add("engine %s begins %s, Deadline-Ms %s", e.id, id, r.Header.Get("Deadline-Ms"))
 	select {
 	case <-time.After(e.work):
 		w.Header().Set("Server-Seal", "seal."+id)
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -27,8 +27,6 @@
 	history []row
 	version int64
 	changed chan struct{}
-	// hold is called before each call is handled, if it is set. It returns false if the call gets no answer.
-	hold func(r *http.Request) bool
 }
 
 func newStore() *store {
@@ -50,15 +48,6 @@
 	s.mu.Unlock()
 }
 
-// drop removes a row.
-func (s *store) drop(table, key string) {
-	s.mu.Lock()
-	s.version++
-	s.set(row{Table: table, Key: key, Version: s.version, Removed: true})
-	s.wake()
-	s.mu.Unlock()
-}
-
 func (s *store) set(r row) {
 	if r.Removed {
 		delete(s.rows, nameOf(r.Table, r.Part, r.Key))
@@ -83,16 +72,7 @@
 	if err != nil {
 		panic(err)
 	}
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.mu.Lock()
-		hold := s.hold
-		s.mu.Unlock()
-		if hold != nil && !hold(r) {
-			<-r.Context().Done()
-			return
-		}
-		mux.ServeHTTP(w, r)
-	})}
+	server := &http.Server{Handler: mux}
 	go func() { _ = server.Serve(listener) }()
 	return listener.Addr().String(), func() { _ = server.Close() }
 }
