review/1: a request answered 503 runs all the same

A send crosses the deadline: the write does not wait for the mailbox that records it, so that the deadline's call may find the request unsent and answer 503, while an engine begins it (rule REFUSED).

The other cases move down; that of HEAD gives way and stands in.

--- a/review/stand/consumer.go
+++ b/review/stand/consumer.go
@@ -16,8 +16,10 @@
 	address string
 	record  *record
 	// window is the size of the receive window, or 0 for that of the system.
-	window  int
-	number  int
+	window int
+	number int
+	// isQuiet is set if its requests are not recorded one by one.
+	isQuiet bool
 	channel net.Conn
 	reader  *bufio.Reader
 }
@@ -59,6 +61,9 @@
 	if got.err != nil {
 		c.close()
 	}
+	if c.isQuiet {
+		return got
+	}
 	c.record.add("consumer: %s %s %s -> status %d, %d bytes, after %.3f s, kept channel %t, error %v",
 		got.id, wanted.method, wanted.path, got.status, got.bytes, got.took.Seconds(), got.kept, got.err)
 	return got
--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -17,6 +17,8 @@
 	address           string
 	slots, queue      int
 	work              time.Duration
+	// workOf returns how long a request runs, if it is set, instead of work.
+	workOf func(*http.Request) time.Duration
 	// answerBytes is the length of an answer's body.
 	answerBytes int
 	record      *record
@@ -29,10 +31,32 @@
 	runs map[string]int
 	// answered holds the requests whose whole answer has been written.
 	answered map[string]bool
+	// rejectedAt and begunAt are when the engine has rejected a request, or begun to run it.
+	rejectedAt, begunAt map[string]time.Time
+	// slowFactor multiplies the time for which requests run.
+	slowFactor int
 	// sequence counts the pings.
 	sequence int64
 }
 
+// setSlow sets the factor of the time for which requests run.
+func (e *engine) setSlow(factor int) {
+	e.mu.Lock()
+	e.slowFactor = factor
+	e.mu.Unlock()
+}
+
+// timeFor returns how long a request runs that begins now.
+func (e *engine) timeFor(r *http.Request) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	work := e.work
+	if e.workOf != nil {
+		work = e.workOf(r)
+	}
+	return work * time.Duration(e.slowFactor)
+}
+
 // waiter is a request in the queue.
 type waiter struct {
 	begin chan struct{}
@@ -40,7 +64,9 @@
 }
 
 func newEngine(id, service, zone string, slots, queue int, work time.Duration, r *record) *engine {
-	e := &engine{id: id, service: service, zone: zone, slots: slots, queue: queue, work: work, record: r, runs: make(map[string]int), answered: make(map[string]bool)}
+	e := &engine{id: id, service: service, zone: zone, slots: slots, queue: queue, work: work, record: r, runs: make(map[string]int), answered: make(map[string]bool),
+		rejectedAt: make(map[string]time.Time), begunAt: make(map[string]time.Time), slowFactor: 1,
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		panic(err)
@@ -114,7 +140,9 @@
 	defer cancel()
 	if !e.awaitSlot(ctx) {
 		if r.Context().Err() == nil {
-			e.record.add("engine %s rejects %s (full, or its time was over in the queue)", e.id, id)
+			e.mu.Lock()
+			e.rejectedAt[id] = time.Now()
+			e.mu.Unlock()
 			e.reject(w, http.StatusServiceUnavailable)
 		}
 		return
@@ -122,10 +150,14 @@
 	defer e.release()
 	e.mu.Lock()
 	e.runs[id]++
+	e.begunAt[id] = time.Now()
+	isQuiet := e.workOf != nil
 	e.mu.Unlock()
-	e.record.add("engine %s begins %s, Deadline-Ms %s", e.id, id, r.Header.Get("Deadline-Ms"))
+	if !isQuiet {
+		e.record.add("engine %s begins %s, Deadline-Ms %s", e.id, id, r.Header.Get("Deadline-Ms"))
+	}
 	select {
-	case <-time.After(e.work):
+	case <-time.After(e.timeFor(r)):
 		w.Header().Set("Server-Seal", "seal."+id)
 		body := bytes.Repeat([]byte{'x'}, max(20, e.answerBytes))
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -135,7 +167,9 @@
 		}
 		if _, err := w.Write(body); err == nil && http.NewResponseController(w).Flush() == nil {
 			e.noteAnswered(id)
-			e.record.add("engine %s has answered %s with 200 and %d bytes", e.id, id, len(body))
+			if e.workOf == nil {
+				e.record.add("engine %s has answered %s with 200 and %d bytes", e.id, id, len(body))
+			}
 		}
 	case <-ctx.Done():
 		if r.Context().Err() == nil {
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -34,7 +34,7 @@
 		fmt.Fprintln(os.Stderr, "usage: stand CASE ROOT FOLDER RECORD")
 		os.Exit(exitNotRun)
 	}
-	cases := map[string]func(*setup) (verdict, error){"unread": unread, "memory": memory, "head": head, "slow": slow, "misrouted": misrouted}
+	cases := map[string]func(*setup) (verdict, error){"refused": refused, "misrouted": misrouted, "unread": unread, "memory": memory, "slow": slow}
 	run, known := cases[os.Args[1]]
 	if !known {
 		fmt.Fprintln(os.Stderr, "stand: no such case")
