--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -64,7 +64,8 @@
 }
 
 func newEngine(id, service, zone string, slots, queue int, work time.Duration, r *record) *engine {
-	e := &engine{id: id, service: service, zone: zone, slots: slots, queue: queue, work: work, record: r, runs: make(map[string]int), answered: make(map[string]bool),
+	e := &engine{
+		id: id, service: service, zone: zone, slots: slots, queue: queue, work: work, record: r, runs: make(map[string]int), answered: make(map[string]bool),
 		rejectedAt: make(map[string]time.Time), begunAt: make(map[string]time.Time), slowFactor: 1,
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
