--- a/review/stand/consumer.go
+++ b/review/stand/consumer.go
@@ -89,9 +89,9 @@
 	}
 	_ = c.channel.SetDeadline(time.Now().Add(wanted.budget + time.Second))
 	var head bytes.Buffer
-	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n", wanted.method, wanted.path, hostName, got.id, wanted.budget.Milliseconds())
+	fmt.Fprintf(&head, wire("%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\n@deadline: %d\r\n"), wanted.method, wanted.path, hostName, got.id, wanted.budget.Milliseconds())
 	if wanted.key != "" {
-		fmt.Fprintf(&head, "Api-Key: %s\r\n", wanted.key)
+		fmt.Fprintf(&head, wire("@credential: %s\r\n"), wanted.key)
 	}
 	if wanted.method == http.MethodPost {
 		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(wanted.body))
@@ -107,7 +107,7 @@
 	if err != nil {
 		return err
 	}
-	got.status, got.seal = response.StatusCode, response.Header.Get("Server-Seal")
+	got.status, got.seal = response.StatusCode, response.Header.Get(wire("@seal"))
 	var body io.Reader = response.Body
 	if wanted.rate > 0 {
 		body = &slowReader{source: body, rate: wanted.rate}
--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -40,8 +40,8 @@
 			target = services[0]
 		}
 		all = append(all, map[string]any{
-			"name": fmt.Sprintf("r-%d", i), "host": hostName, "pathPrefix": one.prefix, "kind": one.kind, "timeoutMs": one.timeout.Milliseconds(),
-			"targetLatencyMs": one.aim.Milliseconds(), "priority": 1, "service": target, "maxAttempts": 2, "anonymous": one.anonymous,
+			"name": fmt.Sprintf("r-%d", i), "host": hostName, "@prefix": one.prefix, "kind": one.kind, "timeoutMs": one.timeout.Milliseconds(),
+			"@aimMs": one.aim.Milliseconds(), "priority": 1, "service": target, "maxAttempts": 2, "anonymous": one.anonymous,
 			"sticky": false, "resumable": false,
 		})
 	}
@@ -49,7 +49,7 @@
 		"version": version, "routes": all,
 		"services": described,
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants":  []map[string]any{{"name": "garage", "apiKeys": keys, "priority": 1}},
+		"tenants":  []map[string]any{{"name": "garage", "@keys": keys, "priority": 1}},
 	}
 }
 
--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -94,7 +94,7 @@
 	e.sequence++
 	return map[string]any{
 		"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": e.slots, "state": "ready",
-		"coldRemainingMs": 0, "sequence": e.sequence, "born": begun.UnixMilli(),
+		"@coldMs": 0, "sequence": e.sequence, "born": begun.UnixMilli(),
 	}
 }
 
@@ -113,16 +113,16 @@
 
 // reject answers that the request has not run.
 func (e *engine) reject(w http.ResponseWriter, status int) {
-	w.Header().Set("Not-Executed", "1")
+	w.Header().Set(wire("@notRun"), "1")
 	w.WriteHeader(status)
 }
 
 func (e *engine) handle(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
-	w.Header().Set("Instance-Id", e.id)
+	w.Header().Set(wire("@instance"), e.id)
 	w.Header().Set("Keep-Alive", "timeout=15")
-	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != e.id {
+	if expected := r.Header.Get(wire("@expected")); expected != "" && expected != e.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -133,7 +133,7 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
-	left, err := strconv.ParseFloat(r.Header.Get("Deadline-Ms"), 64)
+	left, err := strconv.ParseFloat(r.Header.Get(wire("@deadline")), 64)
 	if err != nil {
 		left = 60_000
 	}
@@ -155,11 +155,11 @@
 	isQuiet := e.workOf != nil
 	e.mu.Unlock()
 	if !isQuiet {
-		e.record.add("engine %s begins %s, Deadline-Ms %s", e.id, id, r.Header.Get("Deadline-Ms"))
+		e.record.add("engine %s begins %s with %s ms left", e.id, id, r.Header.Get(wire("@deadline")))
 	}
 	select {
 	case <-time.After(e.timeFor(r)):
-		w.Header().Set("Server-Seal", "seal."+id)
+		w.Header().Set(wire("@seal"), "seal."+id)
 		body := bytes.Repeat([]byte{'x'}, max(20, e.answerBytes))
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		w.WriteHeader(http.StatusOK)
@@ -174,7 +174,7 @@
 		}
 	case <-ctx.Done():
 		if r.Context().Err() == nil {
-			w.Header().Set("Server-Seal", "seal."+id)
+			w.Header().Set(wire("@seal"), "seal."+id)
 			w.WriteHeader(http.StatusGatewayTimeout)
 		}
 	}
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"sort"
@@ -16,7 +17,7 @@
 	Part    string `json:"part"`
 	Key     string `json:"key"`
 	Value   []byte `json:"value,omitempty"`
-	Version int64  `json:"resourceVersion"`
+	Version int64  `json:"@rowVersion"`
 	Removed bool   `json:"removed,omitempty"`
 }
 
@@ -41,6 +42,7 @@
 	if err != nil {
 		panic(err)
 	}
+	text = []byte(wire(string(text)))
 	s.mu.Lock()
 	s.version++
 	s.set(row{Table: table, Key: key, Value: text, Version: s.version})
@@ -65,9 +67,9 @@
 // serve answers the calls of daemons at an address.
 func (s *store) serve() (address string, stop func()) {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /-/rows-get", s.get)
-	mux.HandleFunc("GET /-/rows-feed", s.feed)
-	mux.HandleFunc("POST /-/rows-tx", s.transact)
+	mux.HandleFunc(wire("GET /-/@getRows"), s.get)
+	mux.HandleFunc(wire("GET /-/@feedRows"), s.feed)
+	mux.HandleFunc(wire("POST /-/@writeRows"), s.transact)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		panic(err)
@@ -81,13 +83,13 @@
 	text, _ := json.Marshal(body)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_, _ = w.Write(text)
+	_, _ = w.Write([]byte(wire(string(text))))
 }
 
 type rowsAnswer struct {
 	Rows    []row `json:"rows"`
 	HasMore bool  `json:"hasMore"`
-	Version int64 `json:"resourceVersion"`
+	Version int64 `json:"@rowVersion"`
 	NowMs   int64 `json:"nowMs"`
 }
 
@@ -149,10 +151,14 @@
 func (s *store) transact(w http.ResponseWriter, r *http.Request) {
 	var call struct {
 		Precondition []row `json:"precondition"`
-		SetKeys      []row `json:"setKeys"`
+		SetKeys      []row `json:"@writes"`
 		Remove       []row `json:"remove"`
 	}
-	if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
+	text, err := io.ReadAll(r.Body)
+	if err == nil {
+		err = json.Unmarshal([]byte(unwire(string(text))), &call)
+	}
+	if err != nil {
 		answer(w, http.StatusBadRequest, nil)
 		return
 	}
