--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -44,7 +44,8 @@
 	peer        *relay.Peer
 	peerOutcome relay.Outcome
 	reply       relay.Reply
-	conn        *endpointConnection
+	// sending is taken by the connection that sends the request, and revoked when the attempt ends.
+	sending sendPermit
 	// stages are those of the route at the start of the attempt.
 	stages []quarantine.Stage
 	// standing is what was known of the request's content at the start of the attempt.
@@ -52,9 +53,7 @@
 	// reserved is set while the endpoints are reserved for the attempt.
 	reserved bool
 	// lossCause is how the attempt was lost, if it was.
-	lossCause quarantine.LossCause
-	// sent is set when the request is about to be written: from then on, bytes of it may have been sent.
-	sent          bool
+	lossCause     quarantine.LossCause
 	ended         bool
 	startedAt     time.Time
 	response      *http.Response
@@ -133,7 +132,7 @@
 		exchange: x, number: x.attempts, route: route, stages: x.stagesOf(route), standing: standing, reserved: reserved,
 		startedAt: now, lastProgress: now,
 	}
-	x.current = a
+	x.current, x.isUnsent = a, false
 	for _, hop := range route.Hops {
 		x.config().Endpoints.Begin(hop.Engine)
 	}
@@ -175,25 +174,32 @@
 	return append(out, x.body...)
 }
 
-// end releases what the attempt holds. If abandon is set, it also closes the connection to the endpoint.
+// isSent reports whether bytes of the request may have been sent. It is final only once the attempt has ended: until then, the
+// request may be sent at any time.
+func (a *attempt) isSent() bool { return a.sending.isTaken() }
+
+// end releases what the attempt holds; the request is not sent any more. If abandon is set, it also closes the connection to the
+// endpoint.
 func (a *attempt) end(abandon bool) {
 	if a.ended {
 		return
 	}
+	conn := a.sending.revoke()
 	a.release()
-	if abandon && a.conn != nil {
-		a.conn.abandon(a)
+	if abandon && conn != nil {
+		conn.abandon(a)
 	}
 }
 
 // endLate ends the attempt because the deadline has passed. An answer that has not begun yet may still say something of the endpoint.
 func (a *attempt) endLate() {
-	if a.response != nil || a.peer != nil || a.conn == nil || a.ended {
+	conn := a.sending.revoke()
+	if a.response != nil || a.peer != nil || conn == nil || a.ended {
 		a.end(true)
 		return
 	}
 	a.release()
-	a.conn.abandonLate(a)
+	conn.abandonLate(a)
 }
 
 // release releases what the attempt holds, but for the connection.
@@ -208,17 +214,9 @@
 	a.endTrial(a.trialOutcome())
 }
 
-// onSending is called when the request is about to be written to a connection.
-func (a *attempt) onSending(conn *endpointConnection) {
-	a.exchange.conn.post(func() {
-		if a.ended {
-			conn.abandon(a)
-			return
-		}
-		a.conn, a.sent = conn, true
-		a.exchange.isUnsent = a.exchange.isUnsent && a.peer != nil
-	})
-}
+// onSending is called when the request is about to be written to a connection. It does not wait for the caller's mailbox, as a
+// step there may be ending the attempt.
+func (a *attempt) onSending(conn *endpointConnection) bool { return a.sending.take(conn) }
 
 // post runs a step in the mailbox of the caller's connection, unless the attempt has ended by then.
 func (a *attempt) post(step func()) { a.exchange.conn.post(a.unlessEnded(step)) }
--- a/passthrough/callerexchange.go
+++ b/passthrough/callerexchange.go
@@ -263,7 +263,7 @@
 	if x.finished {
 		return
 	}
-	if x.current != nil && x.current.sent {
+	if x.current != nil && x.current.sending.revoke() != nil {
 		x.current.reportLoss(quarantine.LossUnrelated)
 	}
 	x.abandonAttempts()
@@ -293,7 +293,7 @@
 
 // onDeadline ends the exchange because its deadline has passed. It may still be waiting for admission.
 func (x *callerExchange) onDeadline() {
-	running := x.current != nil && x.current.sent
+	running := x.current != nil && x.current.sending.revoke() != nil
 	if running {
 		x.current.reportLoss(quarantine.LossSilent)
 	}
--- a/passthrough/endpoint.go
+++ b/passthrough/endpoint.go
@@ -75,7 +75,8 @@
 	return conn.method
 }
 
-// start writes a request. It returns false if the connection was closed before and nothing was sent.
+// start writes a request, unless its receiver does not want it to be sent any more: the connection is closed then. It returns
+// false if the connection was closed before and nothing was sent.
 func (conn *endpointConnection) start(request endpointRequest) bool {
 	conn.mu.Lock()
 	if conn.closed || conn.current != nil {
@@ -84,7 +85,11 @@
 	}
 	conn.current, conn.id, conn.method, conn.endpoint = request.receiver, request.id, request.method, request.endpoint
 	conn.mu.Unlock()
-	request.receiver.onSending(conn)
+	if !request.receiver.onSending(conn) {
+		conn.pool.metrics.sendRevoked()
+		conn.abandon(request.receiver)
+		return true
+	}
 	// A failed write closes the connection, which ends the request through onClose.
 	_, _ = conn.socket.Write(request.message)
 	return true
--- a/passthrough/failure.go
+++ b/passthrough/failure.go
@@ -91,7 +91,7 @@
 // logEnd logs the end of an attempt that has given no complete answer.
 func (a *attempt) logEnd(failure exchange.Failure, cause error) {
 	x := a.exchange
-	x.config().Log.Log(event.AttemptEnded, "request", x.callerHeaders.ID, "attempt", a.number, "failure", failure, "sent", a.sent,
+	x.config().Log.Log(event.AttemptEnded, "request", x.callerHeaders.ID, "attempt", a.number, "failure", failure, "sent", a.isSent(),
 		"route", routeText(a.route), "peer", a.peerID(), "took", x.config().Timer.Now().Sub(a.startedAt), "error", cause)
 }
 
--- a/passthrough/hedge.go
+++ b/passthrough/hedge.go
@@ -123,7 +123,7 @@
 
 // overtakenAs returns what the end of an attempt that another one has overtaken means for the count of runs.
 func (a *attempt) overtakenAs() exchange.Failure {
-	if !a.sent {
+	if !a.isSent() {
 		return exchange.FailureUnsent
 	}
 	return exchange.FailureLost
--- a/passthrough/metrics.go
+++ b/passthrough/metrics.go
@@ -21,6 +21,7 @@
 	hedges           *metrics.Counter
 	hedgesAhead      *metrics.Counter
 	pauses           *metrics.Counter
+	revokedSends     *metrics.Counter
 }
 
 // NewMetrics returns Metrics with all counters at zero.
@@ -34,6 +35,7 @@
 		stalled:          set.NewCounter("chicoryhall_attempts_stalled_total"),
 		hedges:           set.NewCounter("chicoryhall_hedges_total"),
 		hedgesAhead:      set.NewCounter("chicoryhall_hedges_ahead_total"),
+		revokedSends:     set.NewCounter("chicoryhall_sends_revoked_total"),
 		pauses:           set.NewCounter("chicoryhall_endpoint_pauses_total"),
 		refusedExchanges: set.NewCounter("chicoryhall_exchanges_refused_total"),
 	}
@@ -72,6 +74,9 @@
 // pauseAsked counts an answer of an endpoint that wants no requests for some time.
 func (m *Metrics) pauseAsked() { m.pauses.Inc() }
 
+// sendRevoked counts a request that was not sent, as it ended while its connection was being opened.
+func (m *Metrics) sendRevoked() { m.revokedSends.Inc() }
+
 // exchangeEnded counts an exchange and its duration.
 func (m *Metrics) exchangeEnded(class chicoryhall.ClassName, status int, duration time.Duration) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("chicoryhall_exchanges_total{class=%q,status=\"%d\"}", class, status)).Inc()
--- a/passthrough/pool.go
+++ b/passthrough/pool.go
@@ -44,8 +44,9 @@
 
 // answerReceiver receives an answer piece by piece. Exactly one of onEnd and onFailure is called at the end.
 type answerReceiver interface {
-	// onSending is called right before the first byte goes out.
-	onSending(conn *endpointConnection)
+	// onSending is called right before the first byte goes out, on any goroutine. If it returns false, no byte must go out, and
+	// the receiver is not called any more.
+	onSending(conn *endpointConnection) bool
 	onHead(response *http.Response)
 	// onBody receives a piece of the body, which is valid only during the call.
 	onBody(piece []byte)
--- a/passthrough/quarantine.go
+++ b/passthrough/quarantine.go
@@ -221,7 +221,7 @@
 // trialOutcome returns the outcome of a trial that has not passed.
 func (a *attempt) trialOutcome() quarantine.TrialOutcome {
 	switch {
-	case !a.sent:
+	case !a.isSent():
 		return quarantine.TrialNotStarted
 	case a.answerHeaders.NotRun:
 		return quarantine.TrialRefused
--- a/passthrough/stall.go
+++ b/passthrough/stall.go
@@ -71,7 +71,7 @@
 	a.stalled = true
 	a.suspectStalled(now)
 	a.exchange.server.pool.closeIdleConnections(a.route.Hops[0].Address)
-	a.exchange.config().Log.Log(event.AttemptStalled, "request", a.exchange.callerHeaders.ID, "attempt", a.number, "sent", a.sent,
+	a.exchange.config().Log.Log(event.AttemptStalled, "request", a.exchange.callerHeaders.ID, "attempt", a.number, "sent", a.isSent(),
 		"route", routeText(a.route), "silent", now.Sub(a.lastProgress), "left", a.exchange.deadline.Sub(now))
 	a.exchange.config().Metrics.attemptStalled()
 	a.reportLoss(quarantine.LossSilent)
