--- a/passthrough/wakeuptimer.go
+++ b/passthrough/wakeuptimer.go
@@ -41,5 +41,6 @@
 func (t *wakeupTimer) cancel() {
 	if t.pending != nil {
 		t.pending.Cancel()
+		t.pending = nil
 	}
 }
--- a/timer/manual.go
+++ b/timer/manual.go
@@ -1,7 +1,6 @@
 package timer
 
 import (
-	"container/heap"
 	"sync"
 	"time"
 
@@ -11,10 +10,10 @@
 // Manual is a chicoryhall.Timer whose time changes only in Advance. It is safe for concurrent use, but only one goroutine at a time may
 // call Advance.
 type Manual struct {
-	mu       sync.Mutex
-	now      time.Time
-	queue    queue
-	sequence uint64
+	schedule schedule
+
+	mu  sync.Mutex
+	now time.Time
 }
 
 // NewManual returns a Manual whose time is start.
@@ -31,20 +30,13 @@
 
 // Every subscribes tick, which Advance then calls once per period, first after one period.
 func (m *Manual) Every(period time.Duration, tick func(now time.Time)) chicoryhall.Subscription {
-	return m.add(period, period, tick)
+	item, _ := m.schedule.add(m.Now().Add(period), period, tick)
+	return item
 }
 
 // After subscribes fire, which Advance then calls once, after delay.
 func (m *Manual) After(delay time.Duration, fire func(now time.Time)) chicoryhall.Subscription {
-	return m.add(delay, 0, fire)
-}
-
-func (m *Manual) add(delay, period time.Duration, call func(time.Time)) *subscription {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.sequence++
-	item := &subscription{due: m.now.Add(delay), period: period, call: call, sequence: m.sequence}
-	heap.Push(&m.queue, item)
+	item, _ := m.schedule.add(m.Now().Add(delay), 0, fire)
 	return item
 }
 
@@ -52,32 +44,23 @@
 // subscription. During a call, the time is that at which the call is due. Unlike Service, it never skips calls.
 func (m *Manual) Advance(d time.Duration) {
 	end := m.Now().Add(d)
-	for item := m.next(end); item != nil; item = m.next(end) {
-		item.call(m.Now())
-		m.repeat(item)
+	for {
+		item, call := m.schedule.takeDue(end)
+		if item == nil {
+			break
+		}
+		call(m.advanceTo(item.due))
+		m.schedule.repeat(item, time.Time{})
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.now = end
+	m.advanceTo(end)
 }
 
-// next removes and returns the first call that is due at or before end, and sets the time to when it is due.
-func (m *Manual) next(end time.Time) *subscription {
+// advanceTo sets the time to the given one, unless it is later already, and returns it.
+func (m *Manual) advanceTo(at time.Time) time.Time {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	item := m.queue.popDue(end)
-	if item != nil && item.due.After(m.now) {
-		m.now = item.due
-	}
-	return item
-}
-
-// repeat adds the next call of a periodic subscription.
-func (m *Manual) repeat(item *subscription) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if item.period > 0 && !item.cancelled.Load() {
-		item.due = item.due.Add(item.period)
-		heap.Push(&m.queue, item)
+	if at.After(m.now) {
+		m.now = at
 	}
+	return m.now
 }
--- a/timer/service.go
+++ b/timer/service.go
@@ -1,9 +1,7 @@
 package timer
 
 import (
-	"container/heap"
 	"context"
-	"sync"
 	"time"
 
 	"chicoryhall.example/chicoryhall"
@@ -14,9 +12,7 @@
 
 // Service is a chicoryhall.Timer that uses the system's monotonic clock.
 type Service struct {
-	mu       sync.Mutex
-	queue    queue
-	sequence uint64
+	schedule schedule
 	wake     chan struct{}
 }
 
@@ -41,13 +37,8 @@
 }
 
 func (s *Service) add(delay, period time.Duration, call func(time.Time)) *subscription {
-	s.mu.Lock()
-	s.sequence++
-	item := &subscription{due: time.Now().Add(delay), period: period, call: call, sequence: s.sequence}
-	heap.Push(&s.queue, item)
-	first := s.queue[0] == item
-	s.mu.Unlock()
-	if first {
+	item, isNext := s.schedule.add(time.Now().Add(delay), period, call)
+	if isNext {
 		s.signal()
 	}
 	return item
@@ -77,40 +68,23 @@
 	}
 }
 
+// runDue makes the calls that are due. Calls of a periodic subscription that were missed are skipped.
 func (s *Service) runDue() {
 	for {
 		now := time.Now()
-		s.mu.Lock()
-		item := s.queue.popDue(now)
-		s.mu.Unlock()
+		item, call := s.schedule.takeDue(now)
 		if item == nil {
 			return
 		}
-		item.call(now)
-		s.repeat(item, now)
+		call(now)
+		s.schedule.repeat(item, now)
 	}
 }
 
-// repeat schedules the next call of a periodic subscription, whose last call was started at now. If the next one was
-// overdue at that time, the missed calls are skipped, and it is made one period after now.
-func (s *Service) repeat(item *subscription, now time.Time) {
-	if item.period == 0 || item.cancelled.Load() {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	item.due = item.due.Add(item.period)
-	if item.due.Before(now) {
-		item.due = now.Add(item.period)
-	}
-	heap.Push(&s.queue, item)
-}
-
 func (s *Service) untilNext() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.queue) == 0 {
+	due, found := s.schedule.nextDue()
+	if !found {
 		return idleSleep
 	}
-	return max(0, time.Until(s.queue[0].due))
+	return max(0, time.Until(due))
 }
