passthrough: a request is not sent when too little time is left for its answer

Callers saw: an unsafe request that its endpoint had refused right before the deadline was sent to another one with Deadline-Ms: 1. It could not be answered in time, and its caller could not be told that it had not run (504).

Cause: a retry was allowed up to the last microsecond.

The change: an attempt or hedge starts only if the answer has begun, or a tenth of the target latency, at least 2 ms, is left. Otherwise the caller is told at once, 503 if nothing ran.

The tests of passthrough pass.

--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -99,6 +99,10 @@
 		return
 	case quarantine.StateFree, quarantine.StateSuspect:
 	}
+	if x.lacksTime() {
+		x.endWithoutAnswer(x.finalVerdict(false), retryAfterRefused, "too little time is left for an answer")
+		return
+	}
 	if x.mustRelay() && x.handOver() {
 		return
 	}
--- a/passthrough/hedge.go
+++ b/passthrough/hedge.go
@@ -58,7 +58,7 @@
 	}
 	standing := x.standing()
 	return x.machine.MayHedge() && !x.current.isTrial() && standing.State == quarantine.StateFree && !standing.Blocked &&
-		now.Before(x.deadline) && x.config().Retries.IsLeft(x.service, now)
+		now.Before(x.deadline) && !x.lacksTime() && x.config().Retries.IsLeft(x.service, now)
 }
 
 // hedgeWithoutRoute starts a hedge at another daemon if there is no route as the endpoints are out of reach.
--- a/passthrough/quarantine.go
+++ b/passthrough/quarantine.go
@@ -103,7 +103,7 @@
 		return
 	}
 	runs := answer.Decision == quarantine.DecisionReserved || answer.Decision == quarantine.DecisionFree
-	if runs && !x.isOpen(route) {
+	if runs && (!x.isOpen(route) || x.lacksTime()) {
 		x.config().Quarantine.Release(attempt, quarantine.TrialNotStarted)
 		x.awaitReservation(standing)
 		return
