requests: an attempt is not sent after its request has ended as not run

Cause: the engine client posted InputSending to the request's mailbox, where the deadline or a cancellation could be ahead of it; the machine then ended the request as not run, or chose another route for a request that must not run twice.

The change: each attempt has a permit. The client takes it right before the first byte; the request holds it while its machine decides, tells the machine first if it has been taken, and revokes it when the attempt is abandoned. AttemptHandler.OnSending says whether the attempt may be sent. Calls to plain services already decided under a lock; what they do is unchanged.

--- a/engine/answerreceiver.go
+++ b/engine/answerreceiver.go
@@ -43,15 +43,12 @@
 	return sent, ended
 }
 
-func (a *answerReceiver) onSending(conn *connection) {
+func (a *answerReceiver) onSending(conn *connection) bool {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.conn = conn
-	givenUp := a.givenUp
-	a.sent = !givenUp
-	a.mu.Unlock()
-	if givenUp {
-		conn.abandon(a)
-	}
+	a.sent = !a.givenUp
+	return a.sent
 }
 
 func (a *answerReceiver) onStatus(code int) { a.status = code }
--- a/engine/attempt.go
+++ b/engine/attempt.go
@@ -18,8 +18,9 @@
 
 // AttemptHandler receives what happens to one attempt. Its methods are called one at a time.
 type AttemptHandler interface {
-	// OnSending is called before the first byte of the request is sent.
-	OnSending()
+	// OnSending is called before the first byte of the request is sent. If it returns false, nothing is sent, and no other method
+	// is called.
+	OnSending() bool
 	// OnEvents gets events that arrived together. The slice is valid only during the call.
 	OnEvents(events []Event)
 	// OnFailure is called last if the attempt ends without EventDone, EventRefused or
@@ -87,16 +88,12 @@
 	c.send(exchange{address: address, operation: "cancel stream", request: request, receiver: discardingReceiver{}})
 }
 
-func (a *Attempt) onSending(conn *connection) {
+func (a *Attempt) onSending(conn *connection) bool {
 	a.mu.Lock()
 	a.conn = conn
 	done := a.done
 	a.mu.Unlock()
-	if done {
-		conn.abandon(a)
-		return
-	}
-	a.handler.OnSending()
+	return !done && a.handler.OnSending()
 }
 
 func (a *Attempt) onStatus(code int) { a.status = code }
@@ -160,8 +157,8 @@
 // discardingReceiver is the receiver of an exchange whose answer does not matter.
 type discardingReceiver struct{}
 
-func (discardingReceiver) onSending(*connection) {}
-func (discardingReceiver) onStatus(int)          {}
-func (discardingReceiver) onBody([]byte) error   { return nil }
-func (discardingReceiver) onComplete()           {}
-func (discardingReceiver) onFailure(*Error)      {}
+func (discardingReceiver) onSending(*connection) bool { return true }
+func (discardingReceiver) onStatus(int)               {}
+func (discardingReceiver) onBody([]byte) error        { return nil }
+func (discardingReceiver) onComplete()                {}
+func (discardingReceiver) onFailure(*Error)           {}
--- a/engine/client.go
+++ b/engine/client.go
@@ -88,8 +88,9 @@
 
 // receiver gets an answer in pieces. The last call is either onComplete or onFailure.
 type receiver interface {
-	// onSending is called before the first byte of the request is written.
-	onSending(conn *connection)
+	// onSending is called before the first byte of the request is written. If it returns false, nothing is written, and no other
+	// method is called.
+	onSending(conn *connection) bool
 	onStatus(code int)
 	// onBody gets a piece of the body, which is valid only during the call.
 	onBody(piece []byte) error
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -96,7 +96,10 @@
 	return &collector{sending: make(chan struct{}, 4), events: make(chan engine.Event, 64), failed: make(chan *engine.Error, 4)}
 }
 
-func (c *collector) OnSending() { c.sending <- struct{}{} }
+func (c *collector) OnSending() bool {
+	c.sending <- struct{}{}
+	return true
+}
 
 func (c *collector) OnEvents(events []engine.Event) {
 	for _, event := range events {
--- a/engine/connection.go
+++ b/engine/connection.go
@@ -32,8 +32,8 @@
 	return conn
 }
 
-// start writes a request. It returns false if the connection was already closed or in use and
-// nothing was written.
+// start writes a request, unless its receiver does not want that any more: the connection is closed
+// then. It returns false if the connection was already closed or in use and nothing was written.
 func (conn *connection) start(x exchange) bool {
 	conn.mu.Lock()
 	if conn.closed || conn.current != nil {
@@ -42,7 +42,10 @@
 	}
 	conn.current, conn.operation, conn.closeAfter = x.receiver, x.operation, false
 	conn.mu.Unlock()
-	x.receiver.onSending(conn)
+	if !x.receiver.onSending(conn) {
+		conn.abandon(x.receiver)
+		return true
+	}
 	// A failed write closes the connection, which ends the exchange through Close.
 	_, _ = conn.raw.Write(x.request)
 	return true
--- a/requests/actions.go
+++ b/requests/actions.go
@@ -22,10 +22,25 @@
 
 // step gives an input to the machine and executes the resulting actions.
 func (r *Request) step(in stream.Input) {
+	defer r.holdPermit()()
 	r.execute(r.machine.Step(r.config().Timer.Now(), in))
 }
 
+// holdPermit tells the machine whether the open attempt has been sent, and prevents that it is sent until release is called.
+func (r *Request) holdPermit() (release func()) {
+	permit := r.sending
+	if permit == nil {
+		return func() {}
+	}
+	permit.mu.Lock()
+	if permit.learn() {
+		r.execute(r.machine.Step(r.config().Timer.Now(), stream.Input{Kind: stream.InputSending, Attempt: r.sendingAttempt}))
+	}
+	return permit.mu.Unlock
+}
+
 func (r *Request) stepEvents(attempt int, events []engine.Event) {
+	defer r.holdPermit()()
 	now := r.config().Timer.Now()
 	r.execute(r.machine.StepEvents(now, attempt, events))
 	r.checkProbation()
@@ -108,7 +123,8 @@
 	}
 	r.config().Metrics.attempts(r.record.Service).Inc()
 	first := action.Route.Hops[0]
-	handler := &attemptHandler{request: r, attempt: action.Attempt}
+	handler := &attemptHandler{request: r, attempt: action.Attempt, sending: &sendPermit{}}
+	r.sending, r.sendingAttempt = handler.sending, action.Attempt
 	r.currentAttempt = r.config().Engines.OpenAttempt(first.Address, r.streamRequest(action), action.NewConnection, handler)
 }
 
@@ -123,6 +139,10 @@
 // abandonAttempt closes the attempt's connection and cancels the attempt at the engines that are
 // not to keep its KV.
 func (r *Request) abandonAttempt(action *stream.Action) {
+	if r.sending != nil { // Held by step.
+		r.sending.revoked = true
+		r.sending = nil
+	}
 	if r.currentAttempt != nil {
 		r.currentAttempt.Abandon()
 		r.currentAttempt = nil
@@ -187,12 +207,11 @@
 type attemptHandler struct {
 	request *Request
 	attempt int
+	sending *sendPermit
 }
 
-// OnSending passes on that the first byte is about to be sent.
-func (h *attemptHandler) OnSending() {
-	h.request.postInput(stream.Input{Kind: stream.InputSending, Attempt: h.attempt})
-}
+// OnSending reports whether the attempt may be sent. The machine learns of it with its next input.
+func (h *attemptHandler) OnSending() bool { return h.sending.take() }
 
 // OnEvents passes the events on.
 func (h *attemptHandler) OnEvents(events []engine.Event) {
--- a/requests/request.go
+++ b/requests/request.go
@@ -53,6 +53,9 @@
 	// attempt as in flight.
 	currentAttempt *engine.Attempt
 	inFlightHops   []chicoryhall.Hop
+	// sending is the permit of the attempt that was opened last, sendingAttempt, or nil if that was abandoned.
+	sending        *sendPermit
+	sendingAttempt int
 	// tokensAtOpen is the number of the answer's tokens when the open attempt began.
 	tokensAtOpen int
 	// unroutableSince is when the request first found no route, or zero.
