platform, routing: entries that claim what no engine has name none

Cause: an entry was checked for its form, not for its size. One that claims layers up to the largest integer counts as holder of all layers, so that no engine is asked to load those that are missing.

Deep nesting, numbers too large and ports out of range were refused row by row before.

--- a/cmd/chicorystand/hall/control.go
+++ b/cmd/chicorystand/hall/control.go
@@ -11,6 +11,13 @@
 // discardLogger returns a logger that discards all messages. net/http logs each connection aborted by a fault.
 func discardLogger() *log.Logger { return log.New(io.Discard, "", 0) }
 
+// foreignRow is a row of another writer.
+type foreignRow struct {
+	Table string `json:"table"`
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+}
+
 // controlHandler returns the handler of the control endpoint, through which tests read the ledger and inject faults.
 func (p *Platform) controlHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -42,6 +49,12 @@
 			p.stopOnError(p.store.Put("op", "config", text))
 		}
 	})
+	mux.HandleFunc("POST /rows", func(rw http.ResponseWriter, r *http.Request) {
+		var written foreignRow
+		if decode(rw, r, &written) {
+			p.store.PutBytes(written.Table, written.Key, written.Value)
+		}
+	})
 	mux.HandleFunc("POST /engines/{id}/faults", func(rw http.ResponseWriter, r *http.Request) {
 		var faults EndpointFaults
 		if endpoint := p.byID(r.PathValue("id")); endpoint != nil && decode(rw, r, &faults) {
--- a/cmd/chicorystand/hall/store.go
+++ b/cmd/chicorystand/hall/store.go
@@ -88,12 +88,17 @@
 	if err != nil {
 		return err
 	}
+	s.PutBytes(table, key, text)
+	return nil
+}
+
+// PutBytes is Put with any value, as another writer may leave it.
+func (s *Store) PutBytes(table, key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	s.write(row{Table: table, Key: key, Value: text, Version: s.version})
+	s.write(row{Table: table, Key: key, Value: value, Version: s.version})
 	s.notifyFeeds()
-	return nil
 }
 
 // Drop removes a row.
--- a/routing/documents.go
+++ b/routing/documents.go
@@ -69,6 +69,18 @@
 	d.subscribers = append(d.subscribers, changed)
 }
 
+// fitting returns the endpoints that fit a document. Those of a pipeline are of a kind that it describes, and hold no layers but
+// those of its model: anything else is the entry of another writer, or of another model.
+func fitting(document *chicoryhall.Document, endpoints []chicoryhall.DocumentEndpoint) []chicoryhall.DocumentEndpoint {
+	if document.Kind != chicoryhall.ServicePipeline {
+		return endpoints
+	}
+	return slices.DeleteFunc(endpoints, func(endpoint chicoryhall.DocumentEndpoint) bool {
+		_, known := document.Accelerator(endpoint.Accelerator)
+		return !known || endpoint.From < 0 || endpoint.To > document.Model.Layers
+	})
+}
+
 // compose creates a service's document from the current rules and endpoints. Its version is that of the rule
 // set, so it stays the same if only the endpoints change. Documents that were returned before are not
 // modified. A service that is not in the rule set keeps its earlier document with the endpoints of that time; requests
@@ -87,7 +99,7 @@
 	}
 	composed := *document
 	composed.Classes = table.classes
-	composed.Endpoints = d.lister.Endpoints(service)
+	composed.Endpoints = fitting(document, d.lister.Endpoints(service))
 	current := chicoryhall.DocumentVersion{Document: &composed, Version: table.Version()}
 	d.byService[service] = current
 	subscribers := d.subscribers
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -132,3 +132,36 @@
 	must.Len(t, 1, documents.All())
 	must.Eq(t, 2, notified)
 }
+
+// TestDocumentsListWhatFitsTheModel guards against endpoints whose entries claim what their service does not have.
+func TestDocumentsListWhatFitsTheModel(t *testing.T) {
+	cases := []struct {
+		name string
+		kind chicoryhall.ServiceKind
+		one  chicoryhall.DocumentEndpoint
+		fits bool
+	}{
+		{"no layers", chicoryhall.ServicePipeline, chicoryhall.DocumentEndpoint{Accelerator: "fast"}, true},
+		{"all layers", chicoryhall.ServicePipeline, chicoryhall.DocumentEndpoint{Accelerator: "fast", To: 8}, true},
+		{"the last layer", chicoryhall.ServicePipeline, chicoryhall.DocumentEndpoint{Accelerator: "fast", From: 7, To: 8}, true},
+		{"a layer more", chicoryhall.ServicePipeline, chicoryhall.DocumentEndpoint{Accelerator: "fast", To: 9}, false},
+		{"layers of a larger model", chicoryhall.ServicePipeline, chicoryhall.DocumentEndpoint{Accelerator: "fast", From: 8, To: 16}, false},
+		{"an unknown kind", chicoryhall.ServicePipeline, chicoryhall.DocumentEndpoint{Accelerator: "other", To: 8}, false},
+		{"no kind", chicoryhall.ServicePipeline, chicoryhall.DocumentEndpoint{}, false},
+		{"a plain service", chicoryhall.ServicePlain, chicoryhall.DocumentEndpoint{}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			set := ruleSet(1)
+			set.Documents = []*chicoryhall.Document{{
+				Service: "s", Kind: c.kind, Model: chicoryhall.DocumentModel{Layers: 8}, Accelerators: []chicoryhall.DocumentAccelerator{{Kind: "fast"}},
+			}}
+			rules := routing.NewCurrentRules()
+			documents := routing.NewDocuments(rules, &fakeLister{endpoints: []chicoryhall.DocumentEndpoint{c.one}})
+			rules.Apply(set)
+			current, known := documents.Current("s")
+			must.True(t, known)
+			must.Eq(t, c.fits, len(current.Document.Endpoints) == 1)
+		})
+	}
+}
