passthrough: a refusal that comes once more is not taken for an answer

Callers would see: 503 ("not run") for a request that an endpoint runs, or one that runs at a second endpoint, after an endpoint has written an earlier refusal once more on a kept connection: a report of other operators.

Cause: answers are told apart by the request's ID. A request that comes again under its ID on the same connection is not told apart by it; an answer without an ID was believed even behind an answer to another request.

Evidence: TestEarlierRefusalOnceMore and TestAnswerWithoutIDAfterAForeignOne.

The change: a connection keeps the IDs that were refused on it and does not carry one of them again; it is not reused after 32 refusals. An answer without an ID is taken only if no answer came before. Also: documents copy the list of endpoints before they leave some out.

--- a/passthrough/endpoint.go
+++ b/passthrough/endpoint.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,6 +25,8 @@
 	maxDiscardedAnswers = 64
 	// maxDiscardedBytes bounds their bodies.
 	maxDiscardedBytes = 1 << 20
+	// maxRefusals is the number of requests that an endpoint may refuse on one connection before it is not reused.
+	maxRefusals = 32
 )
 
 var errTooMuchDiscarded = errors.New("the endpoint sent too much that is not the answer to the request")
@@ -44,6 +47,8 @@
 	endpoint chicoryhall.EndpointID
 	// isLate is set once the request has been abandoned because its deadline has passed.
 	isLate bool
+	// refused are the requests that the endpoint has refused on the connection.
+	refused []chicoryhall.RequestID
 
 	// The fields below are only used by the event loop.
 
@@ -52,6 +57,8 @@
 	discarding bool
 	// discardedAnswers and discardedBytes count what was discarded since the last answer.
 	discardedAnswers, discardedBytes int
+	// hasForeign is set once an answer to another request has come.
+	hasForeign bool
 	// answerEnded is set if the current answer ended within the bytes being read.
 	answerEnded bool
 	// mustClose is set if the connection must not be reused.
@@ -76,13 +83,20 @@
 }
 
 // start writes a request, unless its receiver does not want it to be sent any more: the connection is closed then. It returns
-// false if the connection was closed before and nothing was sent.
+// false if nothing was sent because the connection was closed before, or must not carry the request: it has carried one with the
+// same ID that was refused, and nothing would tell that refusal, once more, from the answer.
 func (conn *endpointConnection) start(request endpointRequest) bool {
 	conn.mu.Lock()
 	if conn.closed || conn.current != nil {
 		conn.mu.Unlock()
 		return false
 	}
+	if slices.Contains(conn.refused, request.id) {
+		conn.closed = true
+		conn.mu.Unlock()
+		_ = conn.socket.Close()
+		return false
+	}
 	conn.current, conn.id, conn.method, conn.endpoint = request.receiver, request.id, request.method, request.endpoint
 	conn.mu.Unlock()
 	if !request.receiver.onSending(conn) {
@@ -224,10 +238,14 @@
 	id := headers.RequestID
 	// An answer with another ID belongs to an earlier request. One without an ID may do so too, unless it is the
 	// first on the connection.
-	if id != conn.id && (id != "" || conn.answerCount > 0) {
-		conn.mustClose = true // The answer to the current request may still follow before the connection is closed.
+	if id != conn.id && (id != "" || conn.answerCount > 0 || conn.hasForeign) {
+		// The answer to the current request may still follow before the connection is closed.
+		conn.mustClose, conn.hasForeign = true, true
 		return conn.discard()
 	}
+	if headers.NotRun {
+		conn.noteRefusal()
+	}
 	conn.discarding = false
 	conn.mustClose = conn.mustClose || response.Close
 	conn.maxIdle = keepAliveTime(response.Header)
@@ -235,6 +253,14 @@
 	return nil
 }
 
+// noteRefusal records that the endpoint has refused the request in progress.
+func (conn *endpointConnection) noteRefusal() {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	conn.refused = append(conn.refused, conn.id)
+	conn.mustClose = conn.mustClose || len(conn.refused) >= maxRefusals
+}
+
 // OnBody forwards a piece of the body to the receiver.
 func (conn *endpointConnection) OnBody(piece []byte) error {
 	if conn.discarding {
--- a/routing/documents.go
+++ b/routing/documents.go
@@ -75,7 +75,7 @@
 	if document.Kind != chicoryhall.ServicePipeline {
 		return endpoints
 	}
-	return slices.DeleteFunc(endpoints, func(endpoint chicoryhall.DocumentEndpoint) bool {
+	return slices.DeleteFunc(slices.Clone(endpoints), func(endpoint chicoryhall.DocumentEndpoint) bool {
 		_, known := document.Accelerator(endpoint.Accelerator)
 		return !known || endpoint.From < 0 || endpoint.To > document.Model.Layers
 	})
