exchange, passthrough: a resumed stream ends only where it has gone on

Cause: any orderly end of a resumed stream ended the answer, and events without an ID were passed on unchecked; a stream without IDs was sent again from its beginning.

The change: EventSplitter knows whether the stream has got to where it was to go on and whether its last event has an ID; attempts and hedges that could not go on don't start; a cut answer that ends with its connection is reset.

--- a/exchange/events.go
+++ b/exchange/events.go
@@ -10,9 +10,9 @@
 // maxPendingBytes bounds the buffered part of an incomplete event. An event that arrives in one piece may be longer.
 const maxPendingBytes = 1 << 20
 
-// EventSplitter splits a stream of server-sent events and tracks their IDs. IDs that are numbers must ascend.
-// Events without an ID, or with one that is not a number, are passed on unchecked, also in a resumed stream; the
-// caller may get those twice.
+// EventSplitter splits a stream of server-sent events and tracks their IDs. IDs that are numbers must ascend. An event
+// without an ID, or with one that is not a number, has no place in the order: it is passed on unless it is not known
+// whether the caller has it already.
 type EventSplitter struct {
 	// pending is the beginning of an incomplete event.
 	pending []byte
@@ -22,6 +22,11 @@
 	hasLastID bool
 	// resuming is set until the first event with a new ID if the EventSplitter was returned by Resumed.
 	resuming bool
+	// hasPassed is set once an event was passed on. isUnplaced is set while the last one of them has no ID.
+	hasPassed  bool
+	isUnplaced bool
+	// hasReached is set once the stream has got to the event after which it was to resume, if it was.
+	hasReached bool
 }
 
 // SetLastID sets the ID of the last event that the caller already has from an earlier request. An ID that is not a
@@ -48,11 +53,21 @@
 func (s *EventSplitter) Position() int64 { return s.lastID }
 
 // Resumed returns an EventSplitter for the stream of a further attempt. Events up to LastID are omitted there, and a gap
-// after it is an error.
+// after it is an error, as is an event without an ID before the first new one.
 func (s *EventSplitter) Resumed() *EventSplitter {
-	return &EventSplitter{lastID: s.lastID, hasLastID: s.hasLastID, resuming: true}
+	return &EventSplitter{
+		lastID: s.lastID, hasLastID: s.hasLastID, resuming: true, hasPassed: s.hasPassed, isUnplaced: s.isUnplaced, hasReached: !s.hasPassed,
+	}
 }
 
+// CanResume reports whether a further attempt can continue the stream: it cannot if the last event that was passed on has
+// no ID, after which it could be asked to go on.
+func (s *EventSplitter) CanResume() bool { return !s.isUnplaced }
+
+// HasContinued reports whether the stream has got to where it was to resume. Otherwise, its end does not show that the caller
+// has all events.
+func (s *EventSplitter) HasContinued() bool { return !s.resuming || s.hasReached }
+
 // AtBoundary reports whether the bytes so far end with a complete event.
 func (s *EventSplitter) AtBoundary() bool { return len(s.pending) == 0 }
 
@@ -99,10 +114,11 @@
 func (s *EventSplitter) appendEvent(out, event []byte) ([]byte, error) {
 	id, hasID := eventID(event)
 	if !hasID {
-		return append(out, event...), nil
+		return s.appendUnplaced(out, event)
 	}
 	if s.hasLastID && id <= s.lastID {
 		if s.resuming {
+			s.hasReached = s.hasReached || id == s.lastID
 			return out, nil
 		}
 		return out, errors.Errorf("the ID of event %d is not greater than the last one, %d", id, s.lastID)
@@ -110,10 +126,35 @@
 	if s.resuming && s.hasLastID && id != s.lastID+1 {
 		return out, errors.Errorf("events are missing in the resumed stream: event %d comes after event %d", id, s.lastID)
 	}
-	s.lastID, s.hasLastID, s.resuming = id, true, false
+	s.lastID, s.hasLastID, s.resuming, s.hasPassed, s.isUnplaced = id, true, false, true, false
 	return append(out, event...), nil
 }
 
+// appendUnplaced appends an event without an ID to out. While the stream is resuming, comments are omitted, and any other
+// event may be one that the caller already has.
+func (s *EventSplitter) appendUnplaced(out, event []byte) ([]byte, error) {
+	switch isMissable := s.resuming && s.hasPassed; {
+	case !isComment(event):
+		if isMissable {
+			return out, errors.Errorf("an event without an ID where the stream is to go on after event %s", s.LastID())
+		}
+		s.hasPassed, s.isUnplaced = true, true
+	case isMissable:
+		return out, nil
+	}
+	return append(out, event...), nil
+}
+
+// isComment reports whether an event consists of comments only.
+func isComment(event []byte) bool {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if line = bytes.TrimSuffix(line, []byte("\r")); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // eventLength returns the length of the first complete event in data, or -1. An event ends with an empty line. The first bytes of
 // data, searched in number, contain none.
 func eventLength(data []byte, searched int) int {
--- a/passthrough/answer.go
+++ b/passthrough/answer.go
@@ -222,6 +222,9 @@
 	case a.events != nil && !a.events.AtBoundary():
 		a.excludeFirst()
 		a.fail(exchange.FailureLost, errors.New("the stream ended inside an event"))
+	case a.events != nil && !a.events.HasContinued():
+		a.excludeFirst()
+		a.fail(exchange.FailureLost, errors.Errorf("the stream was to go on after event %s and ended without it", a.events.LastID()))
 	case a.forwarding:
 		a.finishForwarded(status)
 	case impliesNotRun(status):
--- a/passthrough/callerexchange.go
+++ b/passthrough/callerexchange.go
@@ -343,10 +343,13 @@
 }
 
 // cutOff closes the caller's connection in the middle of the answer, so that the caller sees that it is
-// incomplete.
+// incomplete. An answer that ends with its connection would look complete without a reset.
 func (x *callerExchange) cutOff(reason string) {
 	x.finish(event.ExchangeCutOff, 0, reason)
 	x.conn.current = nil
+	if x.framing() == http1.FramingClose {
+		_ = x.conn.socket.SetLinger(1, 0) // If it fails, the connection is gone already.
+	}
 	x.conn.close()
 }
 
--- a/passthrough/hedge.go
+++ b/passthrough/hedge.go
@@ -51,9 +51,9 @@
 
 // mayHedge reports whether the request may run elsewhere while the current attempt is kept. Content that is suspected of
 // crashing endpoints may not: whether it has crashed this one may be known later. Nobody can go on with an answer without
-// events that the caller has begun to get.
+// events that the caller has begun to get, or after an event without an ID.
 func (x *callerExchange) mayHedge(now time.Time) bool {
-	if x.machine.IsAnswerStarted() && x.events == nil {
+	if !x.canContinue() {
 		return false
 	}
 	standing := x.standing()
