memory, passthrough: the process stays within the memory of its VM

Cause: nothing read how much memory the VM has.

The change: package memory. The garbage collector works harder above three quarters of the VM's memory, as the system reports it; the bodies of requests may take a sixth, as each is held up to three times for a moment. A body for which there is no room is refused with 503 and Retry-After while it is read. chicoryhall_request_bytes, event 1007.

--- a/cmd/chicoryhall/platformdaemon/builder.go
+++ b/cmd/chicoryhall/platformdaemon/builder.go
@@ -17,6 +17,7 @@
 	"chicoryhall.example/chicoryhall/event"
 	"chicoryhall.example/chicoryhall/follow"
 	"chicoryhall.example/chicoryhall/membership"
+	"chicoryhall.example/chicoryhall/memory"
 	"chicoryhall.example/chicoryhall/neighbour"
 	"chicoryhall.example/chicoryhall/pace"
 	"chicoryhall.example/chicoryhall/passthrough"
@@ -119,6 +120,7 @@
 	crashMetrics  *metrics.Set
 	quarantine    *quarantineService
 	limits        *pace.Limiter
+	memory        *memory.Budget
 	relays        *relays
 }
 
@@ -268,6 +270,7 @@
 	b.relays = newRelays(b.members.Self(), b.timer, b.endpoints, guests, b.log, newEndpointProbe(net.ParseIP(b.settings.SourceIP)))
 	supervisor.Add(b.relays)
 	b.admission = admission.New(b.timer, b.documents, b.endpoints, guests)
+	b.memory = b.requestMemory()
 	b.server = passthrough.NewServer(passthrough.Config{
 		Address: b.settings.Listen.Callers, FailureDomain: b.settings.FailureDomain, SourceIP: net.ParseIP(b.settings.SourceIP), Timer: b.timer,
 		Rules: b.rules, Documents: b.documents, Endpoints: b.endpoints,
@@ -281,7 +284,7 @@
 		Limits: b.limits,
 		Relays: b.relays, PeerAddress: b.settings.Listen.Peers,
 		Quarantine: b.quarantine,
-		Dialect:    platform.Dialect{}, OnStaleView: b.endpointsFeed.Refresh, Metrics: b.metrics, Log: b.log,
+		Dialect:    platform.Dialect{}, OnStaleView: b.endpointsFeed.Refresh, Memory: b.memory, Metrics: b.metrics, Log: b.log,
 	})
 	supervisor.Add(b.server)
 	supervisor.Add(newStatusServer(b.settings.Listen.Ready, readyPath, passthrough.ReadyHandler(b.ready)))
--- a/cmd/chicoryhall/platformdaemon/status.go
+++ b/cmd/chicoryhall/platformdaemon/status.go
@@ -81,6 +81,7 @@
 	metrics.WriteGaugeUint64(w, "chicoryhall_limited_endpoints", uint64(b.limits.Count()))
 	metrics.WriteGaugeUint64(w, "chicoryhall_paused_endpoints", uint64(b.endpoints.PausedCount()))
 	metrics.WriteCounterUint64(w, "chicoryhall_log_lines_dropped_total", uint64(b.logWriter.Dropped()))
+	metrics.WriteGaugeUint64(w, "chicoryhall_request_bytes", uint64(b.memory.Held()))
 	metrics.WriteGaugeUint64(w, "chicoryhall_daemons_alive", uint64(b.members.Alive()))
 	version := int64(0)
 	if table, known := b.rules.Table(); known {
--- a/event/process.go
+++ b/event/process.go
@@ -22,4 +22,7 @@
 	LinesDropped = define(1006, log.WarnLevel, "log lines dropped",
 		"Lines were dropped because more than 128 KiB was waiting to be written; dropped is their number since the previous write.",
 		"Check which lines around this one repeat, and whether the reader of the log is too slow; requests whose lines are missing are still counted in the metrics.")
+	MemoryUnknown = define(1007, log.WarnLevel, "memory unknown",
+		"The system does not say how much memory the VM has, so that neither the process nor the bodies of its requests are limited.",
+		"Check error; nothing else changes.")
 )
--- /dev/null
+++ b/memory/process.go
@@ -0,0 +1,32 @@
+package memory
+
+import (
+	"runtime/debug"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// gcShare is the share of the VM's memory above which the garbage collector spends more time to stay below it. The rest is
+	// for what it does not count: the program, stacks that grow, and the kernel's buffers.
+	gcShare = 0.75
+	// requestShare is the share for the bodies of requests. Each may be held three times for a moment: as read, as encoded for an
+	// endpoint, and as far as the kernel has not taken it.
+	requestShare = 1.0 / 6
+)
+
+// OfMachine returns the VM's memory in bytes.
+func OfMachine() (int64, error) {
+	var info unix.Sysinfo_t
+	if err := unix.Sysinfo(&info); err != nil {
+		return 0, errors.Wrap(err, "ask the system for its memory")
+	}
+	return int64(info.Totalram) * int64(info.Unit), nil
+}
+
+// LimitProcess makes the garbage collector keep the process below a share of the VM's memory, given in bytes.
+func LimitProcess(machine int64) { debug.SetMemoryLimit(int64(gcShare * float64(machine))) }
+
+// ForRequests returns the Budget for the bodies of requests of a VM with the given memory in bytes.
+func ForRequests(machine int64) *Budget { return NewBudget(int64(requestShare * float64(machine))) }
--- a/passthrough/config.go
+++ b/passthrough/config.go
@@ -6,6 +6,7 @@
 
 	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/event"
+	"chicoryhall.example/chicoryhall/memory"
 	"chicoryhall.example/chicoryhall/pace"
 	"chicoryhall.example/chicoryhall/quarantine"
 	"chicoryhall.example/chicoryhall/routing"
@@ -99,6 +100,8 @@
 	// OnStaleView is called when a missing route or a misdirected request suggests that the view of endpoints
 	// is out of date. It must not block.
 	OnStaleView func()
-	Metrics     *Metrics
-	Log         *event.Logger
+	// Memory bounds the bodies of the requests that are held at the same time.
+	Memory  *memory.Budget
+	Metrics *Metrics
+	Log     *event.Logger
 }
--- a/passthrough/connection.go
+++ b/passthrough/connection.go
@@ -23,10 +23,15 @@
 	lateGrace = 50 * time.Millisecond
 	// maxSendPause is how long a caller may take nothing of the rest of an answer before its connection is closed.
 	maxSendPause = 10 * time.Second
+	// retryAfterNoMemory is the Retry-After time of a request for whose body there was no memory.
+	retryAfterNoMemory = time.Second
 	// retryAfterDropped is the Retry-After time of a request of which bytes were dropped.
 	retryAfterDropped = 50 * time.Millisecond
 )
 
+// errNoMemory reports that the bodies of the requests in progress take all memory that there is for them.
+var errNoMemory = errors.New("the requests in progress take all memory that there is for them")
+
 // message is an input of a caller's connection: received bytes or a function to call.
 type message struct {
 	data []byte
@@ -137,6 +142,7 @@
 func (conn *connection) handleClose(err error) {
 	conn.closed = true
 	conn.closeTimer.cancel()
+	conn.dropBody()
 	if conn.current != nil {
 		conn.current.onCallerGone(err)
 	}
@@ -168,7 +174,12 @@
 	conn.server.config.Log.Log(event.CallerRefused, "caller", conn.socket.RemoteAddr(), "detail", err)
 	conn.server.config.Metrics.messageRefused(statusOf(err))
 	conn.closing = true
-	conn.writeWhole(statusOf(err), http.Header{}, []byte(err.Error()+"\n"), true)
+	conn.dropBody()
+	header := http.Header{}
+	if errors.Is(err, errNoMemory) {
+		header.Set("Retry-After", secondsText(retryAfterNoMemory))
+	}
+	conn.writeWhole(statusOf(err), header, []byte(err.Error()+"\n"), true)
 	conn.linger()
 }
 
@@ -179,6 +190,8 @@
 		return http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, http1.ErrBodyTooLarge):
 		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, errNoMemory):
+		return http.StatusServiceUnavailable
 	default:
 		return http.StatusBadRequest
 	}
@@ -195,12 +208,21 @@
 	return nil
 }
 
-// OnBody appends a piece to the request's body.
+// OnBody appends a piece to the request's body, if there is memory for it.
 func (conn *connection) OnBody(piece []byte) error {
+	if !conn.server.config.Memory.Take(int64(len(piece))) {
+		return errNoMemory
+	}
 	conn.body = append(conn.body, piece...)
 	return nil
 }
 
+// dropBody drops the body of a request that has not been read completely.
+func (conn *connection) dropBody() {
+	conn.server.config.Memory.Release(int64(len(conn.body)))
+	conn.head, conn.body = nil, nil
+}
+
 // OnEnd starts the exchange of a complete request and pauses the reader until it ends.
 func (conn *connection) OnEnd() error {
 	conn.reader.Pause()
--- a/passthrough/fixture_test.go
+++ b/passthrough/fixture_test.go
@@ -20,6 +20,7 @@
 
 	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/event"
+	"chicoryhall.example/chicoryhall/memory"
 	"chicoryhall.example/chicoryhall/passthrough"
 	"chicoryhall.example/chicoryhall/routing"
 	"chicoryhall.example/chicoryhall/timer"
@@ -116,6 +117,8 @@
 const (
 	// anyPort lets the system choose a port, which no other test can take.
 	anyPort = "127.0.0.1:0"
+	// maxHeldBytes bounds the bodies that a server holds.
+	maxHeldBytes = 64 << 20
 	// maxStartTime bounds the wait until a server listens.
 	maxStartTime = 10 * time.Second
 )
@@ -141,6 +144,8 @@
 	// quarantine is the server's passthrough.Quarantine.
 	quarantine *fakeQuarantine
 	limits     *fakeLimits
+	// memory bounds the bodies that the server holds.
+	memory *memory.Budget
 	// relays is the server's passthrough.Relays, and peerAddress where it listens for other daemons.
 	relays      *fakeRelays
 	peerAddress string
@@ -315,7 +320,7 @@
 	t *testing.T, late time.Duration, set *chicoryhall.RuleSet, router orderedRouter, configure func(*testServer, *passthrough.Config),
 ) *testServer {
 	t.Helper()
-	w := &testServer{quarantine: &fakeQuarantine{}, limits: &fakeLimits{}, relays: &fakeRelays{key: "key"}, retries: 10, logs: &logBuffer{}, endpoints: &fakeEndpoints{
+	w := &testServer{memory: memory.NewBudget(maxHeldBytes), quarantine: &fakeQuarantine{}, limits: &fakeLimits{}, relays: &fakeRelays{key: "key"}, retries: 10, logs: &logBuffer{}, endpoints: &fakeEndpoints{
 		inFlight: make(map[chicoryhall.EndpointID]int), pausedUntil: make(map[chicoryhall.EndpointID]time.Time),
 	}}
 	clock := timer.New()
@@ -326,7 +331,7 @@
 	}
 	config := passthrough.Config{
 		Address: anyPort, Timer: lateTimer{Service: clock, late: late}, Rules: current, Documents: w, Endpoints: w.endpoints, Router: router, Admission: w,
-		Retries: w, Limits: w.limits, Relays: w.relays, PeerAddress: anyPort, Quarantine: w.quarantine, Dialect: testDialect{}, OnStaleView: func() {}, Metrics: passthrough.NewMetrics(), Log: event.NewLogger(w.logs, "test", log.InfoLevel),
+		Retries: w, Limits: w.limits, Relays: w.relays, PeerAddress: anyPort, Quarantine: w.quarantine, Dialect: testDialect{}, OnStaleView: func() {}, Memory: w.memory, Metrics: passthrough.NewMetrics(), Log: event.NewLogger(w.logs, "test", log.InfoLevel),
 	}
 	configure(w, &config)
 	w.server = passthrough.NewServer(config)
@@ -411,3 +416,11 @@
 }
 
 func singleLine(text string) string { return strings.ReplaceAll(text, "\n", "|") }
+
+// sendOn sends a text on a new connection.
+func (s *testServer) sendOn(t *testing.T, text string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, reader := s.dial(t)
+	must.True(t, send(conn, text))
+	return conn, reader
+}
