--- a/passthrough/callerexchange.go
+++ b/passthrough/callerexchange.go
@@ -146,7 +146,7 @@
 		x.refuseUnable(retryAfterNoRules, "the rules are older than those of the daemon that handed over the request")
 		return
 	}
-	rule, found := table.Match(x.head.Host, x.head.URL.Path)
+	rule, found := table.Match(x.head.Host, routing.PathOf(x.head.URL))
 	if !found {
 		x.refuse(http.StatusNotFound, 0, "no rule for the host and path")
 		return
