--- a/passthrough/callerexchange.go
+++ b/passthrough/callerexchange.go
@@ -337,7 +337,7 @@
 func (x *callerExchange) writeAnswer(status int, header http.Header, kind *event.Event, reason string) {
 	x.markOwnAnswer(header, status)
 	x.closeAfterAnswer = x.closesConnection()
-	x.conn.writeWhole(status, header, []byte(reason+"\n"), x.closeAfterAnswer)
+	x.conn.writeOwn(x.head.Method, status, header, reason, x.closeAfterAnswer)
 	x.finish(kind, status, reason)
 	x.conn.exchangeEnded(x.closeAfterAnswer)
 }
--- a/passthrough/connection.go
+++ b/passthrough/connection.go
@@ -174,12 +174,16 @@
 	conn.server.config.Log.Log(event.CallerRefused, "caller", conn.socket.RemoteAddr(), "detail", err)
 	conn.server.config.Metrics.messageRefused(statusOf(err))
 	conn.closing = true
+	method := ""
+	if conn.head != nil {
+		method = conn.head.Method
+	}
 	conn.dropBody()
 	header := http.Header{}
 	if errors.Is(err, errNoMemory) {
 		header.Set("Retry-After", secondsText(retryAfterNoMemory))
 	}
-	conn.writeWhole(statusOf(err), header, []byte(err.Error()+"\n"), true)
+	conn.writeOwn(method, statusOf(err), header, err.Error(), true)
 	conn.linger()
 }
 
@@ -337,6 +341,17 @@
 	}
 }
 
+// writeOwn sends an answer of this daemon to a request with a method, which is empty if it is not known. One to HEAD has no body, but
+// states the length of the one that it would have.
+func (conn *connection) writeOwn(method string, status int, header http.Header, text string, last bool) {
+	body := []byte(text + "\n")
+	if method != http.MethodHead {
+		conn.writeWhole(status, header, body, last)
+		return
+	}
+	conn.write(http1.AppendResponseHead(nil, status, header, http1.FramingLength, len(body), last))
+}
+
 // writeWhole sends a complete answer.
 func (conn *connection) writeWhole(status int, header http.Header, body []byte, last bool) {
 	out := make([]byte, 0, len(body)+512)
