exchange: a stream whose IDs ascend with gaps can be resumed

Callers saw: a resumable stream whose IDs are not consecutive numbers is cut after its endpoint has broken off, although the next one goes on with it.

Cause: the first new event of a resumed stream had to have the next number.

The change: a gap there is an error only if the IDs so far had none, which then shows that events are missing. A stream of which only one event has come is still taken for one without gaps.

TestStreamWhoseIDsHaveGapsIsResumed fails on and passes with the change; new cases in TestEventOrder.

--- a/exchange/events.go
+++ b/exchange/events.go
@@ -25,6 +25,8 @@
 	// hasPassed is set once an event was passed on. isUnplaced is set while the last one of them has no ID.
 	hasPassed  bool
 	isUnplaced bool
+	// hasGaps is set once the ID of an event was not the next number after the one before.
+	hasGaps bool
 	// hasReached is set once the stream has got to the event after which it was to resume, if it was.
 	hasReached bool
 }
@@ -53,10 +55,11 @@
 func (s *EventSplitter) Position() int64 { return s.lastID }
 
 // Resumed returns an EventSplitter for the stream of a further attempt. Events up to LastID are omitted there, and a gap
-// after it is an error, as is an event without an ID before the first new one.
+// after it is an error, unless the IDs so far had gaps, as is an event without an ID before the first new one.
 func (s *EventSplitter) Resumed() *EventSplitter {
 	return &EventSplitter{
-		lastID: s.lastID, hasLastID: s.hasLastID, resuming: true, hasPassed: s.hasPassed, isUnplaced: s.isUnplaced, hasReached: !s.hasPassed,
+		lastID: s.lastID, hasLastID: s.hasLastID, resuming: true, hasPassed: s.hasPassed, isUnplaced: s.isUnplaced, hasGaps: s.hasGaps,
+		hasReached: !s.hasPassed,
 	}
 }
 
@@ -109,7 +112,7 @@
 
 // appendEvent checks the ID of an event and appends the event to out. While it is resuming,
 // it omits events with an ID that the caller already has, and it returns an error if the first new one does not follow
-// the last one directly: the events between them would be missing. Otherwise an ID that does not ascend is an
+// the last one directly: the events between them would be missing. Where IDs ascend with gaps, nothing tells. Otherwise an ID that does not ascend is an
 // error.
 func (s *EventSplitter) appendEvent(out, event []byte) ([]byte, error) {
 	id, hasID := eventID(event)
@@ -123,9 +126,11 @@
 		}
 		return out, errors.Errorf("the ID of event %d is not greater than the last one, %d", id, s.lastID)
 	}
-	if s.resuming && s.hasLastID && id != s.lastID+1 {
+	isNext := !s.hasLastID || id == s.lastID+1
+	if s.resuming && !isNext && !s.hasGaps {
 		return out, errors.Errorf("events are missing in the resumed stream: event %d comes after event %d", id, s.lastID)
 	}
+	s.hasGaps = s.hasGaps || s.hasPassed && !isNext
 	s.lastID, s.hasLastID, s.resuming, s.hasPassed, s.isUnplaced = id, true, false, true, false
 	return append(out, event...), nil
 }
--- a/exchange/events_test.go
+++ b/exchange/events_test.go
@@ -68,6 +68,8 @@
 		{"a resumed stream with a gap", "", eventText(1), eventText(3), eventText(1), true},
 		{"a resumed stream that starts from the beginning", "", eventTexts(1, 3), eventTexts(1, 5), eventTexts(1, 5), false},
 		{"a resumed stream that continues", "", eventTexts(1, 3), eventTexts(3, 5), eventTexts(1, 5), false},
+		{"a resumed stream whose IDs had a gap before", "", eventText(1) + eventText(3), eventText(6) + eventText(7), eventText(1) + eventText(3) + eventText(6) + eventText(7), false},
+		{"a resumed stream whose IDs begin with a gap", "7", eventText(9), eventText(11), eventText(9), true},
 		{"events after SetLastID", "7", eventText(8), "", eventText(8), false},
 		{"events without ids", "", "data: a\n\ndata: b\r\n\r\n", "", "data: a\n\ndata: b\r\n\r\n", false},
 	}
--- a/passthrough/brokenstream_test.go
+++ b/passthrough/brokenstream_test.go
@@ -191,3 +191,15 @@
 	got := readAnswer(reader)
 	must.Error(t, got.err)
 }
+
+// TestStreamWhoseIDsHaveGapsIsResumed guards against the loss of a stream whose IDs ascend with gaps, as they may.
+func TestStreamWhoseIDsHaveGapsIsResumed(t *testing.T) {
+	event := func(id int) string { return fmt.Sprintf("id: %d\ndata: d%d\n\n", 10*id, id) }
+	second := newEndpoint(t, func(conn net.Conn, _ int, request *http.Request) bool {
+		return request.Header.Get("Last") == "20" && send(conn, streamHead(request)+chunk(event(3))+chunk(event(4))+"0\r\n\r\n")
+	})
+	w := startServer(t, testRules(), newEndpoint(t, brokenOff(event)), second)
+	got := w.ask(t, requestText("POST", "/stream/a", "1", "x"))
+	must.NoError(t, got.err)
+	must.Eq(t, event(1)+event(2)+event(3)+event(4), got.body)
+}
