--- a/passthrough/unread_test.go
+++ b/passthrough/unread_test.go
@@ -19,6 +19,8 @@
 	// unreadPause is how long the caller reads slowly, drainPause how long it does so if the server drains meanwhile.
 	unreadPause = 1500 * time.Millisecond
 	drainPause  = 3500 * time.Millisecond
+	// callerPause is how long a caller reads nothing of its answer.
+	callerPause = 6 * time.Second
 	// slowBuffer is the size of the caller's buffer.
 	slowBuffer = 256 << 10
 )
@@ -113,3 +115,20 @@
 	must.NoError(t, conn.Close())
 	<-stopped
 }
+
+// TestCallerMayPause guards against the loss of an answer whose caller reads nothing of it for some seconds (LOST).
+func TestCallerMayPause(t *testing.T) {
+	t.Parallel()
+	set := testRules()
+	setTimeouts(set, time.Minute)
+	w := startServer(t, set, newEndpoint(t, answerLarge))
+	conn, _ := w.dial(t)
+	must.NoError(t, conn.(*net.TCPConn).SetReadBuffer(slowBuffer))
+	must.NoError(t, conn.SetDeadline(time.Now().Add(20*time.Second)))
+	must.True(t, send(conn, requestText("POST", "/unsafe/a", "1", "x")))
+	w.logs.await(t, "event=2040", "status=200")
+	time.Sleep(callerPause)
+	got := readAnswer(bufio.NewReader(conn))
+	must.NoError(t, got.err)
+	must.Eq(t, unreadSize, len(got.body))
+}
