--- a/passthrough/finished_test.go
+++ b/passthrough/finished_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"runtime"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -17,20 +16,7 @@
 // newForgetfulEndpoint returns an endpoint that keeps nothing of the requests that it answers.
 func newForgetfulEndpoint(t *testing.T) *endpoint {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	var serving sync.WaitGroup
-	serving.Go(func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			serving.Go(func() { answerAndForget(conn) })
-		}
-	})
-	t.Cleanup(func() { _ = listener.Close() })
-	return &endpoint{listener: listener}
+	return &endpoint{listener: listenWith(t, answerAndForget)}
 }
 
 func answerAndForget(conn net.Conn) {
--- a/passthrough/fixture_test.go
+++ b/passthrough/fixture_test.go
@@ -38,10 +38,17 @@
 type responder func(conn net.Conn, number int, request *http.Request) bool
 
 func newEndpoint(t *testing.T, respond responder) *endpoint {
+	t.Helper()
+	e := &endpoint{}
+	e.listener = listenWith(t, func(conn net.Conn) { e.serve(conn, respond) })
+	return e
+}
+
+// listenWith accepts connections until the test ends, and serves each on a goroutine of its own.
+func listenWith(t *testing.T, serve func(net.Conn)) net.Listener {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
-	e := &endpoint{listener: listener}
 	var serving sync.WaitGroup
 	serving.Go(func() {
 		for {
@@ -49,11 +56,11 @@
 			if err != nil {
 				return
 			}
-			serving.Go(func() { e.serve(conn, respond) })
+			serving.Go(func() { serve(conn) })
 		}
 	})
 	t.Cleanup(func() { _ = listener.Close() })
-	return e
+	return listener
 }
 
 func (e *endpoint) serve(conn net.Conn, respond responder) {
