--- a/exchange/events.go
+++ b/exchange/events.go
@@ -110,10 +110,10 @@
 	}
 }
 
-// appendEvent checks the ID of an event and appends the event to out. While it is resuming,
-// it omits events with an ID that the caller already has, and it returns an error if the first new one does not follow
-// the last one directly: the events between them would be missing. Where IDs ascend with gaps, nothing tells. Otherwise an ID that does not ascend is an
-// error.
+// appendEvent checks the ID of an event and appends the event to out. While it is resuming, it omits events with an ID
+// that the caller already has, and it returns an error if the first new one does not follow the last one directly: the
+// events between them would be missing. If the IDs have had gaps before, a gap shows nothing. Otherwise an ID that does
+// not ascend is an error.
 func (s *EventSplitter) appendEvent(out, event []byte) ([]byte, error) {
 	id, hasID := eventID(event)
 	if !hasID {
@@ -138,16 +138,18 @@
 // appendUnplaced appends an event without an ID to out. While the stream is resuming, comments are omitted, and any other
 // event may be one that the caller already has.
 func (s *EventSplitter) appendUnplaced(out, event []byte) ([]byte, error) {
-	switch isMissable := s.resuming && s.hasPassed; {
-	case !isComment(event):
-		if isMissable {
-			return out, errors.Errorf("an event without an ID where the stream is to go on after event %s", s.LastID())
-		}
-		s.hasPassed, s.isUnplaced = true, true
-	case isMissable:
+	mayBeKnown := s.resuming && s.hasPassed
+	switch {
+	case isComment(event) && mayBeKnown:
 		return out, nil
+	case isComment(event):
+		return append(out, event...), nil
+	case mayBeKnown:
+		return out, errors.Errorf("an event without an ID where the stream is to go on after event %s", s.LastID())
+	default:
+		s.hasPassed, s.isUnplaced = true, true
+		return append(out, event...), nil
 	}
-	return append(out, event...), nil
 }
 
 // isComment reports whether an event consists of comments only.
--- a/passthrough/failure.go
+++ b/passthrough/failure.go
@@ -95,6 +95,11 @@
 		"route", routeText(a.route), "peer", a.peerID(), "took", x.config().Timer.Now().Sub(a.startedAt), "error", cause)
 }
 
+// canContinue reports whether another attempt can go on with what the caller has got so far.
+func (x *callerExchange) canContinue() bool {
+	return !x.machine.IsAnswerStarted() || x.events != nil && x.events.CanResume()
+}
+
 // takeRetry reports whether another attempt may start, and spends a retry for it.
 func (x *callerExchange) takeRetry() bool {
 	now := x.config().Timer.Now()
--- a/passthrough/relay.go
+++ b/passthrough/relay.go
@@ -154,11 +154,6 @@
 	a.fail(failure, errors.WithMessagef(err, "daemon %s", a.peer.ID))
 }
 
-// canContinue reports whether another attempt can go on with what the caller has got so far.
-func (x *callerExchange) canContinue() bool {
-	return !x.machine.IsAnswerStarted() || x.events != nil && x.events.CanResume()
-}
-
 // mayGoElsewhere reports whether the request may go to a further daemon or endpoint after the attempt failed. One that ran
 // nowhere spends no retry for a further daemon.
 func (a *attempt) mayGoElsewhere(failure exchange.Failure) bool {
