--- a/passthrough/callerexchange.go
+++ b/passthrough/callerexchange.go
@@ -35,10 +35,10 @@
 	// retryAfterNoRoute is the Retry-After time if the router finds no route, because endpoints are missing or are
 	// all full.
 	retryAfterNoRoute = time.Second
-	// A request is not sent, if its answer has not begun, unless it has minTimeShare of its target latency left, and at least
-	// minTime: it would run in vain, and its caller could not be told that it has not run.
-	minTimeShare = 0.1
-	minTime      = 2 * time.Millisecond
+	// A request whose answer has not begun is sent only if minShareLeft of its target latency is left, and at least minTimeLeft:
+	// otherwise it would run in vain, and its caller could not be told that it has not run.
+	minShareLeft = 0.1
+	minTimeLeft  = 2 * time.Millisecond
 	// minRetryAfterLimited is the least Retry-After time if limits that endpoints state leave no route.
 	minRetryAfterLimited = 100 * time.Millisecond
 )
@@ -209,7 +209,7 @@
 
 // lacksTime reports whether too little time is left for an answer that has not begun.
 func (x *callerExchange) lacksTime() bool {
-	needed := max(minTime, time.Duration(minTimeShare*float64(x.rule.TargetLatency)))
+	needed := max(minTimeLeft, time.Duration(minShareLeft*float64(x.rule.TargetLatency)))
 	return !x.machine.IsAnswerStarted() && x.deadline.Sub(x.config().Timer.Now()) < needed
 }
 
