passthrough: 12 s for a caller only while it has a long answer to read

Cause (suspected): with 12 s on all accepted connections, callers that are gone without a word are noticed later, while endpoints work for them.

The change: TCP_USER_TIMEOUT is 3 s as before, and 12 s from the end of an answer of 16 KiB or more to the next request. A caller that reads nothing for over 3 s while its answer is still being forwarded loses it, as before. TestCallerMayPause and the tests of unread answers, drains and relays pass.

--- a/passthrough/connection.go
+++ b/passthrough/connection.go
@@ -72,6 +72,10 @@
 	// graceUsed is set once closeAt was postponed by lateGrace.
 	graceUsed bool
 
+	// written counts the bytes of answers since the last request. waitsForReader is set while unreadAckTimeout is in force.
+	written        int
+	waitsForReader bool
+
 	// unsent counts the bytes of answers that the kernel has not taken yet. unsentAtCheck is its value when the connection
 	// was last to be closed, and unsentSince when it was first found to be that.
 	unsent        atomic.Int64
@@ -231,6 +235,7 @@
 func (conn *connection) OnEnd() error {
 	conn.reader.Pause()
 	conn.closeAt = time.Time{}
+	conn.expectReader()
 	x := newCallerExchange(conn, conn.head, conn.body)
 	conn.head, conn.body = nil, nil
 	conn.current = x
@@ -245,6 +250,7 @@
 	if conn.closed || conn.closing {
 		return
 	}
+	conn.awaitReader()
 	if closeAfter {
 		conn.closing = true
 		conn.linger()
@@ -260,6 +266,23 @@
 	})
 }
 
+// awaitReader gives the caller more time to read a long answer that has been written. Nobody works for a caller that is gone then.
+func (conn *connection) awaitReader() {
+	if conn.written >= minUnread && !conn.waitsForReader {
+		conn.waitsForReader = true
+		setAckTimeout(conn.socket.Hash(), unreadAckTimeout)
+	}
+}
+
+// expectReader ends awaitReader when a request begins: a caller that is gone is noticed soon while an endpoint works for it.
+func (conn *connection) expectReader() {
+	conn.written = 0
+	if conn.waitsForReader {
+		conn.waitsForReader = false
+		setAckTimeout(conn.socket.Hash(), ackTimeout)
+	}
+}
+
 // refuseDropped refuses the request of which bytes were dropped, once all those before it have been answered.
 func (conn *connection) refuseDropped() {
 	if !conn.hasDropped || conn.closing || conn.reader.IsPaused() {
@@ -335,6 +358,7 @@
 	if conn.closed {
 		return
 	}
+	conn.written += len(bytes)
 	conn.unsent.Add(int64(len(bytes)))
 	if _, err := conn.socket.Write(bytes); err != nil {
 		_ = conn.socket.Close()
--- a/passthrough/pool.go
+++ b/passthrough/pool.go
@@ -106,7 +106,7 @@
 		request.receiver.onFailure(net.ErrClosed, false)
 		return
 	}
-	dialer := net.Dialer{Timeout: dialTimeout, Control: controlWith(ackTimeout), KeepAlive: -1, LocalAddr: p.source}
+	dialer := net.Dialer{Timeout: dialTimeout, Control: controlSocket, KeepAlive: -1, LocalAddr: p.source}
 	dialed, err := dialer.Dial("tcp", request.address)
 	if err != nil {
 		request.receiver.onFailure(err, false)
--- a/passthrough/server.go
+++ b/passthrough/server.go
@@ -297,7 +297,7 @@
 }
 
 func listen(network, address string) (net.Listener, error) {
-	config := net.ListenConfig{Control: controlWith(callerAckTimeout), KeepAlive: -1}
+	config := net.ListenConfig{Control: controlSocket, KeepAlive: -1}
 	return config.Listen(context.Background(), network, address)
 }
 
