pipeline: a repaired route uses each engine once

Callers of "chicoryhall serve" would see a retry more: an engine refuses a route that names it twice.

Cause: after a failed hop, each gap between reused hops is filled by itself, and an endpoint that holds the layers of two gaps could fill both.

The change: the endpoints of a gap's new hops are excluded from later gaps. "chicoryhall pass" reuses no hops, so nothing changes there.

--- a/pipeline/chain.go
+++ b/pipeline/chain.go
@@ -108,15 +108,28 @@
 	covered := 0
 	for _, next := range reused {
 		var ok bool
+		first := len(hops)
 		if hops, ok = s.fillGap(hops, covered, next.From, before, next.domain); !ok {
 			return nil, false
 		}
+		s.keepFromLaterGaps(hops[first:])
 		hops = append(hops, next)
 		before, covered = next.domain, next.To
 	}
 	return s.fillGap(hops, covered, s.plan.layers, before, anyDomain)
 }
 
+// keepFromLaterGaps keeps the endpoints of new hops out of the gaps that are still to be filled: a route uses each endpoint once.
+func (s *search) keepFromLaterGaps(hops []hop) {
+	if len(hops) == 0 {
+		return
+	}
+	for _, h := range hops {
+		s.exclude(h.Engine)
+	}
+	s.pickCandidates()
+}
+
 // fillGap appends new hops for the layers [from,to). The parameters before and after are the
 // indexes of the failure domains of the hops (or the daemon) next to the gap; after is anyDomain
 // behind the last hop.
--- a/pipeline/router_test.go
+++ b/pipeline/router_test.go
@@ -173,6 +173,31 @@
 	must.False(t, second.Hops[1].ReuseKV)
 }
 
+// TestGapsGetDistinctEndpoints guards against an endpoint that is used on both sides of a reused hop, as it holds the layers of both
+// gaps: engines refuse a route that names one of them twice.
+func TestGapsGetDistinctEndpoints(t *testing.T) {
+	for seed := range uint64(20) {
+		document := documentOf(3, 1)
+		for i := range document.Endpoints {
+			document.Endpoints[i].Accelerator = "slow"
+		}
+		middle := document.Endpoints[1]
+		document.Endpoints = append(document.Endpoints, chicoryhall.DocumentEndpoint{
+			ID: "whole", Address: "whole", FailureDomain: domainName(0), Accelerator: "fast", To: document.Model.Layers,
+		})
+		route, err := pipeline.New(newFakeEndpoints(), pipeline.Options{Seed: seed}).Choose(chicoryhall.RouteQuery{
+			Document: document, FailureDomain: domainName(0), Positions: 100, RemainingTokens: 50, Now: startTime, LastAttempt: 1,
+			CachedHops: []chicoryhall.Hop{{Engine: middle.ID, Address: middle.Address, From: middle.From, To: middle.To}},
+		})
+		must.NoError(t, err)
+		var used []chicoryhall.EndpointID
+		for _, hop := range route.Hops {
+			must.SliceNotContains(t, used, hop.Engine)
+			used = append(used, hop.Engine)
+		}
+	}
+}
+
 // TestImportAgainstPrefill checks the choice between importing KV and prefilling it over links
 // whose capacities differ a hundredfold. It fails if KV is imported whenever an exporter exists.
 func TestImportAgainstPrefill(t *testing.T) {
