quarantine: log how trials end and what a refusal rests on

The log could not tell a conviction from a suspect that has had all its trials, nor how trials end.

Event 2015 tells the outcome of each trial and how many count against the suspect; event 2012 has a reason, another one if no trial is left.

--- a/cmd/chicoryhall/platformdaemon/trials.go
+++ b/cmd/chicoryhall/platformdaemon/trials.go
@@ -151,6 +151,7 @@
 	if !ok {
 		return
 	}
+	t.log.Log(event.TrialEnded, "attempt", attempt, "outcome", outcome, "trials", held.TrialsAfter(outcome))
 	t.releases.Go(func() error {
 		ctx, cancel := context.WithTimeout(context.Background(), reservationTimeout)
 		defer cancel()
--- a/event/requests.go
+++ b/event/requests.go
@@ -12,7 +12,7 @@
 		"No chain of ready endpoints covers the model's layers; a new request is refused at once, one that was already running is retried for a short while.",
 		"Check the endpoints of the layers named in the error.")
 	RequestQuarantined = define(2012, log.ErrorLevel, "request refused because it crashes endpoints",
-		"The request was refused because endpoints crashed while running requests with the same content, or with a part of its prompt; fingerprint names it. Requests with the content are refused for about an hour, those with the part for two minutes after the last crash.",
+		"The request was refused because endpoints crashed while running requests with the same content, or with a part of its prompt; fingerprint names it, reason says what that rests on. Requests with the content are refused for about an hour, those with the part for two minutes after the last crash.",
 		"Check the logs of the crashed endpoints; the content of the request, or the part, is the cause in nearly all cases. Event 2047 names the parts, docs/OPERATIONS.md says how to find the requests.")
 	SuspectIsolated = define(2013, log.WarnLevel, "suspect isolated",
 		"Endpoints crashed while running the request or others with its content or a part of its prompt, which are now suspected of causing it; it runs again on endpoints that no other suspect request uses.",
@@ -20,6 +20,9 @@
 	ArbiterUnreachable = define(2014, log.WarnLevel, "arbiter unreachable",
 		"The daemon that decides about requests suspected of crashing endpoints did not answer; this daemon decides by itself.",
 		"Check events 3100 and 3101 for the state of that daemon.")
+	TrialEnded = define(2015, log.InfoLevel, "trial ended",
+		"The trial of a suspect content or part of a prompt has ended; outcome says how, and trials how many count against it now.",
+		"Nothing; after three trials that count, its requests are refused.")
 	ClaimFailed = define(2020, log.WarnLevel, "claim failed",
 		"The platform's table did not confirm the claim of a request; the caller was told that the request was not run.",
 		"Check the platform's table service.")
--- a/passthrough/quarantine.go
+++ b/passthrough/quarantine.go
@@ -29,6 +29,7 @@
 
 var (
 	errCrashesEndpoints = errors.New("requests with this content have crashed the endpoints that ran them")
+	errNoTrialsLeft     = errors.New("requests with this content have had all their trials")
 	errNotSettled       = errors.New("endpoints crashed under requests with this content; whether these were the cause is not known yet")
 	errNotReserved      = errors.New("endpoints crashed under requests with this content; no endpoints could be reserved for it")
 )
@@ -67,7 +68,7 @@
 		after = standing.Lifetime
 		x.config().Metrics.requestQuarantined()
 		x.config().Log.Log(event.RequestQuarantined, "request", x.callerHeaders.ID, "fingerprint", standing.Subject,
-			"incidents", standing.Incidents, "crashes", standing.Crashes)
+			"incidents", standing.Incidents, "crashes", standing.Crashes, "reason", reason)
 	}
 	x.endWithoutAnswer(x.finalVerdict(false), after, reason.Error())
 }
@@ -120,7 +121,7 @@
 		x.awaitReservation(standing)
 	case quarantine.DecisionRefuse:
 		standing.State = quarantine.StateConvicted
-		x.endQuarantined(standing, errCrashesEndpoints)
+		x.endQuarantined(standing, errNoTrialsLeft)
 	}
 }
 
--- a/quarantine/reservations.go
+++ b/quarantine/reservations.go
@@ -60,17 +60,26 @@
 	return r != nil && now.Sub(r.madeAt) < reservationLifetime-reservationMargin
 }
 
+// TrialsAfter returns how many trials count against the suspect once this one has ended with an outcome.
+func (r *Reservation) TrialsAfter(outcome TrialOutcome) int {
+	switch outcome {
+	case TrialPassed:
+		return 0
+	case TrialNotStarted:
+		return r.trials - 1
+	default: // TrialLost and TrialRefused.
+		return r.trials
+	}
+}
+
 // NewRelease returns the transaction that ends the reservation, with a new random nonce. A trial that passed removes the
 // count of the suspect's trials; one that was lost or refused stays counted.
 func (r *Reservation) NewRelease(nonce string, self chicoryhall.DaemonID, outcome TrialOutcome) table.Transaction {
-	trials := r.trials
-	if outcome == TrialNotStarted {
-		trials--
-	}
+	trials := r.TrialsAfter(outcome)
 	release := table.Transaction{Nonce: nonce}
 	for i, made := range r.transaction.Changes {
 		change := table.Change{Key: made.Key, IfVersion: r.versions[i], Delete: true}
-		if strings.HasPrefix(made.Key, suspectPrefix) && outcome != TrialPassed && trials > 0 {
+		if strings.HasPrefix(made.Key, suspectPrefix) && trials > 0 {
 			change.Delete, change.Value = false, table.EncodeValue(reservationRow{Holder: self, Trials: trials})
 		}
 		release.Changes = append(release.Changes, change)
