quarantine: a suspect's last trial refuses nobody while it is running

What callers saw: a sound request that shares a suspect part of its prompt with others was refused with 503 as if the part crashed endpoints, and told to come back in up to two minutes, although the suspect's third and last trial was just running and then passed.

Cause: the row that counts a suspect's trials counts one from its start. Reservations.Conflict looked at the count before it looked at whether the trial was still running, so for the length of the last trial each other request was answered DecisionRefuse in place of DecisionWait.

Related path: the arbiter of serve counts no trials and waits while one runs.

--- a/quarantine/reservations.go
+++ b/quarantine/reservations.go
@@ -152,8 +152,8 @@
 }
 
 // Conflict records that a transaction did not take effect because of a row, and returns what follows: DecisionFree to
-// send a new transaction at once, DecisionWait while the row is reserved, or DecisionRefuse if the suspect has had all of
-// its trials. Busy names the endpoint that is reserved, if it is one.
+// send a new transaction at once, DecisionWait while the row is reserved, or DecisionRefuse if all trials of the suspect
+// have ended. Busy names the endpoint that is reserved, if it is one.
 func (r *Reservations) Conflict(row table.Row, now time.Time) (Answer, error) {
 	if row.Version == table.Absent {
 		delete(r.known, row.Key)
@@ -175,10 +175,10 @@
 		return Answer{Decision: DecisionWait, Busy: []chicoryhall.EndpointID{chicoryhall.EndpointID(endpoint)}}, nil
 	case isEndpoint:
 		return Answer{Decision: DecisionFree}, nil
+	case held: // Also by the last trial, as long as that may pass.
+		return Answer{Decision: DecisionWait}, nil
 	case value.Trials >= maxTrials:
 		return Answer{Decision: DecisionRefuse}, nil
-	case held:
-		return Answer{Decision: DecisionWait}, nil
 	default:
 		return Answer{Decision: DecisionFree}, nil
 	}
--- a/quarantine/reservations_test.go
+++ b/quarantine/reservations_test.go
@@ -133,6 +133,40 @@
 	}
 }
 
+// TestLastTrialInProgressRefusesNobody guards against refusals while a suspect's last trial is running, which may pass: many sound
+// requests share a suspect part of their prompts.
+func TestLastTrialInProgressRefusesNobody(t *testing.T) {
+	cases := []struct {
+		name    string
+		outcome quarantine.TrialOutcome
+		want    quarantine.Decision
+	}{
+		{"it passes", quarantine.TrialPassed, quarantine.DecisionReserved},
+		{"it reaches no endpoint", quarantine.TrialNotStarted, quarantine.DecisionReserved},
+		{"it is lost", quarantine.TrialLost, quarantine.DecisionRefuse},
+		{"it is refused", quarantine.TrialRefused, quarantine.DecisionRefuse},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			store := &tabletest.Store{}
+			trying, asking := newReserver("trying", store), newReserver("asking", store)
+			for range 2 {
+				made, _ := trying.reserve(t, culprit, lossStart, "a")
+				trying.release(t, made, quarantine.TrialLost)
+			}
+			last, _ := trying.reserve(t, culprit, lossStart, "a")
+			must.NotNil(t, last)
+			for _, daemon := range []*reserver{trying, asking} {
+				_, answer := daemon.reserve(t, culprit, lossStart, "b")
+				must.Eq(t, quarantine.DecisionWait, answer.Decision)
+			}
+			trying.release(t, last, c.outcome)
+			_, answer := asking.reserve(t, culprit, lossStart, "b")
+			must.Eq(t, c.want, answer.Decision)
+		})
+	}
+}
+
 func TestReservationEnds(t *testing.T) {
 	held, _ := newReserver("one", &tabletest.Store{}).reserve(t, culprit, lossStart, "a")
 	must.True(t, held.Valid(lossStart.Add(11*time.Second)))
