quarantine: a part that was lost in a trial stays a suspect beside a convicted one

What callers saw: two parts of prompts crash engines at the same time.

Cause: convictions are derived from all incidents first. There the part that was in more crashes (weight 8) is the only one convicted, and explains the crashes that both were in. What was left of the other one (weight 4) was its lost trial, in a crash that nothing explains, but a weight of 1 makes a part free, so it ran freely at three daemons at once.

Change: a part of the weight of a suspect that was lost in a trial, in a crash that no conviction explains, stays a suspect: it runs only in trials, one at a time. The first answer that goes on withdraws that crash, so a sound part pays one trial. Contents had a rule like it already.

TestPartStandings/a_trial_in_a_crash_that_the_convicted_part_does_not_explain failed before; the reference derivation has the same rule.

--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -103,7 +103,10 @@
 	var withdrawn []Clearance
 	for _, part := range parts {
 		known := e.rest.subjects[part]
-		if known == nil || !known.isPart || len(known.incidents) == 1 && !e.isOwn(part, known.incidents[0]) {
+		if known == nil || !known.isPart {
+			continue
+		}
+		if len(known.incidents) == 1 && !e.isOwn(part, known.incidents[0]) && !e.isSuspectInSpite(part) {
 			continue
 		}
 		most := 1
--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -80,6 +80,10 @@
 	beside := func(part quarantine.Fingerprint, count int) []quarantine.Involvement {
 		return append(partLostOften(guiltyPart, 4), partLostOften(part, count)...)
 	}
+	// Two parts were lost in the same crashes, one of them in further ones that convict it, and the other one in a trial beside a
+	// part that most requests share.
+	tried := append(partLostOften(firstPart, 8), partLostOften(guiltyPart, 3)...)
+	tried = append(tried, partIsolated(guiltyPart, 20, "x"), partLost(soundPart, 21, "x"), partLost(soundPart, 22, "y"))
 	cases := []struct {
 		name     string
 		involved []quarantine.Involvement
@@ -135,6 +139,18 @@
 			"trial beside a request with a part in a single crash", with(2, partIsolated(guiltyPart, 20, "x"), partLost(soundPart, 21, "x")),
 			nil, settled, guiltyPart, quarantine.StateConvicted,
 		},
+		{"a trial in a crash that the convicted part does not explain", tried, nil, settled, guiltyPart, quarantine.StateSuspect},
+		{
+			"an answer that went on after that trial", tried,
+			[]quarantine.Clearance{{Fingerprint: guiltyPart, Incarnation: at("x")}},
+			settled,
+			guiltyPart, quarantine.StateFree,
+		},
+		{"a part lost beside that trial", tried, nil, settled, soundPart, quarantine.StateFree},
+		{
+			"a trial in a crash that the convicted part explains", append(partLostOften(firstPart, 8), append(partLostOften(soundPart, 2), partIsolated(soundPart, 20, "c"))...),
+			nil, settled, soundPart, quarantine.StateFree,
+		},
 		{"the conviction has lapsed", with(4), nil, 2 * time.Minute, guiltyPart, quarantine.StateSuspect},
 		{"a content in crashes that a convicted part explains", with(4, lost(innocent, "i1", "a"), lost(innocent, "i2", "b")), nil, settled, innocent, quarantine.StateFree},
 		{"a content in more crashes than a convicted part hides", with(5, repeatedly(culprit, 3)...), nil, 0, culprit, quarantine.StateSuspect},
@@ -241,6 +257,22 @@
 	}
 }
 
+// TestAnswerOutweighsTrialBesideConviction guards against a part that stays a suspect for good after a trial that a convicted part does not
+// explain: an answer that goes on withdraws that crash, also if another daemon has reported it.
+func TestAnswerOutweighsTrialBesideConviction(t *testing.T) {
+	e := quarantine.NewEvidence("self")
+	involved := append(partLostOften(firstPart, 8), partLostOften(guiltyPart, 3)...)
+	involved = append(involved, partIsolated(guiltyPart, 20, "x"), partLost(soundPart, 21, "x"), partLost(soundPart, 22, "y"))
+	e.Replace(reportsOf("other", quarantine.Report{Involved: involved}), lossStart)
+	e.Standing(guiltyPart, lossStart)
+	now := lossStart.Add(settled)
+	must.Eq(t, quarantine.StateSuspect, e.Standing(guiltyPart, now).State)
+	for _, one := range e.Began([]quarantine.Fingerprint{guiltyPart}, true, now) {
+		e.Clear(one.Fingerprint, []quarantine.Incarnation{one.Incarnation})
+	}
+	must.Eq(t, quarantine.StateFree, e.Standing(guiltyPart, now).State)
+}
+
 // TestFloodOfPartsDropsNoSuspect records many parts of a single crash each beside one of several crashes.
 func TestFloodOfPartsDropsNoSuspect(t *testing.T) {
 	e := quarantine.NewEvidence("self")
--- a/quarantine/referencestanding_test.go
+++ b/quarantine/referencestanding_test.go
@@ -19,7 +19,10 @@
 	var withdrawn []Clearance
 	for _, part := range parts {
 		known := e.subjects[part]
-		if known == nil || !known.isPart || len(known.incidents) == 1 && !e.isOwn(part, known.incidents[0]) {
+		if known == nil || !known.isPart {
+			continue
+		}
+		if len(known.incidents) == 1 && !e.isOwn(part, known.incidents[0]) && !e.isSuspectInSpite(part) {
 			continue
 		}
 		most := 1
@@ -73,14 +76,24 @@
 // standing returns what is known of a fingerprint. The caller holds e.mu.
 func (e *reference) standing(fingerprint Fingerprint, now time.Time) Standing {
 	known := referenceStandingOf(e.subjects[fingerprint], fingerprint, now)
-	all := e.all[fingerprint]
-	if known.State == StateFree && all != nil && !all.isPart && len(all.incidents) >= convictionIncidents {
-		known = referenceStandingOf(all, fingerprint, now)
+	if known.State == StateFree && e.isSuspectInSpite(fingerprint) {
+		known = referenceStandingOf(e.all[fingerprint], fingerprint, now)
 		known.State = StateSuspect
 	}
 	return known
 }
 
+// isSuspectInSpite reports whether a fingerprint stays a suspect although convicted parts explain its incidents. The caller holds
+// e.mu.
+func (e *reference) isSuspectInSpite(fingerprint Fingerprint) bool {
+	all, rest := e.all[fingerprint], e.subjects[fingerprint]
+	if all == nil || !all.isPart {
+		return all != nil && len(all.incidents) >= convictionIncidents
+	}
+	isIsolated := func(one *referenceIncident) bool { return one.isolated }
+	return rest != nil && slices.ContainsFunc(rest.incidents, isIsolated) && all.weight() >= suspectContents
+}
+
 func referenceStandingOf(known *referenceSubject, fingerprint Fingerprint, now time.Time) Standing {
 	switch {
 	case known == nil:
--- a/quarantine/standing.go
+++ b/quarantine/standing.go
@@ -64,17 +64,31 @@
 	return part
 }
 
-// standing returns what is known of a fingerprint. A content that was lost too often stays a suspect although convicted parts explain
-// its incidents, as the convictions may be wrong. The caller holds e.mu.
+// standing returns what is known of a fingerprint. The caller holds e.mu.
 func (e *Evidence) standing(fingerprint Fingerprint, now time.Time) Standing {
 	known := standingOf(e.rest.subjects[fingerprint], fingerprint, now)
-	if all := e.all.subjects[fingerprint]; known.State == StateFree && all != nil && all.isLostOften() {
-		known = standingOf(all, fingerprint, now)
+	if known.State == StateFree && e.isSuspectInSpite(fingerprint) {
+		known = standingOf(e.all.subjects[fingerprint], fingerprint, now)
 		known.State = StateSuspect
 	}
 	return known
 }
 
+// isSuspectInSpite reports whether a fingerprint stays a suspect although convicted parts explain its incidents, as the convictions
+// may be wrong, or it may be a cause as well: a content that was lost too often, or a part that was lost in a trial which they do
+// not explain. The caller holds e.mu.
+func (e *Evidence) isSuspectInSpite(fingerprint Fingerprint) bool {
+	all, rest := e.all.subjects[fingerprint], e.rest.subjects[fingerprint]
+	switch {
+	case all == nil:
+		return false
+	case all.isPart:
+		return rest != nil && rest.isIsolated() && all.weight() >= suspectContents
+	default:
+		return all.isLostOften()
+	}
+}
+
 // standingOf returns what a subject, which may be nil, says of a fingerprint.
 func standingOf(known *subject, fingerprint Fingerprint, now time.Time) Standing {
 	switch {
