passthrough: a caller may pause while its long answer is still being forwarded (LOST)

Cause: the kernel's limit of 3 s for what is not acknowledged also counts the time in which the peer does not read. The longer limit began with the end of the answer.

Evidence: TestCallerMayPause/the_endpoint_is_still_sending_it failed in 3 of 3 runs on: the connection was reset 3 s after the window had closed.

Shorter answers, as those of the sheets, are not concerned.

--- a/passthrough/connection.go
+++ b/passthrough/connection.go
@@ -250,7 +250,6 @@
 	if conn.closed || conn.closing {
 		return
 	}
-	conn.awaitReader()
 	if closeAfter {
 		conn.closing = true
 		conn.linger()
@@ -266,7 +265,7 @@
 	})
 }
 
-// awaitReader gives the caller more time to read a long answer that has been written. Nobody works for a caller that is gone then.
+// awaitReader gives the caller more time to read a long answer, as a part of it may wait until the caller goes on reading.
 func (conn *connection) awaitReader() {
 	if conn.written >= minUnread && !conn.waitsForReader {
 		conn.waitsForReader = true
@@ -274,7 +273,7 @@
 	}
 }
 
-// expectReader ends awaitReader when a request begins: a caller that is gone is noticed soon while an endpoint works for it.
+// expectReader ends awaitReader when a request begins: a caller that is gone is noticed soon while it waits for an answer.
 func (conn *connection) expectReader() {
 	conn.written = 0
 	if conn.waitsForReader {
@@ -359,6 +358,7 @@
 		return
 	}
 	conn.written += len(bytes)
+	conn.awaitReader()
 	conn.unsent.Add(int64(len(bytes)))
 	if _, err := conn.socket.Write(bytes); err != nil {
 		_ = conn.socket.Close()
--- a/passthrough/socket.go
+++ b/passthrough/socket.go
@@ -14,8 +14,8 @@
 	// ackTimeout is the time after which the kernel closes a connection whose peer acknowledges neither data nor probes. As
 	// TCP_USER_TIMEOUT it takes the place of the number of probes, see tcp(7).
 	ackTimeout = 3 * time.Second
-	// unreadAckTimeout takes its place while a caller has a long answer to read and no request in progress. The kernel also counts
-	// the time in which a peer does not read, although it acknowledges the probes, so it is longer than callers may take nothing.
+	// unreadAckTimeout takes its place while a caller has a long answer to read. The kernel also counts the time in which a peer does
+	// not read, although it acknowledges the probes, so it is longer than callers may take nothing.
 	unreadAckTimeout = maxSendPause + 2*time.Second
 	// minUnread is the size of an answer in bytes from which on a part of it may wait for a caller that does not read; a smaller
 	// one fits into any peer's buffer.
--- a/passthrough/unread_test.go
+++ b/passthrough/unread_test.go
@@ -116,19 +116,43 @@
 	<-stopped
 }
 
+// answerLargeInParts sends most of a large answer at once and its end only after the caller's pause, so that the answer is still
+// being forwarded meanwhile.
+func answerLargeInParts(conn net.Conn, _ int, request *http.Request) bool {
+	whole := wholeAnswer(request, strings.Repeat("u", unreadSize))
+	if !send(conn, whole[:len(whole)-1]) {
+		return false
+	}
+	time.Sleep(callerPause + time.Second)
+	return send(conn, whole[len(whole)-1:])
+}
+
 // TestCallerMayPause guards against the loss of an answer whose caller reads nothing of it for some seconds (LOST).
 func TestCallerMayPause(t *testing.T) {
 	t.Parallel()
-	set := testRules()
-	setTimeouts(set, time.Minute)
-	w := startServer(t, set, newEndpoint(t, answerLarge))
-	conn, _ := w.dial(t)
-	must.NoError(t, conn.(*net.TCPConn).SetReadBuffer(slowBuffer))
-	must.NoError(t, conn.SetDeadline(time.Now().Add(20*time.Second)))
-	must.True(t, send(conn, requestText("POST", "/unsafe/a", "1", "x")))
-	w.logs.await(t, "event=2040", "status=200")
-	time.Sleep(callerPause)
-	got := readAnswer(bufio.NewReader(conn))
-	must.NoError(t, got.err)
-	must.Eq(t, unreadSize, len(got.body))
+	cases := []struct {
+		name     string
+		respond  responder
+		awaitLog []string
+	}{
+		{"the endpoint has sent all of it", answerLarge, []string{"event=2040", "status=200"}},
+		{"the endpoint is still sending it", answerLargeInParts, []string{"event=2046"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			set := testRules()
+			setTimeouts(set, time.Minute)
+			w := startServer(t, set, newEndpoint(t, c.respond))
+			conn, _ := w.dial(t)
+			must.NoError(t, conn.(*net.TCPConn).SetReadBuffer(slowBuffer))
+			must.NoError(t, conn.SetDeadline(time.Now().Add(20*time.Second)))
+			must.True(t, send(conn, requestText("POST", "/unsafe/a", "1", "x")))
+			w.logs.await(t, c.awaitLog...)
+			time.Sleep(callerPause)
+			got := readAnswer(bufio.NewReader(conn))
+			must.NoError(t, got.err)
+			must.Eq(t, unreadSize, len(got.body))
+		})
+	}
 }
