--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -106,7 +106,7 @@
 		if known == nil || !known.isPart {
 			continue
 		}
-		if len(known.incidents) == 1 && !e.isOwn(part, known.incidents[0]) && !e.isSuspectInSpite(part) {
+		if len(known.incidents) == 1 && !e.isOwn(part, known.incidents[0]) && !e.staysSuspect(part) {
 			continue
 		}
 		most := 1
--- a/quarantine/referencestanding_test.go
+++ b/quarantine/referencestanding_test.go
@@ -22,7 +22,7 @@
 		if known == nil || !known.isPart {
 			continue
 		}
-		if len(known.incidents) == 1 && !e.isOwn(part, known.incidents[0]) && !e.isSuspectInSpite(part) {
+		if len(known.incidents) == 1 && !e.isOwn(part, known.incidents[0]) && !e.staysSuspect(part) {
 			continue
 		}
 		most := 1
@@ -76,16 +76,16 @@
 // standing returns what is known of a fingerprint. The caller holds e.mu.
 func (e *reference) standing(fingerprint Fingerprint, now time.Time) Standing {
 	known := referenceStandingOf(e.subjects[fingerprint], fingerprint, now)
-	if known.State == StateFree && e.isSuspectInSpite(fingerprint) {
+	if known.State == StateFree && e.staysSuspect(fingerprint) {
 		known = referenceStandingOf(e.all[fingerprint], fingerprint, now)
 		known.State = StateSuspect
 	}
 	return known
 }
 
-// isSuspectInSpite reports whether a fingerprint stays a suspect although convicted parts explain its incidents. The caller holds
+// staysSuspect reports whether a fingerprint is still a suspect although convicted parts explain its incidents. The caller holds
 // e.mu.
-func (e *reference) isSuspectInSpite(fingerprint Fingerprint) bool {
+func (e *reference) staysSuspect(fingerprint Fingerprint) bool {
 	all, rest := e.all[fingerprint], e.subjects[fingerprint]
 	if all == nil || !all.isPart {
 		return all != nil && len(all.incidents) >= convictionIncidents
--- a/quarantine/standing.go
+++ b/quarantine/standing.go
@@ -67,17 +67,17 @@
 // standing returns what is known of a fingerprint. The caller holds e.mu.
 func (e *Evidence) standing(fingerprint Fingerprint, now time.Time) Standing {
 	known := standingOf(e.rest.subjects[fingerprint], fingerprint, now)
-	if known.State == StateFree && e.isSuspectInSpite(fingerprint) {
+	if known.State == StateFree && e.staysSuspect(fingerprint) {
 		known = standingOf(e.all.subjects[fingerprint], fingerprint, now)
 		known.State = StateSuspect
 	}
 	return known
 }
 
-// isSuspectInSpite reports whether a fingerprint stays a suspect although convicted parts explain its incidents, as the convictions
+// staysSuspect reports whether a fingerprint is still a suspect although convicted parts explain its incidents, as the convictions
 // may be wrong, or it may be a cause as well: a content that was lost too often, or a part that was lost in a trial which they do
 // not explain. The caller holds e.mu.
-func (e *Evidence) isSuspectInSpite(fingerprint Fingerprint) bool {
+func (e *Evidence) staysSuspect(fingerprint Fingerprint) bool {
 	all, rest := e.all.subjects[fingerprint], e.rest.subjects[fingerprint]
 	switch {
 	case all == nil:
