proof, hall: plain endpoints that answer wrongly byte by byte, and a soak for what must run once

TestWhatMustRunOnceRunsOnce has such endpoints (answerFaults), callers that stay and callers that leave, and sends again, with another ID and the same content, what was answered as not run or reset before any byte. It judges by the ledger: runs by ID, runs by content, refusals that ran, and requests that ran and whose connection ended without a byte.

PROOF_DAEMON names the file of another build's daemon.

--- a/cmd/chicorystand/hall/platform.go
+++ b/cmd/chicorystand/hall/platform.go
@@ -123,6 +123,14 @@
 	}
 	if endpoint, ok := handler.(*Endpoint); ok {
 		listener = &closedListener{Listener: listener, endpoint: endpoint}
+		if endpoint.settings.AnswerFaults != nil {
+			p.group.Go(func() error {
+				<-p.ctx.Done()
+				return listener.Close()
+			})
+			p.group.Go(func() error { return p.serveFaulty(listener, endpoint) })
+			return nil
+		}
 	}
 	server := &http.Server{Handler: handler, ErrorLog: discardLogger()}
 	p.group.Go(func() error {
--- a/cmd/chicorystand/hall/settings.go
+++ b/cmd/chicorystand/hall/settings.go
@@ -63,6 +63,8 @@
 	// same daemon.
 	PausePercent int     `yaml:"pausePercent,omitempty"`
 	PauseMillis  float64 `yaml:"pauseMillis,omitempty"`
+	// AnswerFaults are those of a plain endpoint; without them it answers correctly.
+	AnswerFaults *AnswerFaults `yaml:"answerFaults,omitempty"`
 }
 
 // Load reads settings from a YAML file.
--- a/proof/soak_platform_test.go
+++ b/proof/soak_platform_test.go
@@ -37,7 +37,9 @@
 	name     string
 	settings string
 	callers  string
-	ready    string
+	// direct is the address for callers without the proxy.
+	direct string
+	ready  string
 	// source is the IP address that its connections to endpoints come from.
 	source string
 	// program is that of another build that the daemon runs with olderSettings, or empty.
@@ -56,7 +58,13 @@
 		d.process = startFile(d.t, d.name, d.program, "pass", "-settings", d.olderSettings)
 		return
 	}
-	d.process = start(d.t, d.name, "chicoryhall", "pass", "-settings", d.settings)
+	d.process = startFile(d.t, d.name, daemonProgram(d.t), "pass", "-settings", d.settings)
+}
+
+// daemonProgram returns the file of the daemon's program: that of the build that PROOF_DAEMON names, or the present one.
+func daemonProgram(t *testing.T) string {
+	t.Helper()
+	return cmp.Or(os.Getenv("PROOF_DAEMON"), program(t, "chicoryhall"))
 }
 
 const soakDaemonSettings = `id: %s
@@ -157,7 +165,7 @@
 		for i := range layout.daemons {
 			name := fmt.Sprintf("%s-d%d", domain, i)
 			callers := freeAddress(t)
-			d := &soakDaemon{t: t, name: name, callers: link(callers), ready: freeAddress(t)}
+			d := &soakDaemon{t: t, name: name, callers: link(callers), direct: callers, ready: freeAddress(t)}
 			further, peers := "", ""
 			if layout.areNeighbours {
 				peers = "  peers: " + freeAddress(t) + "\n  neighbours: " + aroundPort(t, freeAddress(t)) + "\n"
