--- a/passthrough/callerexchange.go
+++ b/passthrough/callerexchange.go
@@ -347,10 +347,12 @@
 func (x *callerExchange) cutOff(reason string) {
 	x.finish(event.ExchangeCutOff, 0, reason)
 	x.conn.current = nil
+	x.conn.closing = true
 	if x.framing() == http1.FramingClose {
-		_ = x.conn.socket.SetLinger(1, 0) // If it fails, the connection is gone already.
+		x.conn.socket.Reset()
+		return
 	}
-	x.conn.close()
+	x.conn.socket.Close()
 }
 
 // closesConnection reports whether the connection must be closed after an answer whose head is written now. A draining server
--- a/passthrough/connection.go
+++ b/passthrough/connection.go
@@ -6,12 +6,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/lesismal/nbio"
 	"github.com/pkg/errors"
 
 	"chicoryhall.example/chicoryhall/event"
 	"chicoryhall.example/chicoryhall/http1"
 	"chicoryhall.example/chicoryhall/mailbox"
+	"chicoryhall.example/chicoryhall/tcp"
 )
 
 const (
@@ -42,11 +42,10 @@
 // in its mailbox.
 type connection struct {
 	server *Server
-	socket *nbio.Conn
+	socket *tcp.Conn
 	// isPeer is set if another daemon has opened the connection, at the address for daemons.
 	isPeer bool
-	// box is set last, as the event loop that reads the connection runs in another goroutine than the one that accepts it.
-	box    atomic.Pointer[mailbox.Box[message]]
+	box    *mailbox.Box[message]
 	reader *http1.Reader[*http.Request]
 
 	// head and body are those of the request that is being read.
@@ -83,16 +82,16 @@
 	unsentSince   time.Time
 }
 
-func newConnection(s *Server, socket *nbio.Conn) *connection {
+func newConnection(s *Server, socket *tcp.Conn) *connection {
 	isPeer := socket.LocalAddr().String() == s.PeerAddress()
 	conn := &connection{server: s, socket: socket, isPeer: isPeer}
 	conn.limits = conn.currentLimits()
 	conn.reader = http1.NewRequestReader(conn, conn.limits)
 	conn.closeTimer = wakeupTimer{timer: s.config.Timer, post: conn.post, wake: conn.onCloseDue}
-	conn.box.Store(mailbox.New(conn.handle, func(m message) message {
+	conn.box = mailbox.New(conn.handle, func(m message) message {
 		m.data = slices.Clone(m.data)
 		return m
-	}))
+	})
 	return conn
 }
 
@@ -131,16 +130,24 @@
 }
 
 // post runs a function in the connection's mailbox.
-func (conn *connection) post(function func()) { conn.box.Load().Post(message{call: function}) }
+func (conn *connection) post(function func()) { conn.box.Post(message{call: function}) }
 
 // postLimited is post for a function that holds so many bytes. It waits while too many are queued.
 func (conn *connection) postLimited(function func(), size int) {
-	conn.box.Load().PostLimited(message{call: function}, size)
+	conn.box.PostLimited(message{call: function}, size)
 }
 
-func (conn *connection) onData(data []byte) { conn.box.Load().Post(message{data: data}) }
+// OnData handles bytes that the caller has sent.
+func (conn *connection) OnData(data []byte) { conn.box.Post(message{data: data}) }
+
+// OnClose handles the end of the connection.
+func (conn *connection) OnClose(err error) {
+	conn.server.forgetConnection(conn.socket)
+	conn.post(func() { conn.handleClose(err) })
+}
 
-func (conn *connection) onClose(err error) { conn.post(func() { conn.handleClose(err) }) }
+// OnWritten counts bytes that the kernel has taken.
+func (conn *connection) OnWritten(n int) { conn.unsent.Add(-int64(n)) }
 
 // handleClose ends the exchange in progress; err says how the connection was closed.
 func (conn *connection) handleClose(err error) {
@@ -269,7 +276,7 @@
 func (conn *connection) awaitReader() {
 	if conn.written >= minUnread && !conn.waitsForReader {
 		conn.waitsForReader = true
-		setAckTimeout(conn.socket.Hash(), unreadAckTimeout)
+		conn.socket.SetAckTimeout(unreadAckTimeout)
 	}
 }
 
@@ -278,7 +285,7 @@
 	conn.written = 0
 	if conn.waitsForReader {
 		conn.waitsForReader = false
-		setAckTimeout(conn.socket.Hash(), ackTimeout)
+		conn.socket.SetAckTimeout(ackTimeout)
 	}
 }
 
@@ -341,7 +348,7 @@
 // close closes the connection immediately.
 func (conn *connection) close() {
 	conn.closing = true
-	_ = conn.socket.Close()
+	conn.socket.Close()
 }
 
 // closeIfIdle closes the connection if it is between two requests. A connection that has just opened is not, as its first
@@ -360,9 +367,7 @@
 	conn.written += len(bytes)
 	conn.awaitReader()
 	conn.unsent.Add(int64(len(bytes)))
-	if _, err := conn.socket.Write(bytes); err != nil {
-		_ = conn.socket.Close()
-	}
+	_ = conn.socket.Write(bytes) // A failed write closes the connection.
 }
 
 // writeOwn sends an answer of this daemon to a request with a method, which is empty if it is not known. One to HEAD has no body, but
--- a/passthrough/endpoint.go
+++ b/passthrough/endpoint.go
@@ -10,11 +10,11 @@
 	"sync"
 	"time"
 
-	"github.com/lesismal/nbio"
 	"github.com/pkg/errors"
 
 	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/http1"
+	"chicoryhall.example/chicoryhall/tcp"
 )
 
 // errUnsolicited reports bytes from an endpoint that belong to no request.
@@ -35,7 +35,7 @@
 type endpointConnection struct {
 	pool    *pool
 	address string
-	socket  *nbio.Conn
+	socket  *tcp.Conn
 	reader  *http1.Reader[*http.Response]
 
 	mu      sync.Mutex
@@ -69,7 +69,7 @@
 	answerCount int
 }
 
-func newEndpointConnection(p *pool, address string, socket *nbio.Conn) *endpointConnection {
+func newEndpointConnection(p *pool, address string, socket *tcp.Conn) *endpointConnection {
 	conn := &endpointConnection{pool: p, address: address, socket: socket}
 	conn.reader = http1.NewResponseReader(conn, conn.requestMethod, http1.Limits{Head: maxAnswerHead})
 	return conn
@@ -94,7 +94,7 @@
 	if slices.Contains(conn.refused, request.id) {
 		conn.closed = true
 		conn.mu.Unlock()
-		_ = conn.socket.Close()
+		conn.socket.Close()
 		return false
 	}
 	conn.current, conn.id, conn.method, conn.endpoint = request.receiver, request.id, request.method, request.endpoint
@@ -104,8 +104,8 @@
 		conn.abandon(request.receiver)
 		return true
 	}
-	// A failed write closes the connection, which ends the request through onClose.
-	_, _ = conn.socket.Write(request.message)
+	// A failed write closes the connection, which ends the request through OnClose.
+	_ = conn.socket.Write(request.message)
 	return true
 }
 
@@ -120,13 +120,13 @@
 	}
 	conn.mu.Unlock()
 	if inProgress {
-		_ = conn.socket.Close()
+		conn.socket.Close()
 	}
 }
 
 // CloseIdle closes an idle connection.
 func (conn *endpointConnection) CloseIdle() {
-	_ = conn.socket.Close()
+	conn.socket.Close()
 }
 
 func (conn *endpointConnection) receiver() answerReceiver {
@@ -151,8 +151,11 @@
 	return current
 }
 
-// onData handles bytes from the endpoint.
-func (conn *endpointConnection) onData(data []byte) {
+// OnWritten does nothing.
+func (conn *endpointConnection) OnWritten(int) {}
+
+// OnData handles bytes from the endpoint.
+func (conn *endpointConnection) OnData(data []byte) {
 	conn.answerEnded = false
 	err := conn.reader.Feed(data)
 	switch {
@@ -187,15 +190,15 @@
 	conn.closed = true
 	conn.mu.Unlock()
 	current := conn.takeReceiver()
-	_ = conn.socket.Close()
+	conn.socket.Close()
 	if current != nil {
 		current.onFailure(err, true)
 	}
 }
 
-// onClose ends the request in progress. An answer that is delimited by the end of its connection is complete
+// OnClose ends the request in progress. An answer that is delimited by the end of its connection is complete
 // only if the endpoint closed the connection without a reset.
-func (conn *endpointConnection) onClose(err error) {
+func (conn *endpointConnection) OnClose(err error) {
 	conn.mu.Lock()
 	conn.closed = true
 	conn.mu.Unlock()
@@ -284,7 +287,7 @@
 	return nil
 }
 
-// OnEnd records that the answer is complete. onData and onClose finish it once they have read all available
+// OnEnd records that the answer is complete. OnData and OnClose finish it once they have read all available
 // bytes, as more bytes after it prevent reuse of the connection.
 func (conn *endpointConnection) OnEnd() error {
 	if conn.discarding {
--- a/passthrough/pool.go
+++ b/passthrough/pool.go
@@ -6,11 +6,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/lesismal/nbio"
 	"golang.org/x/sync/errgroup"
 
 	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/idle"
+	"chicoryhall.example/chicoryhall/tcp"
 )
 
 const (
@@ -59,7 +59,7 @@
 // pool manages the connections to endpoints.
 type pool struct {
 	timer   chicoryhall.Timer
-	loop    *nbio.Engine
+	loop    *tcp.Loop
 	dialect chicoryhall.Dialect
 	metrics *Metrics
 	// endpoints gets what answers say of their endpoints.
@@ -71,7 +71,7 @@
 	idle    *idle.Connections[*endpointConnection]
 }
 
-func newPool(config *Config, loop *nbio.Engine) *pool {
+func newPool(config *Config, loop *tcp.Loop) *pool {
 	p := &pool{
 		timer: config.Timer, loop: loop, dialect: config.Dialect, metrics: config.Metrics, endpoints: config.Endpoints,
 		idle: idle.New[*endpointConnection](maxIdlePerEndpoint),
@@ -113,16 +113,12 @@
 		return
 	}
 	p.metrics.connections.Inc()
-	socket, err := nbio.NBConn(dialed)
+	var conn *endpointConnection
+	_, err = p.loop.Add(dialed, func(socket *tcp.Conn) tcp.Handler {
+		conn = newEndpointConnection(p, request.address, socket)
+		return conn
+	})
 	if err != nil {
-		_ = dialed.Close()
-		request.receiver.onFailure(err, false)
-		return
-	}
-	conn := newEndpointConnection(p, request.address, socket)
-	socket.SetSession(conn)
-	if _, err := p.loop.AddConn(socket); err != nil {
-		_ = socket.Close()
 		request.receiver.onFailure(err, false)
 		return
 	}
--- a/passthrough/server.go
+++ b/passthrough/server.go
@@ -2,27 +2,21 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"github.com/lesismal/nbio"
-	"github.com/lesismal/nbio/logging"
 	"github.com/pkg/errors"
 
 	"chicoryhall.example/chicoryhall/event"
-	"chicoryhall.example/chicoryhall/eventloop"
 	"chicoryhall.example/chicoryhall/http1"
+	"chicoryhall.example/chicoryhall/tcp"
 )
 
 const (
-	// maxConnections bounds the file descriptors of the event loop.
-	maxConnections = 8192
 	// readBuffer is the size of the read buffer in bytes.
 	readBuffer = 16 << 10
 	// maxReads is the number of times that one connection is read before others are.
@@ -46,10 +40,8 @@
 // Server accepts callers' requests and forwards them to endpoints.
 type Server struct {
 	config Config
-	loop   *nbio.Engine
-	// stoppable stops loop.
-	stoppable *eventloop.Loop
-	pool      *pool
+	loop   *tcp.Loop
+	pool   *pool
 	// listening is closed once the server accepts connections.
 	listening chan struct{}
 
@@ -59,46 +51,31 @@
 	refusing atomic.Bool
 	// shuttingDown is set when Serve ends: connections are closed and failed requests are not retried.
 	shuttingDown atomic.Bool
-	// buffer is the read buffer of the event loop, which has one goroutine.
-	buffer []byte
 
 	mu          sync.Mutex
-	connections map[*nbio.Conn]*connection
+	connections map[*tcp.Conn]*connection
 	exchanges   map[*callerExchange]struct{}
 	random      *rand.Rand
 }
 
-// configureLoops sets what package nbio has for all event loops of the process.
-var configureLoops = sync.OnceFunc(func() {
-	logging.SetLevel(logging.LevelNone)
-	nbio.MaxOpenFiles = maxConnections
-})
-
 // NewServer returns a Server that starts to listen when Serve is called.
 func NewServer(config Config) *Server {
 	s := &Server{
 		config:      config,
 		listening:   make(chan struct{}),
-		connections: make(map[*nbio.Conn]*connection),
+		connections: make(map[*tcp.Conn]*connection),
 		exchanges:   make(map[*callerExchange]struct{}),
 		random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		buffer:      make([]byte, readBuffer),
 	}
-	configureLoops()
 	addresses := []string{config.Address}
 	if config.PeerAddress != "" {
 		addresses = append(addresses, config.PeerAddress)
 	}
-	s.loop = nbio.NewEngine(nbio.Config{
-		Name: "passthrough", Network: "tcp", Addrs: addresses, NPoller: 1,
-		ReadBufferSize: readBuffer, MaxWriteBufferSize: maxWriteBuffer, Listen: listen,
+	s.loop = tcp.NewLoop(tcp.Config{
+		Addresses: addresses, Listen: listen, Accepted: s.accepted,
+		ReadBuffer: readBuffer, MaxReads: maxReads, MaxQueued: maxWriteBuffer,
 	})
 	s.pool = newPool(&s.config, s.loop)
-	s.stoppable = eventloop.New(s.loop)
-	s.loop.OnOpen(s.onOpen)
-	s.loop.OnRead(s.onRead)
-	s.loop.OnClose(s.onClose)
-	s.loop.OnWrittenSize(onWritten)
 	return s
 }
 
@@ -116,7 +93,7 @@
 	defer ticks.Cancel()
 	<-ctx.Done()
 	s.shuttingDown.Store(true)
-	s.stoppable.Stop(s.loop.Stop)
+	s.loop.Stop()
 	s.pool.stop()
 	return ctx.Err()
 }
@@ -126,14 +103,14 @@
 
 // Address returns where the server accepts callers, IP:PORT. If the configured port is 0, the port is the one that the
 // system has chosen, once the server listens.
-func (s *Server) Address() string { return s.loop.Addrs[0] }
+func (s *Server) Address() string { return s.loop.Address(0) }
 
 // PeerAddress returns where the server accepts other daemons, as Address does, or "" if it accepts none.
 func (s *Server) PeerAddress() string {
 	if s.config.PeerAddress == "" {
 		return ""
 	}
-	return s.loop.Addrs[1]
+	return s.loop.Address(1)
 }
 
 // Drain waits until all exchanges have ended, or until ctx ends. It keeps accepting requests for
@@ -229,76 +206,27 @@
 	return limits, headTimeout, idle
 }
 
-// onOpen is called for each connection. A connection to an endpoint already has its handler.
-func (s *Server) onOpen(socket *nbio.Conn) {
-	if socket.Session() != nil {
-		return
-	}
+// accepted returns the handler of a connection that was accepted.
+func (s *Server) accepted(socket *tcp.Conn) tcp.Handler {
 	conn := newConnection(s, socket)
-	socket.SetSession(conn)
 	s.mu.Lock()
 	s.connections[socket] = conn
 	s.mu.Unlock()
 	_, headTimeout, _ := s.limits()
 	conn.post(func() { conn.setCloseTimeout(headTimeout) })
+	return conn
 }
 
-// connectionHandler handles the events of a connection to a caller or to an endpoint.
-type connectionHandler interface {
-	onData(data []byte)
-	onClose(err error)
-}
-
-// onRead reads available data, and all of it if the peer sends no more. It also detects the end of the connection, because
-// the event loop's own detection doesn't distinguish a reset from an orderly close and drops what has not been read.
-func (s *Server) onRead(socket *nbio.Conn) {
-	for reads := 1; s.readOnce(socket); reads++ {
-		if reads >= maxReads && isEstablished(socket.Hash()) {
-			return // The event loop calls onRead again.
-		}
-	}
-}
-
-// readOnce reads and handles some data. It returns false if there is no more for now.
-func (s *Server) readOnce(socket *nbio.Conn) bool {
-	n, err := socket.Read(s.buffer)
-	switch {
-	case errors.Is(err, syscall.EINTR):
-	case errors.Is(err, syscall.EAGAIN):
-		return false
-	case err != nil:
-		_ = socket.CloseWithError(err)
-		return false
-	case n == 0:
-		_ = socket.CloseWithError(io.EOF)
-		return false
-	default:
-		if handler, ok := socket.Session().(connectionHandler); ok {
-			handler.onData(s.buffer[:n])
-		}
-	}
-	return true
-}
-
-// onWritten counts bytes that the kernel has taken.
-func onWritten(socket *nbio.Conn, _ []byte, n int) {
-	if conn, ok := socket.Session().(*connection); ok {
-		conn.unsent.Add(-int64(n))
-	}
-}
-
-func (s *Server) onClose(socket *nbio.Conn, err error) {
+// forgetConnection removes a connection to a caller that was closed.
+func (s *Server) forgetConnection(socket *tcp.Conn) {
 	s.mu.Lock()
 	delete(s.connections, socket)
 	s.mu.Unlock()
-	if handler, ok := socket.Session().(connectionHandler); ok {
-		handler.onClose(err)
-	}
 }
 
-func listen(network, address string) (net.Listener, error) {
+func listen(address string) (net.Listener, error) {
 	config := net.ListenConfig{Control: controlSocket, KeepAlive: -1}
-	return config.Listen(context.Background(), network, address)
+	return config.Listen(context.Background(), "tcp", address)
 }
 
 // ReadyHandler returns the handler of the platform's readiness checks; ready returns nil or the reason why the
--- a/passthrough/socket.go
+++ b/passthrough/socket.go
@@ -33,12 +33,6 @@
 	return optionErr
 }
 
-// setAckTimeout sets the time after which the kernel closes a connection whose peer acknowledges nothing. A connection that is
-// closed already needs none, so failures don't matter.
-func setAckTimeout(fd int, timeout time.Duration) {
-	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout/time.Millisecond))
-}
-
 func setOptions(fd int) error {
 	for _, option := range []struct{ level, name, value int }{
 		{unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1},
@@ -53,9 +47,3 @@
 	}
 	return nil
 }
-
-// isEstablished reports whether both ends of a TCP connection may still send.
-func isEstablished(fd int) bool {
-	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-	return err == nil && info.State == unix.BPF_TCP_ESTABLISHED
-}
--- a/passthrough/statement.go
+++ b/passthrough/statement.go
@@ -31,7 +31,7 @@
 	}
 	conn.mu.Unlock()
 	if waits {
-		conn.pool.timer.After(lateAnswerTime, func(time.Time) { _ = conn.socket.Close() })
+		conn.pool.timer.After(lateAnswerTime, func(time.Time) { conn.socket.Close() })
 	}
 }
 
