passthrough: the test of a closed caller's event sets its fake before the server starts

The race detector reported the field that the test set beside the running server (go test -race ./passthrough); the other reports there are fakes that older tests change in the same way.

--- a/passthrough/reuseddescriptor_test.go
+++ b/passthrough/reuseddescriptor_test.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sys/unix"
 
 	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/passthrough"
 )
 
 // rawCaller is a caller whose file descriptor exists before it connects.
@@ -55,11 +56,12 @@
 	})
 	set := testRules()
 	set.Limits.HeadTimeout, set.Limits.IdleTimeout = 20*step, 3*step
-	w := startServer(t, set, e)
-	w.admission = func(start func(chicoryhall.Permit), _ func(time.Duration, string)) {
-		time.Sleep(time.Duration(hold.Load()))
-		start(w)
-	}
+	w := startConfiguredServer(t, 0, set, routerTo(e), func(w *testServer, _ *passthrough.Config) {
+		w.admission = func(start func(chicoryhall.Permit), _ func(time.Duration, string)) {
+			time.Sleep(time.Duration(hold.Load()))
+			start(w)
+		}
+	})
 	callers := make([]rawCaller, 6)
 	for i := range callers {
 		callers[i] = newRawCaller(t)
