passthrough: no attempt starts too late in the grace time (LOST)

Cause: new requests are refused 2.5 s after SIGTERM, but a request that waited for admission or for endpoints, or that an endpoint had refused, was still sent to an endpoint until the grace time was over, however little of it was left.

The change: once new requests are refused, an attempt of a request that has not run starts only if its answer can be expected before the end: if its deadline passes before, or, for a request that is no stream, if three times its target latency is left. Otherwise its caller is told at once to return, and another daemon takes it with all of its time. A request that has run goes on.

Evidence: TestLateInGraceNoAttemptStarts; on its cases "a long answer" and "a stream" are sent 0.8 s before the end.

--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -103,6 +103,10 @@
 		x.endWithoutAnswer(x.finalVerdict(false), retryAfterRefused, "too little time is left for an answer")
 		return
 	}
+	if x.lacksGrace() {
+		x.refuseUnable(retryAfterDraining, "the daemon stops before an answer can be expected")
+		return
+	}
 	if x.mustRelay() && x.handOver() {
 		return
 	}
--- a/passthrough/drain.go
+++ b/passthrough/drain.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/exchange"
 	"chicoryhall.example/chicoryhall/quarantine"
 )
 
@@ -27,6 +29,9 @@
 // closes connections that are between two requests. Each connection is closed after its next answer. The exchanges that are in
 // progress when ctx ends are ended with an answer.
 func (s *Server) Drain(ctx context.Context) {
+	if stopAt, limited := ctx.Deadline(); limited {
+		s.stopAt.Store(&stopAt)
+	}
 	s.draining.Store(true)
 	startedAt := s.config.Timer.Now()
 	drained := s.pollDrained(ctx, func() bool {
@@ -111,3 +116,16 @@
 		})
 	}
 }
+
+// lacksGrace reports whether the daemon is likely to stop before an attempt that begins now has given its answer. Another daemon can
+// take the request at once. A request that may run no more elsewhere has no other way.
+func (x *callerExchange) lacksGrace() bool {
+	stopAt := x.server.stopAt.Load()
+	if stopAt == nil || !x.server.refusing.Load() || x.finalVerdict(false) != exchange.VerdictNotRun || x.deadline.Before(*stopAt) {
+		return false
+	}
+	if x.rule.Kind == chicoryhall.ExchangeStream {
+		return true
+	}
+	return stopAt.Sub(x.config().Timer.Now()) < headStallFactor*x.rule.TargetLatency
+}
--- a/passthrough/grace_test.go
+++ b/passthrough/grace_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -64,3 +65,50 @@
 		})
 	}
 }
+
+// TestLateInGraceNoAttemptStarts guards against requests that a daemon sends to an endpoint when it is likely to stop before their
+// answer (LOST).
+func TestLateInGraceNoAttemptStarts(t *testing.T) {
+	const grace = 3500 * time.Millisecond
+	cases := []struct {
+		name, target  string
+		targetLatency time.Duration
+		status        int
+	}{
+		{"a long answer", "/unsafe/a", 10 * time.Second, http.StatusServiceUnavailable},
+		{"a short answer", "/unsafe/a", 50 * time.Millisecond, http.StatusOK},
+		{"a stream", "/stream/a", 50 * time.Millisecond, http.StatusServiceUnavailable},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			admitted := make(chan func(chicoryhall.Permit), 1)
+			var runs atomic.Int32
+			e := newEndpoint(t, func(conn net.Conn, _ int, request *http.Request) bool {
+				runs.Add(1)
+				return send(conn, wholeAnswer(request, "done"))
+			})
+			set := slowRules()
+			for i := range set.Rules {
+				set.Rules[i].TargetLatency = c.targetLatency
+			}
+			w := startConfiguredServer(t, 0, set, routerTo(e), func(w *testServer, _ *passthrough.Config) {
+				w.admission = func(start func(chicoryhall.Permit), _ func(time.Duration, string)) { admitted <- start }
+			})
+			conn, reader := w.dial(t)
+			must.True(t, send(conn, requestText("POST", c.target, "1", "x")))
+			start := <-admitted
+			ctx, cancel := context.WithTimeout(context.Background(), grace)
+			defer cancel()
+			drained := make(chan struct{})
+			drainInBackground(ctx, w, drained)
+			time.Sleep(grace - 800*time.Millisecond) // After the server's readinessDelay.
+			start(w)
+			got := readAnswer(reader)
+			must.NoError(t, got.err)
+			must.Eq(t, c.status, got.status)
+			must.Eq(t, c.status == http.StatusOK, runs.Load() == 1)
+			<-drained
+		})
+	}
+}
--- a/passthrough/server.go
+++ b/passthrough/server.go
@@ -42,8 +42,10 @@
 
 	// draining is set when Drain is called: each connection is closed after its next answer.
 	draining atomic.Bool
-	// refusing is set readinessDelay later: new requests are refused.
+	// refusing is set readinessDelay later: new requests are refused. stopAt is when the requests in progress end, or nil if that is
+	// not known.
 	refusing atomic.Bool
+	stopAt   atomic.Pointer[time.Time]
 	// shuttingDown is set when Serve ends: connections are closed and failed requests are not retried.
 	shuttingDown atomic.Bool
 
