proof: the soak for what must run once tells when its cases and the faults came

The cases of "daemons come and go" that ran and were closed without an answer could not be told from a fault of the daemon.

--- a/proof/soak_once_test.go
+++ b/proof/soak_once_test.go
@@ -219,7 +219,7 @@
 }
 
 // judgeOnce compares tries with what the endpoints ran.
-func judgeOnce(tries []onceTry, runs []soakRun) onceReport {
+func judgeOnce(tries []onceTry, runs []soakRun, startedAt time.Time) onceReport {
 	report := onceReport{tries: len(tries), ends: make(map[string]int)}
 	ran := make(map[string][]string)
 	for _, run := range runs {
@@ -229,7 +229,8 @@
 	for _, one := range tries {
 		report.ends[one.kind.name+" "+string(one.end)]++
 		engines := ran[one.id]
-		text := fmt.Sprintf("%s (%s, %s, request %d of its connection to %s) ran at %v", one.id, one.kind.name, one.end, one.on, one.daemon, engines)
+		text := fmt.Sprintf("%.3f s %s (%s, %s, request %d of its connection to %s) ran at %v", one.sentAt.Sub(startedAt).Seconds(), one.id,
+			one.kind.name, one.end, one.on, one.daemon, engines)
 		if one.kind == unsafeKind && len(engines) > 1 {
 			report.twice = append(report.twice, text)
 		}
@@ -323,12 +324,13 @@
 			w := newSoakPlatform(t, layout)
 			time.Sleep(time.Second)
 			cs := startOnceCallers(w, environmentNumberOr("ONCE_STAYING", 40), environmentNumberOr("ONCE_LEAVING", 40), c.daemons == nil, seed)
+			startedAt := time.Now()
 			if c.daemons == nil {
 				time.Sleep(duration)
 			} else {
-				injectFaultsOf(w, c.daemons, seed, duration)
+				t.Log(strings.Join(injectFaultsOf(w, c.daemons, seed, duration), "\n"))
 			}
-			report := judgeOnce(cs.stop(), w.runs(t))
+			report := judgeOnce(cs.stop(), w.runs(t), startedAt)
 			report.log(t)
 			if len(report.twice)+len(report.again)+len(report.refused) > 0 || c.daemons == nil && len(report.unanswered) > 0 {
 				t.Errorf("requests ran twice, or were lost; logs: %s", w.keepLogs(t))
