--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 
 # race runs the tests of packages that goroutines share under the race detector; their runs are short.
 race:
-	go test -race -timeout 300s ./neighbour ./follow ./lease ./mailbox ./idle ./timer ./relay ./claim ./retry ./memory ./requests
+	go test -race -timeout 300s ./tcp ./neighbour ./follow ./lease ./mailbox ./idle ./timer ./relay ./claim ./retry ./memory ./requests
 
 # prove runs all proofs, which are tests with real processes and injected faults, also those in KNOWN-RED.txt, and writes
 # docs/PROOFS.md.
--- a/passthrough/answer.go
+++ b/passthrough/answer.go
@@ -180,6 +180,7 @@
 	x := a.exchange
 	x.recordPiece()
 	x.conn.write(x.appendPiece(nil, piece))
+	a.holdBack()
 	a.checkProven(false)
 }
 
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -141,6 +141,7 @@
 		startedAt: now, lastProgress: now,
 	}
 	x.current, x.isUnsent = a, false
+	x.conn.holdsBack.Store(false)
 	for _, hop := range route.Hops {
 		x.config().Endpoints.Begin(hop.Engine)
 	}
--- a/passthrough/callerexchange.go
+++ b/passthrough/callerexchange.go
@@ -405,6 +405,7 @@
 // finish releases what the exchange holds and logs the result.
 func (x *callerExchange) finish(kind *event.Event, status int, detail string) {
 	x.finished = true
+	x.conn.holdsBack.Store(false)
 	x.config().Memory.Release(int64(len(x.body)))
 	x.checkTimer.cancel()
 	x.server.removeExchange(x)
--- a/passthrough/connection.go
+++ b/passthrough/connection.go
@@ -80,6 +80,8 @@
 	unsent        atomic.Int64
 	unsentAtCheck int64
 	unsentSince   time.Time
+	// holdsBack is set while the endpoint's answer is not read, as the caller has too much of it to read.
+	holdsBack atomic.Bool
 }
 
 func newConnection(s *Server, socket *tcp.Conn) *connection {
@@ -149,6 +151,13 @@
 // OnWritten counts bytes that the kernel has taken.
 func (conn *connection) OnWritten(n int) { conn.unsent.Add(-int64(n)) }
 
+// OnFlushed lets the endpoint go on with its answer once the caller has read enough of it.
+func (conn *connection) OnFlushed() {
+	if conn.holdsBack.Load() && !conn.mustHoldBack(minUnsentResumed) {
+		conn.post(conn.resumeAnswer)
+	}
+}
+
 // handleClose ends the exchange in progress; err says how the connection was closed.
 func (conn *connection) handleClose(err error) {
 	conn.closed = true
--- a/passthrough/endpoint.go
+++ b/passthrough/endpoint.go
@@ -154,6 +154,9 @@
 // OnWritten does nothing.
 func (conn *endpointConnection) OnWritten(int) {}
 
+// OnFlushed does nothing.
+func (conn *endpointConnection) OnFlushed() {}
+
 // OnData handles bytes from the endpoint.
 func (conn *endpointConnection) OnData(data []byte) {
 	conn.answerEnded = false
@@ -174,6 +177,7 @@
 	conn.discardedAnswers, conn.discardedBytes = 0, 0
 	reusable := !conn.mustClose && conn.maxIdle > 0 && conn.reader.AtBoundary()
 	current := conn.takeReceiver()
+	conn.socket.Resume() // Nobody holds it back from here on.
 	if reusable {
 		conn.pool.idle.Put(conn.address, conn, conn.pool.timer.Now().Add(conn.maxIdle))
 	} else {
--- a/passthrough/metrics.go
+++ b/passthrough/metrics.go
@@ -22,6 +22,7 @@
 	hedgesAhead      *metrics.Counter
 	pauses           *metrics.Counter
 	revokedSends     *metrics.Counter
+	heldBack         *metrics.Counter
 }
 
 // NewMetrics returns Metrics with all counters at zero.
@@ -36,6 +37,7 @@
 		hedges:           set.NewCounter("chicoryhall_hedges_total"),
 		hedgesAhead:      set.NewCounter("chicoryhall_hedges_ahead_total"),
 		revokedSends:     set.NewCounter("chicoryhall_sends_revoked_total"),
+		heldBack:         set.NewCounter("chicoryhall_answers_held_back_total"),
 		pauses:           set.NewCounter("chicoryhall_endpoint_pauses_total"),
 		refusedExchanges: set.NewCounter("chicoryhall_exchanges_refused_total"),
 	}
@@ -77,6 +79,9 @@
 // sendRevoked counts a request that was not sent, as it ended while its connection was being opened.
 func (m *Metrics) sendRevoked() { m.revokedSends.Inc() }
 
+// answerHeldBack counts a time that an endpoint had to wait as the caller reads too slowly.
+func (m *Metrics) answerHeldBack() { m.heldBack.Inc() }
+
 // exchangeEnded counts an exchange and its duration.
 func (m *Metrics) exchangeEnded(class chicoryhall.ClassName, status int, duration time.Duration) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("chicoryhall_exchanges_total{class=%q,status=\"%d\"}", class, status)).Inc()
--- a/passthrough/sendpermit.go
+++ b/passthrough/sendpermit.go
@@ -32,6 +32,13 @@
 	return p.conn
 }
 
+// connection returns the connection that the request may have been sent on, or nil.
+func (p *sendPermit) connection() *endpointConnection {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.conn
+}
+
 // isTaken reports whether bytes of the request may have been sent.
 func (p *sendPermit) isTaken() bool {
 	p.mu.Lock()
--- a/passthrough/server.go
+++ b/passthrough/server.go
@@ -95,6 +95,9 @@
 	return ctx.Err()
 }
 
+// UnsentBytes returns the number of bytes of answers that wait for callers that read too slowly.
+func (s *Server) UnsentBytes() int64 { return s.loop.Queued() }
+
 // Listening is closed once the server accepts connections.
 func (s *Server) Listening() <-chan struct{} { return s.listening }
 
--- a/passthrough/stall.go
+++ b/passthrough/stall.go
@@ -43,8 +43,11 @@
 	return since.Add(max(minStallTime, maxPause))
 }
 
-// onDue seeks a hedge if the attempt has stalled.
+// onDue seeks a hedge if the attempt has stalled. One that is held back for its caller has not.
 func (a *attempt) onDue(now time.Time) {
+	if a.exchange.conn.holdsBack.Load() && !a.isHeld() {
+		a.lastProgress = now
+	}
 	if at := a.dueAt(); now.Before(at) {
 		a.exchange.checkTimer.wakeBy(at)
 		return
--- a/tcp/conn.go
+++ b/tcp/conn.go
@@ -30,6 +30,8 @@
 	// queue holds the bytes that the kernel has not taken yet, queued is their number.
 	queue  [][]byte
 	queued int
+	// paused is set while nothing is read.
+	paused bool
 }
 
 // LocalAddr returns the address of this end.
@@ -70,7 +72,39 @@
 		return err
 	}
 	c.enqueue(left)
-	return c.loop.poller.modify(c.fd, c.number, readable|writable)
+	return c.awaitEvents()
+}
+
+// awaitEvents makes the loop wait for what the connection is ready for. The end of a paused connection shows only once it goes on,
+// unless it has broken. The caller holds c.mu.
+func (c *Conn) awaitEvents() error {
+	var events uint32
+	if !c.paused {
+		events |= readable
+	}
+	if c.queued > 0 {
+		events |= writable
+	}
+	return c.loop.poller.modify(c.fd, c.number, events)
+}
+
+// Pause stops reading, so that the peer has to wait once the kernel's buffers are full.
+func (c *Conn) Pause() { c.setPaused(true) }
+
+// Resume goes on reading after Pause.
+func (c *Conn) Resume() { c.setPaused(false) }
+
+func (c *Conn) setPaused(paused bool) {
+	c.mu.Lock()
+	var err error
+	if !c.closed && c.paused != paused {
+		c.paused = paused
+		err = c.awaitEvents()
+	}
+	c.mu.Unlock()
+	if err != nil {
+		c.closeWith(err)
+	}
 }
 
 // send passes bytes to the kernel and returns those that it has not taken. The caller holds c.mu.
@@ -93,12 +127,19 @@
 
 // enqueue queues bytes. The caller holds c.mu.
 func (c *Conn) enqueue(data []byte) {
-	c.queued += len(data)
+	c.addQueued(len(data))
 	if last := len(c.queue) - 1; last >= 0 && len(c.queue[last])+len(data) <= queueChunk {
 		c.queue[last] = append(c.queue[last], data...)
 		return
 	}
-	c.queue = append(c.queue, append([]byte(nil), data...))
+	piece := make([]byte, 0, max(queueChunk, len(data)))
+	c.queue = append(c.queue, append(piece, data...))
+}
+
+// addQueued counts bytes that are queued, or fewer if n is negative. The caller holds c.mu.
+func (c *Conn) addQueued(n int) {
+	c.queued += n
+	c.loop.queued.Add(int64(n))
 }
 
 // flush sends queued bytes. The loop calls it.
@@ -118,7 +159,7 @@
 func (c *Conn) sendQueued() error {
 	for len(c.queue) > 0 {
 		left, err := c.send(c.queue[0])
-		c.queued -= len(c.queue[0]) - len(left)
+		c.addQueued(len(left) - len(c.queue[0]))
 		if err != nil {
 			return err
 		}
@@ -130,14 +171,14 @@
 		c.queue = c.queue[1:]
 	}
 	c.queue = nil
-	return c.loop.poller.modify(c.fd, c.number, readable)
+	return c.awaitEvents()
 }
 
 // read reads and handles what there is, at most as often as Config.MaxReads says unless the peer sends no more. The loop calls it.
 func (c *Conn) read(hasEnded bool) {
 	buffer := c.loop.buffer
 	for reads := 0; hasEnded || reads < c.loop.config.MaxReads; reads++ {
-		n, err := c.receive(buffer)
+		n, err := c.receive(buffer, hasEnded)
 		switch {
 		case errors.Is(err, unix.EINTR):
 			continue
@@ -157,12 +198,15 @@
 	}
 }
 
-// receive reads once.
-func (c *Conn) receive(buffer []byte) (int, error) {
+// receive reads once. A paused connection is only read to its end.
+func (c *Conn) receive(buffer []byte, hasEnded bool) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
+	switch {
+	case c.closed:
 		return 0, net.ErrClosed
+	case c.paused && !hasEnded:
+		return 0, unix.EAGAIN
 	}
 	return unix.Read(c.fd, buffer)
 }
@@ -217,7 +261,8 @@
 		return false
 	}
 	c.closed = true
-	c.queue, c.queued = nil, 0
+	c.addQueued(-c.queued)
+	c.queue = nil
 	c.loop.connections[c.fd].CompareAndSwap(c, nil)
 	_ = unix.Close(c.fd)
 	return true
--- a/tcp/loop.go
+++ b/tcp/loop.go
@@ -31,6 +31,8 @@
 	OnClose(err error)
 	// OnWritten is called when the kernel has taken n bytes. A lock is held, so it must not use the connection.
 	OnWritten(n int)
+	// OnFlushed is called by the loop when the kernel has taken queued bytes.
+	OnFlushed()
 }
 
 // Config describes a Loop.
@@ -39,7 +41,7 @@
 	Addresses []string
 	// Listen opens a listener.
 	Listen func(address string) (net.Listener, error)
-	// Accepted returns the handler of a connection that was accepted. It is called before anything is read.
+	// Accepted returns the handler of a connection that was accepted. It must not use the connection yet.
 	Accepted func(*Conn) Handler
 	// ReadBuffer is the size of the read buffer in bytes.
 	ReadBuffer int
@@ -58,7 +60,9 @@
 	group errgroup.Group
 	// numbers counts connections; see Conn.number.
 	numbers atomic.Int32
-	buffer  []byte
+	// queued is the number of bytes that are queued on all connections.
+	queued atomic.Int64
+	buffer []byte
 	// connections holds the open connections by their descriptors.
 	connections [maxDescriptors]atomic.Pointer[Conn]
 
@@ -105,6 +109,9 @@
 // Address returns the address of the listener with the given number, once the loop has started.
 func (l *Loop) Address(number int) string { return l.listeners[number].Addr().String() }
 
+// Queued returns the number of bytes that wait for peers that read too slowly, on all connections.
+func (l *Loop) Queued() int64 { return l.queued.Load() }
+
 // Stop closes all listeners and connections, and returns once the handlers have been told.
 func (l *Loop) Stop() {
 	l.closeListeners()
@@ -137,8 +144,8 @@
 	}
 }
 
-// Add takes over an open connection. handlerOf returns its handler, and is called before anything is read. If it fails, the
-// connection is closed.
+// Add takes over an open connection. handlerOf returns its handler, and must not use the connection yet. If Add
+// fails, the connection is closed.
 func (l *Loop) Add(opened net.Conn, handlerOf func(*Conn) Handler) (*Conn, error) {
 	fd, err := takeDescriptor(opened)
 	if err != nil {
@@ -233,6 +240,7 @@
 	}
 	if event.Events&writable != 0 {
 		conn.flush()
+		conn.handler.OnFlushed()
 	}
 	if event.Events&(readable|ended) != 0 {
 		conn.read(event.Events&ended != 0)
