passthrough: logs and a counter tell a false "not run" from a second send

The change: 2045 names the connection, the number of the request on it, and the answer that was believed. Event 2059 and chicoryhall_ran_after_refusal_total, which should always be 0: an answer to a request that the endpoint had refused on the same connection.

No behaviour changes.

--- a/event/requests.go
+++ b/event/requests.go
@@ -71,6 +71,9 @@
 	EndpointLimitUnreadable = define(2051, log.WarnLevel, "endpoint's limit unreadable",
 		"What an answer of the endpoint states as its limit is not a number of requests a second; it is ignored.",
 		"Correct what the endpoint states.")
+	RanAfterRefusal = define(2059, log.ErrorLevel, "refused request answered",
+		"An endpoint said that it would not run the request, and has answered it all the same on the same connection. The request may have run elsewhere, too.",
+		"Find out why the endpoint does so; events 2045 and 2046 of the request say where else it was sent.")
 	EndpointPaused = define(2058, log.InfoLevel, "endpoint wants no requests",
 		"The answer to request asks this daemon to send the endpoint nothing for the time in pause; requests go to other endpoints until then. An event 2046 with paused=true before the end is a fault of the daemon.",
 		"Find out why the endpoint takes no requests, if it should.")
--- a/passthrough/endpoint.go
+++ b/passthrough/endpoint.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/event"
 	"chicoryhall.example/chicoryhall/http1"
 	"chicoryhall.example/chicoryhall/tcp"
 )
@@ -49,6 +50,8 @@
 	isLate bool
 	// refused are the requests that the endpoint has refused on the connection.
 	refused []chicoryhall.RequestID
+	// requests counts those that it has carried.
+	requests int
 
 	// The fields below are only used by the event loop.
 
@@ -98,6 +101,7 @@
 		return false
 	}
 	conn.current, conn.id, conn.method, conn.endpoint = request.receiver, request.id, request.method, request.endpoint
+	conn.requests++
 	conn.mu.Unlock()
 	if !request.receiver.onSending(conn) {
 		conn.pool.metrics.sendRevoked()
@@ -231,6 +235,7 @@
 // OnHead checks that the answer belongs to the request in progress and forwards its head to the receiver.
 func (conn *endpointConnection) OnHead(response *http.Response) error {
 	current, headers := conn.receiver(), conn.pool.dialect.ParseAnswer(response)
+	conn.checkRefusal(response, headers)
 	if current == nil {
 		conn.recordLate(headers)
 		return errUnsolicited
@@ -260,6 +265,28 @@
 	return nil
 }
 
+// requestCount returns the number of requests that the connection has carried.
+func (conn *endpointConnection) requestCount() int {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	return conn.requests
+}
+
+// checkRefusal reports an answer that shows that a request has run which the endpoint had refused on the connection.
+func (conn *endpointConnection) checkRefusal(response *http.Response, headers chicoryhall.AnswerHeaders) {
+	if headers.NotRun || response.StatusCode < http.StatusOK {
+		return
+	}
+	conn.mu.Lock()
+	wasRefused, endpoint := slices.Contains(conn.refused, headers.RequestID), conn.endpoint
+	conn.mu.Unlock()
+	if wasRefused {
+		conn.pool.metrics.ranAfterRefusal()
+		conn.pool.log.Log(event.RanAfterRefusal, "request", headers.RequestID, "endpoint", endpoint, "status", response.StatusCode,
+			"connection", conn.socket.LocalAddr())
+	}
+}
+
 // noteRefusal records that the endpoint has refused the request in progress.
 func (conn *endpointConnection) noteRefusal() {
 	conn.mu.Lock()
--- a/passthrough/failure.go
+++ b/passthrough/failure.go
@@ -1,6 +1,7 @@
 package passthrough
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"syscall"
@@ -92,7 +93,25 @@
 func (a *attempt) logEnd(failure exchange.Failure, cause error) {
 	x := a.exchange
 	x.config().Log.Log(event.AttemptEnded, "request", x.callerHeaders.ID, "attempt", a.number, "failure", failure, "sent", a.isSent(),
-		"route", routeText(a.route), "peer", a.peerID(), "took", x.config().Timer.Now().Sub(a.startedAt), "error", cause)
+		"route", routeText(a.route), "peer", a.peerID(), "connection", a.connectionText(), "answer", a.answerText(),
+		"took", x.config().Timer.Now().Sub(a.startedAt), "error", cause)
+}
+
+// connectionText describes the connection that the request may have been sent on.
+func (a *attempt) connectionText() string {
+	conn := a.sending.connection()
+	if conn == nil {
+		return ""
+	}
+	return fmt.Sprintf("%s request %d", conn.socket.LocalAddr(), conn.requestCount())
+}
+
+// answerText describes what has come of the answer, and what it was taken to say.
+func (a *attempt) answerText() string {
+	if a.response == nil {
+		return ""
+	}
+	return fmt.Sprintf("%d notRun=%t id=%s", a.response.StatusCode, a.answerHeaders.NotRun, a.answerHeaders.RequestID)
 }
 
 // canContinue reports whether another attempt can go on with what the caller has got so far.
--- a/passthrough/metrics.go
+++ b/passthrough/metrics.go
@@ -23,6 +23,7 @@
 	pauses           *metrics.Counter
 	revokedSends     *metrics.Counter
 	heldBack         *metrics.Counter
+	falseRefusals    *metrics.Counter
 }
 
 // NewMetrics returns Metrics with all counters at zero.
@@ -37,6 +38,7 @@
 		hedges:           set.NewCounter("chicoryhall_hedges_total"),
 		hedgesAhead:      set.NewCounter("chicoryhall_hedges_ahead_total"),
 		revokedSends:     set.NewCounter("chicoryhall_sends_revoked_total"),
+		falseRefusals:    set.NewCounter("chicoryhall_ran_after_refusal_total"),
 		heldBack:         set.NewCounter("chicoryhall_answers_held_back_total"),
 		pauses:           set.NewCounter("chicoryhall_endpoint_pauses_total"),
 		refusedExchanges: set.NewCounter("chicoryhall_exchanges_refused_total"),
@@ -82,6 +84,9 @@
 // answerHeldBack counts a time that an endpoint had to wait as the caller reads too slowly.
 func (m *Metrics) answerHeldBack() { m.heldBack.Inc() }
 
+// ranAfterRefusal counts a request that an endpoint has answered after it had refused it.
+func (m *Metrics) ranAfterRefusal() { m.falseRefusals.Inc() }
+
 // exchangeEnded counts an exchange and its duration.
 func (m *Metrics) exchangeEnded(class chicoryhall.ClassName, status int, duration time.Duration) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("chicoryhall_exchanges_total{class=%q,status=\"%d\"}", class, status)).Inc()
--- a/passthrough/pool.go
+++ b/passthrough/pool.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/event"
 	"chicoryhall.example/chicoryhall/idle"
 	"chicoryhall.example/chicoryhall/tcp"
 )
@@ -62,6 +63,7 @@
 	loop    *tcp.Loop
 	dialect chicoryhall.Dialect
 	metrics *Metrics
+	log     *event.Logger
 	// endpoints gets what answers say of their endpoints.
 	endpoints Endpoints
 	// source is the address that connections come from, or nil.
@@ -73,7 +75,7 @@
 
 func newPool(config *Config, loop *tcp.Loop) *pool {
 	p := &pool{
-		timer: config.Timer, loop: loop, dialect: config.Dialect, metrics: config.Metrics, endpoints: config.Endpoints,
+		timer: config.Timer, loop: loop, dialect: config.Dialect, metrics: config.Metrics, log: config.Log, endpoints: config.Endpoints,
 		idle: idle.New[*endpointConnection](maxIdlePerEndpoint),
 	}
 	if config.SourceIP != nil {
--- a/proof/soak_once_test.go
+++ b/proof/soak_once_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -24,6 +25,7 @@
 	endedClosed onceEnd = "closed without an answer"
 	endedReset  onceEnd = "reset without an answer"
 	endedTorn   onceEnd = "an answer that ends early"
+	endedSilent onceEnd = "no answer long after the time for it"
 	endedLeft   onceEnd = "the caller has left"
 )
 
@@ -151,8 +153,11 @@
 
 // endOf returns how a connection ended, from the error of reading or writing it.
 func endOf(err error) onceEnd {
-	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+	switch {
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
 		return endedReset
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return endedSilent
 	}
 	return endedClosed
 }
@@ -237,7 +242,7 @@
 		if one.status == http.StatusServiceUnavailable && len(engines) > 0 {
 			report.refused = append(report.refused, text)
 		}
-		if len(engines) > 0 && (one.end == endedClosed || one.end == endedReset) {
+		if len(engines) > 0 && (one.end == endedClosed || one.end == endedReset || one.end == endedSilent) {
 			report.unanswered = append(report.unanswered, text)
 		}
 		if one.kind == unsafeKind && len(engines) > 0 {
