--- a/exchange/machine.go
+++ b/exchange/machine.go
@@ -51,6 +51,11 @@
 	MaxRuns int
 }
 
+// IsRepeatable reports whether a request that is described like this may run more than once.
+func (c Config) IsRepeatable() bool {
+	return c.Kind == chicoryhall.ExchangeSafe || c.Kind == chicoryhall.ExchangeStream && c.Resumable
+}
+
 // Machine is the state machine of one request.
 type Machine struct {
 	config Config
@@ -69,9 +74,7 @@
 }
 
 // IsRepeatable reports whether the request may run more than once.
-func (m *Machine) IsRepeatable() bool {
-	return m.config.Kind == chicoryhall.ExchangeSafe || m.config.Kind == chicoryhall.ExchangeStream && m.config.Resumable
-}
+func (m *Machine) IsRepeatable() bool { return m.config.IsRepeatable() }
 
 // FailedAttempts returns the number of attempts that have failed so far, whether they ran or not.
 func (m *Machine) FailedAttempts() int { return m.possibleRuns + m.notRun }
--- a/passthrough/failure.go
+++ b/passthrough/failure.go
@@ -14,6 +14,7 @@
 	"chicoryhall.example/chicoryhall/exchange"
 	"chicoryhall.example/chicoryhall/quarantine"
 	"chicoryhall.example/chicoryhall/relay"
+	"chicoryhall.example/chicoryhall/routing"
 )
 
 // onNoRoute ends an exchange for which no route was found.
@@ -85,7 +86,9 @@
 	}
 	x.current, x.isReachTrial = nil, false
 	// A suspect is not sent again at once: whether it caused a crash may be known when its caller returns.
-	verdict := x.machine.OnFailure(failure, func() bool { return !a.isTrial() && a.mayGoElsewhere(failure) })
+	verdict := x.machine.OnFailure(failure, func() bool {
+		return !a.isTrial() && (!x.machine.MayHaveRun() || x.mayRunAgain()) && a.mayGoElsewhere(failure)
+	})
 	x.applyVerdict(verdict, a, cause)
 }
 
@@ -114,6 +117,17 @@
 	return fmt.Sprintf("%d notRun=%t id=%s", a.response.StatusCode, a.answerHeaders.NotRun, a.answerHeaders.RequestID)
 }
 
+// mayRunAgain reports whether the rules of now allow a request that may have run to run once more. The rule under which it came may
+// have been replaced since by one of a kind that must run once, or by a narrower one.
+func (x *callerExchange) mayRunAgain() bool {
+	table, known := x.config().Rules.Table()
+	if !known || table.Version() == x.rulesVersion {
+		return true
+	}
+	rule, found := table.Match(x.head.Host, routing.PathOf(x.head.URL))
+	return !found || exchange.Config{Kind: rule.Kind, Resumable: rule.Resumable}.IsRepeatable()
+}
+
 // canContinue reports whether another attempt can go on with what the caller has got so far.
 func (x *callerExchange) canContinue() bool {
 	return !x.machine.IsAnswerStarted() || x.events != nil && x.events.CanResume()
--- a/passthrough/hedge.go
+++ b/passthrough/hedge.go
@@ -57,7 +57,7 @@
 		return false
 	}
 	standing := x.standing()
-	return x.machine.MayHedge() && !x.current.isTrial() && standing.State == quarantine.StateFree && !standing.Blocked &&
+	return x.machine.MayHedge() && x.mayRunAgain() && !x.current.isTrial() && standing.State == quarantine.StateFree && !standing.Blocked &&
 		now.Before(x.deadline) && !x.lacksTime() && x.config().Retries.IsLeft(x.service, now)
 }
 
--- a/passthrough/ruleschange_test.go
+++ b/passthrough/ruleschange_test.go
@@ -361,3 +361,45 @@
 	w.admission = func(_ func(chicoryhall.Permit), refuse func(time.Duration, string)) { refuse(0, "no such class") }
 	mustBeRefused(t, w.ask(t, requestText("POST", "/unsafe/a", "1", requestBody)))
 }
+
+// TestNewRulesForbidSecondRun guards against a second run of a request whose rule was replaced, after it had been sent, by one that allows one
+// run only (TWICE).
+func TestNewRulesForbidSecondRun(t *testing.T) {
+	unsafe := chicoryhall.ExchangeUnsafe
+	cases := []struct {
+		name  string
+		apply func(w *testServer, set *chicoryhall.RuleSet)
+		runs  int
+	}{
+		{"the rule must run once", func(_ *testServer, set *chicoryhall.RuleSet) { set.Rules[0].Kind = unsafe }, 1},
+		{"a narrower rule must run once", func(_ *testServer, set *chicoryhall.RuleSet) {
+			narrow := set.Rules[0]
+			narrow.Name, narrow.Prefix, narrow.Kind = "narrow", "/safe/a/", unsafe
+			set.Rules = append(set.Rules, narrow)
+		}, 1},
+		{"other weights", rulesChanges()[7].apply, 2},
+		{"no such rule", func(_ *testServer, set *chicoryhall.RuleSet) { set.Rules = nil }, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newGate()
+			first := newEndpoint(t, func(net.Conn, int, *http.Request) bool {
+				g.pass()
+				return false
+			})
+			second := newEndpoint(t, func(conn net.Conn, _ int, request *http.Request) bool {
+				return send(conn, wholeAnswer(request, "second"))
+			})
+			w := startServer(t, testRules(), first, second)
+			conn, reader := w.dial(t)
+			must.True(t, send(conn, requestText("GET", "/safe/a/b", "1", "")))
+			<-g.reached
+			w.change(rulesChange{apply: c.apply})
+			close(g.opened)
+			got := readAnswer(reader)
+			must.NoError(t, got.err)
+			must.Eq(t, c.runs, 1+len(second.requests()))
+			must.Eq(t, c.runs == 2, got.status == http.StatusOK)
+		})
+	}
+}
