--- a/cmd/chicoryhall/platformdaemon/status.go
+++ b/cmd/chicoryhall/platformdaemon/status.go
@@ -7,8 +7,11 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
 
@@ -23,6 +26,9 @@
 	metricsPath = "/metrics"
 )
 
+// maxDescriptors bounds the file descriptors for which a status server keeps room.
+const maxDescriptors = 8192
+
 // statusServer serves one path on an address of its own.
 type statusServer struct {
 	address string
@@ -37,8 +43,16 @@
 // String returns the component's name for the supervisor's log lines.
 func (s *statusServer) String() string { return "status at " + s.path }
 
+// configureLoops sets what package nbio has for all event loops of the process: no log of its own, and no more room for connections than
+// the process has file descriptors.
+var configureLoops = sync.OnceFunc(func() {
+	logging.SetLevel(logging.LevelNone)
+	nbio.MaxOpenFiles = maxDescriptors
+})
+
 // Serve serves the path until ctx is done.
 func (s *statusServer) Serve(ctx context.Context) error {
+	configureLoops()
 	mux := http.NewServeMux()
 	mux.Handle(s.path, s.handler)
 	engine := nbhttp.NewEngine(nbhttp.Config{
