tcp: a loop that could not start the first time starts with the right addresses

What callers could see on commits of today: where the address for other daemons is in use at the first start, the supervisor starts the server again, and it takes callers for daemons. Cause: the listeners of the first try stayed in the list, so that the addresses moved up. TestStartAgainAfterFailure fails without the line.

--- a/tcp/loop.go
+++ b/tcp/loop.go
@@ -94,6 +94,7 @@
 		listener, err := l.config.Listen(address)
 		if err != nil {
 			l.closeListeners()
+			l.listeners = nil // Start may be called again.
 			l.poller.close()
 			return errors.WithStack(err)
 		}
--- a/tcp/loop_test.go
+++ b/tcp/loop_test.go
@@ -256,3 +256,20 @@
 	_, err = loop.Add(late, func(*tcp.Conn) tcp.Handler { return &recorder{} })
 	must.ErrorIs(t, err, tcp.ErrStopped)
 }
+
+// TestStartAgainAfterFailure guards against addresses that are mixed up after the first start failed, as one of them was in use.
+func TestStartAgainAfterFailure(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	second := taken.Addr().String()
+	loop := tcp.NewLoop(tcp.Config{
+		Addresses: []string{"127.0.0.1:0", second}, ReadBuffer: 4096, MaxReads: 4,
+		Listen:   func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
+		Accepted: func(*tcp.Conn) tcp.Handler { return &recorder{} },
+	})
+	must.Error(t, loop.Start())
+	must.NoError(t, taken.Close())
+	must.NoError(t, loop.Start())
+	defer loop.Stop()
+	must.Eq(t, second, loop.Address(1))
+}
