--- a/passthrough/connection.go
+++ b/passthrough/connection.go
@@ -153,7 +153,7 @@
 
 // OnFlushed lets the endpoint go on with its answer once the caller has read enough of it.
 func (conn *connection) OnFlushed() {
-	if conn.holdsBack.Load() && !conn.mustHoldBack(minUnsentResumed) {
+	if conn.holdsBack.Load() && !conn.mustHoldBack(unsentToResume) {
 		conn.post(conn.resumeAnswer)
 	}
 }
--- a/passthrough/doc.go
+++ b/passthrough/doc.go
@@ -1,5 +1,5 @@
 // Package passthrough forwards callers' HTTP/1.1 requests to endpoints and the
-// answers back unchanged. All connections are served by one event loop.
+// answers back unchanged. All connections are served by one event loop, that of package tcp.
 //
 // A Server reads callers' requests. Each starts an exchange (callerExchange), which
 // asks other packages for decisions: package routing for its rule and
--- a/passthrough/drain.go
+++ b/passthrough/drain.go
@@ -20,6 +20,8 @@
 	drainCheckPeriod = 20 * time.Millisecond
 	// lastAnswersTime bounds the wait until the callers of the requests that Drain ends have their answers.
 	lastAnswersTime = 100 * time.Millisecond
+	// An answer that is no stream is expected within graceFactor times its target latency.
+	graceFactor = 3
 	// retryAfterDraining is the Retry-After time once this daemon refuses new requests because it is draining. It
 	// is short, as another daemon can take the request at once.
 	retryAfterDraining = 50 * time.Millisecond
@@ -117,8 +119,8 @@
 	}
 }
 
-// lacksGrace reports whether the daemon is likely to stop before an attempt that begins now has given its answer. Another daemon can
-// take the request at once. A request that may run no more elsewhere has no other way.
+// lacksGrace reports whether the daemon is likely to stop before an attempt that begins now has given its answer, so that another daemon
+// should take the request. It is false for a request that may have run, as only this daemon can go on with it.
 func (x *callerExchange) lacksGrace() bool {
 	stopAt := x.server.stopAt.Load()
 	if stopAt == nil || !x.server.refusing.Load() || x.finalVerdict(false) != exchange.VerdictNotRun || x.deadline.Before(*stopAt) {
@@ -127,5 +129,5 @@
 	if x.rule.Kind == chicoryhall.ExchangeStream {
 		return true
 	}
-	return stopAt.Sub(x.config().Timer.Now()) < headStallFactor*x.rule.TargetLatency
+	return stopAt.Sub(x.config().Timer.Now()) < graceFactor*x.rule.TargetLatency
 }
--- a/passthrough/holdback.go
+++ b/passthrough/holdback.go
@@ -1,11 +1,11 @@
 package passthrough
 
 const (
-	// An endpoint's answer is held back while more than maxUnsent bytes of it wait for its caller and maxUnsentOfAll for all callers
-	// together, and goes on once no more than minUnsentResumed wait for its caller, or fewer for all.
-	maxUnsent        = 256 << 10
-	minUnsentResumed = 128 << 10
-	maxUnsentOfAll   = 32 << 20
+	// An endpoint's answer is held back while more than maxUnsent bytes of it wait for its caller, and more than maxUnsentOfAll bytes
+	// for all callers together. It goes on once no more than unsentToResume bytes wait for its caller, or once the total has fallen.
+	maxUnsent      = 256 << 10
+	unsentToResume = 128 << 10
+	maxUnsentOfAll = 32 << 20
 )
 
 // mustHoldBack reports whether the callers have too much to read, and this one more than a number of bytes.
@@ -22,7 +22,7 @@
 	if source := a.sending.connection(); source != nil && source.pause(a) {
 		conn.holdsBack.Store(true)
 		a.exchange.config().Metrics.answerHeldBack()
-		if !conn.mustHoldBack(minUnsentResumed) { // The last bytes may have been taken meanwhile.
+		if !conn.mustHoldBack(unsentToResume) { // The last bytes may have been taken meanwhile.
 			conn.resumeAnswer()
 		}
 	}
