passthrough: the last answers of a stop are within its time

Cause that the code shows: ended the exchanges when the time of Drain was over, and then waited for up to 100 ms, which came off the 400 ms that the process keeps for its exit. The change: they are ended 100 ms before. TestStopAnswersWithinItsTime failed in 3 of 3 runs before; go test ./passthrough -run 'TestStop|TestLateIn|Drain' twice: passes.

--- a/passthrough/drain.go
+++ b/passthrough/drain.go
@@ -29,10 +29,14 @@
 
 // Drain waits until all exchanges have ended. It keeps accepting requests for readinessDelay; then it refuses new ones and
 // closes connections that are between two requests. Each connection is closed after its next answer. The exchanges that are in
-// progress when ctx ends are ended with an answer.
+// progress lastAnswersTime before the deadline of ctx, or when ctx is cancelled, are ended with an answer.
 func (s *Server) Drain(ctx context.Context) {
-	if stopAt, limited := ctx.Deadline(); limited {
+	if deadline, limited := ctx.Deadline(); limited {
+		stopAt := deadline.Add(-lastAnswersTime)
 		s.stopAt.Store(&stopAt)
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, stopAt)
+		defer cancel()
 	}
 	s.draining.Store(true)
 	startedAt := s.config.Timer.Now()
--- a/passthrough/grace_test.go
+++ b/passthrough/grace_test.go
@@ -112,3 +112,27 @@
 		})
 	}
 }
+
+// TestStopAnswersWithinItsTime guards against a stop that takes longer than it has, so that the process is killed.
+func TestStopAnswersWithinItsTime(t *testing.T) {
+	const grace = 300 * time.Millisecond
+	reached := make(chan struct{}, 1)
+	w := startConfiguredServer(t, 0, slowRules(), routerTo(), func(w *testServer, _ *passthrough.Config) {
+		w.admission = func(func(chicoryhall.Permit), func(time.Duration, string)) { reached <- struct{}{} }
+	})
+	conn, reader := w.dial(t)
+	must.True(t, send(conn, requestText("POST", "/unsafe/a", "1", "x")))
+	<-reached
+	end := time.Now().Add(grace)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	answered := make(chan time.Time, 1)
+	drained := make(chan struct{})
+	drainInBackground(ctx, w, drained)
+	go func() {
+		readAnswer(reader)
+		answered <- time.Now()
+	}()
+	must.True(t, (<-answered).Before(end), must.Sprint("the answer came after the time to stop"))
+	<-drained
+}
