engine: a client that is stopped right after its start ends

Cause: the one that package eventloop was written for: a goroutine of nbio's loop clears the mark that Stop sets if it begins later. The client of `chicoryhall serve` did not use that package; only the status servers did. The change: it does. go test ./engine ./requests: passes; go test -race ./requests -run TestSilenceDoesNotEndCall five times: passes. The hang came once, so a test that fails each time before was not written; package eventloop has none for it but TestStopRightAfterStartEnds's like.

--- a/engine/client.go
+++ b/engine/client.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/eventloop"
 	"chicoryhall.example/chicoryhall/idle"
 )
 
@@ -36,11 +37,13 @@
 // Client exchanges HTTP messages with endpoints and reuses connections. It is built on nbio, so
 // that no goroutine waits for an answer that is streamed.
 type Client struct {
-	timer   chicoryhall.Timer
-	loop    *nbhttp.Engine
-	dials   errgroup.Group
-	stopped atomic.Bool
-	idle    *idle.Connections[*connection]
+	timer chicoryhall.Timer
+	loop  *nbhttp.Engine
+	// stoppable stops loop.
+	stoppable *eventloop.Loop
+	dials     errgroup.Group
+	stopped   atomic.Bool
+	idle      *idle.Connections[*connection]
 }
 
 // NewClient returns a Client. Its event loop runs until Serve ends.
@@ -49,10 +52,11 @@
 	loop := nbhttp.NewEngine(nbhttp.Config{
 		Name: "engine-client", ReadLimit: maxReadBytes, NPoller: pollerCount(), SupportServerOnly: true,
 	})
+	stoppable := eventloop.New(loop.Engine)
 	if err := loop.Start(); err != nil {
 		return nil, errors.WithMessage(err, "start the engine client's event loop")
 	}
-	return &Client{timer: timer, loop: loop, idle: idle.New[*connection](maxIdlePerAddress)}, nil
+	return &Client{timer: timer, loop: loop, stoppable: stoppable, idle: idle.New[*connection](maxIdlePerAddress)}, nil
 }
 
 // processorsPerPoller is the number of processors per goroutine that polls for events. With fewer
@@ -69,7 +73,7 @@
 	defer tick.Cancel()
 	<-ctx.Done()
 	c.stopped.Store(true)
-	c.loop.Stop()
+	c.stoppable.Stop(c.loop.Stop)
 	return c.dials.Wait()
 }
 
