--- a/review/stand-2/consumer.go
+++ b/review/stand-2/consumer.go
@@ -52,8 +52,8 @@
 	}
 	request.Host = host
 	request.Header.Set("Request-Id", id)
-	request.Header.Set("Deadline-Ms", strconv.FormatInt(budget.Milliseconds(), 10))
-	request.Header.Set("Api-Key", apiKey)
+	request.Header.Set(wire("deadline"), strconv.FormatInt(budget.Milliseconds(), 10))
+	request.Header.Set(wire("key"), apiKey)
 	c.record.printf("consumer of %s sends %s %s %s", c.machine.name, id, method, path)
 	client := *c.client
 	client.Timeout = budget + 500*time.Millisecond
@@ -64,7 +64,7 @@
 	}
 	defer response.Body.Close()
 	text, err := io.ReadAll(response.Body)
-	s.status, s.body, s.seal = response.StatusCode, string(text), response.Header.Get("Server-Seal")
+	s.status, s.body, s.seal = response.StatusCode, string(text), response.Header.Get(wire("seal"))
 	if seconds, parseErr := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); parseErr == nil {
 		s.retryAfter = time.Duration(seconds * float64(time.Second))
 	}
--- a/review/stand-2/deployment.go
+++ b/review/stand-2/deployment.go
@@ -85,7 +85,7 @@
 
 func route(name, prefix, kind string, attempts int) map[string]any {
 	return map[string]any{
-		"name": name, "host": host, "pathPrefix": prefix, "kind": kind, "timeoutMs": 1000, "targetLatencyMs": 100, "priority": 2,
+		"name": name, "host": host, wire("prefix"): prefix, "kind": kind, "timeoutMs": 1000, wire("latency"): 100, "priority": 2,
 		"service": service, "maxAttempts": attempts, "anonymous": false, "sticky": false,
 	}
 }
@@ -97,7 +97,7 @@
 		"routes":   []any{route("r-safe", safePath, "safe", 2), route("r-unsafe", unsafePath, "unsafe", 1), route("r-crash", poisonPath, "safe", 2)},
 		"services": []any{map[string]any{"name": service, "healthPath": "/health", "maxConnections": 100, "protocol": "h1", "tls": false}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants":  []any{map[string]any{"name": "hule930", "apiKeys": []string{apiKey}, "priority": 1}},
+		"tenants":  []any{map[string]any{"name": "hule930", wire("keys"): []string{apiKey}, "priority": 1}},
 	}
 }
 
--- a/review/stand-2/engine.go
+++ b/review/stand-2/engine.go
@@ -85,7 +85,7 @@
 	e.sequence++
 	entry := map[string]any{
 		"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": e.slots, "state": state,
-		"coldRemainingMs": 0, "sequence": e.sequence, "born": e.born,
+		wire("cold"): 0, "sequence": e.sequence, "born": e.born,
 	}
 	id := e.id
 	e.mu.Unlock()
@@ -148,19 +148,19 @@
 	if leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
-	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != id {
-		w.Header().Set("Instance-Id", id)
+	if expected := r.Header.Get(wire("expect")); expected != "" && expected != id {
+		w.Header().Set(wire("instance"), id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	if r.URL.Path == "/health" {
-		w.Header().Set("Instance-Id", id)
+		w.Header().Set(wire("instance"), id)
 		return
 	}
 	request := r.Header.Get("Request-Id")
 	e.record.arrived(request, id, r)
 	if !e.begin() {
-		w.Header().Set("Not-Executed", "1")
+		w.Header().Set(wire("notrun"), "1")
 		w.Header().Set("Request-Id", request)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -172,8 +172,8 @@
 	time.Sleep(e.work)
 	running := e.end()
 	w.Header().Set("Request-Id", request)
-	w.Header().Set("Server-Seal", "seal-"+id+"-"+request)
-	w.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d", running, e.slots))
+	w.Header().Set(wire("seal"), "seal-"+id+"-"+request)
+	w.Header().Set(wire("load"), fmt.Sprintf("%d,0,%d", running, e.slots))
 	_, _ = fmt.Fprintf(w, "answer of %s to %s, %d bytes\n", id, request, len(body))
 }
 
--- a/review/stand-2/feed.go
+++ b/review/stand-2/feed.go
@@ -49,7 +49,7 @@
 	var lostAt time.Time
 	if trouble {
 		d.store.disrupt(func(c call) bool {
-			if c.path != "/-/rows-feed" || c.table != "servers" || len(c.rows) == 0 {
+			if c.path != path("feed") || c.table != "servers" || len(c.rows) == 0 {
 				return false
 			}
 			mu.Lock()
--- a/review/stand-2/store.go
+++ b/review/stand-2/store.go
@@ -16,14 +16,14 @@
 // maxRows is the largest number of rows in one answer.
 const maxRows = 500
 
-// row is a row of the store, in the form of the users' protocol.
+// row is a row of the store. protocol.go encodes it.
 type row struct {
-	Table   string `json:"table"`
-	Part    string `json:"part"`
-	Key     string `json:"key"`
-	Value   []byte `json:"value,omitempty"`
-	Version int64  `json:"resourceVersion"`
-	Removed bool   `json:"removed,omitempty"`
+	Table   string
+	Part    string
+	Key     string
+	Value   []byte
+	Version int64
+	Removed bool
 }
 
 type rowKey struct{ table, part, key string }
@@ -99,10 +99,10 @@
 
 // answer is the body of each answer.
 type answer struct {
-	Rows    []row `json:"rows"`
-	HasMore bool  `json:"hasMore"`
-	Version int64 `json:"resourceVersion"`
-	NowMs   int64 `json:"nowMs"`
+	Rows    []row
+	HasMore bool
+	Version int64
+	NowMs   int64
 }
 
 func (s *store) handle(daemon int, w http.ResponseWriter, r *http.Request) {
@@ -130,11 +130,11 @@
 	time.Sleep(answerTime)
 	status, body := http.StatusNotFound, answer{}
 	switch r.URL.Path {
-	case "/-/rows-tx":
+	case path("transact"):
 		status, body = s.transact(tx)
-	case "/-/rows-get":
+	case path("get"):
 		status, body = s.get(query.Get("table"), query.Get("part"), query.Get("from"))
-	case "/-/rows-feed":
+	case path("feed"):
 		after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
 		wait, _ := strconv.Atoi(query.Get("waitMs"))
 		status, body = s.feed(r, query.Get("table"), after, time.Duration(wait)*time.Millisecond)
@@ -154,10 +154,9 @@
 	_ = json.NewEncoder(w).Encode(body)
 }
 
+// transaction is the body of a call that writes.
 type transaction struct {
-	Conditions []row `json:"precondition"`
-	Writes     []row `json:"setKeys"`
-	Removals   []row `json:"remove"`
+	Conditions, Writes, Removals []row
 }
 
 // table returns the table of the first entry.
