review: crashes at silent addresses are told later than the rule allows

A loss at a silent address is held against a request only by the daemon that saw it until the list has lost the engine's entry, 3.6 s after its last ping.

--- a/review/stand-2/alerts.go
+++ b/review/stand-2/alerts.go
@@ -73,6 +73,11 @@
 		poison(daemon)
 	}
 	time.Sleep(time.Until(traffic.Add(alertsEndAt)))
+	return checkCrashRetries(r, third)
+}
+
+// checkCrashRetries returns errBroken if the request has reached engines too often later than stableWindow after its third crash.
+func checkCrashRetries(r *record, third time.Time) error {
 	late := 0
 	for _, one := range crashes(r) {
 		if one.at.After(third.Add(stableWindow)) {
--- a/review/stand-2/engine.go
+++ b/review/stand-2/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -18,6 +19,9 @@
 	poisonPath = "/crash/"
 )
 
+// pingPeriod is the time between two pings of an engine. Its entry is removed expiryTime after the last one.
+const pingPeriod = 1200 * time.Millisecond
+
 // engine is a stand-in of a VM of a plain service.
 type engine struct {
 	name    string
@@ -28,8 +32,11 @@
 	work    time.Duration
 	store   *store
 	record  *record
+	// goesDark is set if the VM ends with the engine when that crashes, so that its address is silent until it is back.
+	goesDark bool
 
 	mu       sync.Mutex
+	pingedAt time.Time
 	address  string
 	id       string
 	starts   int
@@ -55,6 +62,7 @@
 	e.starts++
 	e.address, e.id, e.born = listener.Addr().String(), fmt.Sprintf("i-%s-%d", e.name, e.starts), time.Now().UnixMilli()
 	e.running, e.leaving, e.conns = 0, false, make(map[net.Conn]bool)
+	e.pingedAt = time.Now().Add(-time.Duration(rand.Float64() * float64(pingPeriod)))
 	server := &http.Server{Handler: http.HandlerFunc(e.handle), ConnState: e.noteConn}
 	e.server = server
 	e.mu.Unlock()
@@ -112,8 +120,9 @@
 // crash ends the engine at once. Its entry is removed after three ping intervals. It starts again after some seconds.
 func (e *engine) crash() {
 	e.mu.Lock()
-	server, id, conns := e.server, e.id, e.conns
+	server, id, conns, address := e.server, e.id, e.conns, e.address
 	e.conns = make(map[net.Conn]bool)
+	sincePing := time.Since(e.pingedAt) % pingPeriod
 	for conn := range conns {
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
@@ -121,9 +130,20 @@
 	}
 	e.mu.Unlock()
 	_ = server.Close()
-	e.record.printf("engine %s crashed", id)
-	time.AfterFunc(expiryTime, func() { e.store.drop("servers", id) })
+	e.record.printf("engine %s crashed, %d ms after its last ping", id, sincePing.Milliseconds())
+	light := func() {}
+	if e.goesDark {
+		var err error
+		if light, err = darken(address); err != nil {
+			e.record.printf("the address of engine %s is not silent: %v", id, err)
+		}
+	}
+	time.AfterFunc(expiryTime-sincePing, func() {
+		e.store.drop("servers", id)
+		e.record.printf("the entry of engine %s is removed", id)
+	})
 	time.AfterFunc(crashTime, func() {
+		light()
 		if err := e.start(); err != nil {
 			e.record.printf("engine %s did not start again: %v", e.name, err)
 			return
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(r *record, trouble bool) error{
 	"feed":   playFeed,
 	"alerts": playAlerts,
+	"dark":   playDark,
 }
 
 // mostTime bounds a case.
