--- a/review/stand-2/alerts.go
+++ b/review/stand-2/alerts.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// The times of the case "alerts", from the start of the traffic. The store answers two of seven daemons nothing from alertsDownAt to
+// The times of the case "alerts", from the start of the traffic. The store answers two of eight daemons nothing from alertsDownAt to
 // alertsBackAt. Meanwhile, the request that crashes engines comes at daemon 0, which loses two engines. It comes there again once they are
 // back, and at the two daemons after that.
 const (
--- a/review/stand-2/daemon.go
+++ b/review/stand-2/daemon.go
@@ -79,10 +79,10 @@
 		return "", err
 	}
 	values := map[string]any{
-		"node": m.name, "region": "tw-north", "zone": m.zone, "ip": m.ip, "listen.front": m.at(portCallers), "listen.ready": m.at(portReady),
+		"node": m.name, "region": "dakar", "zone": m.zone, "ip": m.ip, "listen.front": m.at(portCallers), "listen.ready": m.at(portReady),
 		"internalPorts.0": m.base + portInternalFirst, "internalPorts.1": m.base + portInternalLast, "limits.cpuShare": 0.4,
 		"limits.memoryMb": 284, "limits.maxFds": 4100, "platform.address": m.store, "bounds.stableWindowMs": 3000,
-		"bounds.retryBudgetRatio": 0.2, "bounds.budgetSlack": 198, "bounds.budgetWindowS": 10, "bounds.graceS": 8,
+		"bounds.retryBudgetRatio": 0.2, "bounds.budgetSlack": 200, "bounds.budgetWindowS": 10, "bounds.graceS": 8,
 	}
 	missing := ""
 	filled := placeholder.ReplaceAllStringFunc(string(text), func(found string) string {
--- a/review/stand-2/deployment.go
+++ b/review/stand-2/deployment.go
@@ -36,8 +36,8 @@
 	}
 }
 
-// zones are those of the daemons: seven in three zones.
-var zones = []string{"xinyi", "xinyi", "xinyi", "neihu", "neihu", "banqiao", "banqiao"}
+// zones are those of the daemons, as in the site file asmam-atelier.
+var zones = []string{"plateau", "plateau", "plateau", "pikine", "pikine", "rufisque", "rufisque", "rufisque"}
 
 // newDeployment prepares a deployment; nothing runs before start.
 func newDeployment(r *record, engines int) (*deployment, error) {
@@ -63,13 +63,13 @@
 		}
 	}
 	for i := range engines {
-		d.engines = append(d.engines, d.newEngine(fmt.Sprintf("e%d", i), []string{"xinyi", "neihu", "banqiao"}[i%3]))
+		d.engines = append(d.engines, d.newEngine(fmt.Sprintf("e%d", i), []string{"plateau", "pikine", "rufisque"}[i%3]))
 	}
 	return d, nil
 }
 
 func (d *deployment) newEngine(name, zone string) *engine {
-	return &engine{name: name, service: service, zone: zone, slots: 6, queue: 24, work: 15 * time.Millisecond, store: d.store, record: d.record}
+	return &engine{name: name, service: service, zone: zone, slots: 6, queue: 24, work: 30 * time.Millisecond, store: d.store, record: d.record}
 }
 
 // join adds an engine.
@@ -85,7 +85,7 @@
 
 func route(name, prefix, kind string, attempts int) map[string]any {
 	return map[string]any{
-		"name": name, "host": host, wire("prefix"): prefix, "kind": kind, "timeoutMs": 1000, wire("latency"): 100, "priority": 2,
+		"name": name, "host": host, wire("prefix"): prefix, "kind": kind, "timeoutMs": 1000, wire("latency"): 150, "priority": 2,
 		"service": service, "maxAttempts": attempts, "anonymous": false, "sticky": false,
 	}
 }
--- a/review/stand-2/feed.go
+++ b/review/stand-2/feed.go
@@ -40,7 +40,7 @@
 	defer stopOnce.Do(func() { close(stop) })
 
 	time.Sleep(time.Until(traffic.Add(feedFirstAt)))
-	if err := d.join("e5", "neihu"); err != nil {
+	if err := d.join("e5", "pikine"); err != nil {
 		return err
 	}
 	time.Sleep(time.Until(traffic.Add(feedJoinAt)))
@@ -62,7 +62,7 @@
 			return true
 		}, nil, nil)
 	}
-	if err := d.join("e6", "banqiao"); err != nil {
+	if err := d.join("e6", "rufisque"); err != nil {
 		return err
 	}
 
