--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -18,6 +18,7 @@
 
 // cases maps the names of cases to what plays them; they return whether the rule was broken.
 var cases = map[string]func(*platform) (bool, error){
+	"scans":  playScans,
 	"poison": playPoison,
 	"large":  playLarge,
 	"events": playEvents,
