--- a/review/stand-3/storm.go
+++ b/review/stand-3/storm.go
@@ -19,7 +19,7 @@
 	stormPause   = 2 * time.Second
 	storms       = 21
 	// unsafeRate is the number of requests a second, and unsafeWork how long an engine works on each.
-	unsafeRate = 60
+	unsafeRate = 150
 	unsafeWork = 100 * time.Millisecond
 )
 
@@ -47,7 +47,7 @@
 	version := 7
 	p.configure(version, routes, "library")
 	for _, zone := range []string{"xinyi", "neihu", "banqiao"} {
-		if err := p.addEngines(1, "library", zone, 6, serveHold); err != nil {
+		if err := p.addEngines(4, "library", zone, 6, serveHold); err != nil {
 			return false, err
 		}
 	}
@@ -107,7 +107,7 @@
 
 // sendHolds sends requests over kept channels until stop is closed. A channel that has closed is opened again.
 func (p *platform) sendHolds(held *holds, stop chan struct{}, working *sync.WaitGroup) {
-	const callers = 12
+	const callers = 36
 	for n := range callers {
 		working.Go(func() {
 			var c *channel
