--- a/review/stand-3/consumer.go
+++ b/review/stand-3/consumer.go
@@ -43,8 +43,8 @@
 	}
 	message.Host = host
 	message.Header.Set("Request-Id", got.id)
-	message.Header.Set("Deadline-Ms", strconv.FormatInt(sent.budget.Milliseconds(), 10))
-	message.Header.Set("Api-Key", tenantKey)
+	message.Header.Set(names["deadline"], strconv.FormatInt(sent.budget.Milliseconds(), 10))
+	message.Header.Set(names["key"], tenantKey)
 	message.Header.Set("Accept-Encoding", "identity")
 	if sent.lastEvent > 0 {
 		message.Header.Set("Last-Event-Id", strconv.Itoa(sent.lastEvent))
@@ -55,7 +55,7 @@
 		return got
 	}
 	defer response.Body.Close()
-	got.status, got.seal = response.StatusCode, response.Header.Get("Server-Seal")
+	got.status, got.seal = response.StatusCode, response.Header.Get(names["seal"])
 	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
 		got.retryAfter = time.Duration(seconds * float64(time.Second))
 	}
--- a/review/stand-3/deployment.go
+++ b/review/stand-3/deployment.go
@@ -49,11 +49,11 @@
 // route is a route of the configuration.
 func route(name, prefix, kind, service string, timeoutMs, targetMs, attempts int) map[string]any {
 	one := map[string]any{
-		"name": name, "host": host, "pathPrefix": prefix, "kind": kind, "timeoutMs": timeoutMs, "targetLatencyMs": targetMs, "priority": 1,
+		"name": name, "host": host, names["prefix"]: prefix, "kind": kind, "timeoutMs": timeoutMs, names["target"]: targetMs, "priority": 1,
 		"service": service, "maxAttempts": attempts, "anonymous": false,
 	}
 	if kind == "stream" {
-		one["resumable"], one["gapAimMs"] = true, 200
+		one["resumable"], one[names["gap"]] = true, 200
 	}
 	return one
 }
@@ -67,7 +67,7 @@
 	p.store.put("op", "config", map[string]any{
 		"version": version, "routes": routes, "services": described,
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []map[string]any{{"name": "hule930", "apiKeys": []string{tenantKey}}},
+		"tenants": []map[string]any{{"name": "hule930", names["keys"]: []string{tenantKey}}},
 	})
 }
 
--- a/review/stand-3/engine.go
+++ b/review/stand-3/engine.go
@@ -77,7 +77,7 @@
 func (e *engine) entry(id, state string, sequence int) map[string]any {
 	return map[string]any{
 		"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": e.slots, "state": state,
-		"coldRemainingMs": 0, "sequence": sequence, "born": e.born, "id": id,
+		names["cold"]: 0, "sequence": sequence, "born": e.born, "id": id,
 	}
 }
 
@@ -146,24 +146,24 @@
 	e.mu.Unlock()
 	header := w.Header()
 	if r.URL.Path == "/health" {
-		header.Set("Instance-Id", id)
+		header.Set(names["instance"], id)
 		return
 	}
 	header.Set("Request-Id", r.Header.Get("Request-Id"))
-	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != id {
-		header.Set("Instance-Id", id)
+	if expected := r.Header.Get(names["expected"]); expected != "" && expected != id {
+		header.Set(names["instance"], id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	running := e.running.Add(1)
 	defer e.running.Add(-1)
 	if running > int64(e.slots) {
-		header.Set("Not-Executed", "1")
+		header.Set(names["notRun"], "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	header.Set("Server-Load", fmt.Sprintf("%d,0,%d", running, e.slots))
-	header.Set("Server-Seal", "seal."+id+"."+r.Header.Get("Request-Id"))
+	header.Set(names["load"], fmt.Sprintf("%d,0,%d", running, e.slots))
+	header.Set(names["seal"], "seal."+id+"."+r.Header.Get("Request-Id"))
 	e.platform.ran.Store(r.Header.Get("Request-Id"), true)
 	e.serve(e, w, r)
 }
--- a/review/stand-3/events.go
+++ b/review/stand-3/events.go
@@ -36,7 +36,7 @@
 	}
 	n.bodies[seal] = whole.Bytes()
 	n.mu.Unlock()
-	w.Header().Set("Server-Seal", seal)
+	w.Header().Set(names["seal"], seal)
 	w.Header().Set("Content-Type", "text/event-stream")
 	for number, event := range strings.SplitAfter(whole.String(), "\n\n") {
 		_, _ = w.Write([]byte(event))
--- a/review/stand-3/large.go
+++ b/review/stand-3/large.go
@@ -57,7 +57,7 @@
 // get sends a GET request and reads its answer at a rate in bytes a second, or as fast as possible if it is 0.
 func (c *channel) get(path string, rate int) (status, bytes int, err error) {
 	c.lastID = newID()
-	request := fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 20000\r\nApi-Key: %s\r\n\r\n", path, host, c.lastID, tenantKey)
+	request := fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\n%s: 20000\r\n%s: %s\r\n\r\n", path, host, c.lastID, names["deadline"], names["key"], tenantKey)
 	if _, err := io.WriteString(c.conn, request); err != nil {
 		return 0, 0, err
 	}
--- a/review/stand-3/store.go
+++ b/review/stand-3/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -16,7 +17,7 @@
 	Part    string `json:"part"`
 	Key     string `json:"key"`
 	Value   []byte `json:"value,omitempty"`
-	Version int64  `json:"resourceVersion"`
+	Version int64  `json:"version"`
 	Removed bool   `json:"removed,omitempty"`
 }
 
@@ -27,14 +28,14 @@
 type answer struct {
 	Rows    []row `json:"rows"`
 	HasMore bool  `json:"hasMore"`
-	Version int64 `json:"resourceVersion"`
+	Version int64 `json:"version"`
 	NowMs   int64 `json:"nowMs"`
 }
 
 // transaction is the body of a write.
 type transaction struct {
 	Conditions []row `json:"precondition"`
-	Writes     []row `json:"setKeys"`
+	Writes     []row `json:"writes"`
 	Removals   []row `json:"remove"`
 }
 
@@ -93,11 +94,11 @@
 // ServeHTTP answers the calls of the daemons.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
-	case "/-/rows-get":
+	case names["get"]:
 		s.get(w, r)
-	case "/-/rows-feed":
+	case names["feed"]:
 		s.feed(w, r)
-	case "/-/rows-tx":
+	case names["transact"]:
 		s.transact(w, r)
 	default:
 		w.WriteHeader(http.StatusNotFound)
@@ -111,7 +112,11 @@
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Store-Era", "1")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(answer{Rows: rows, Version: version, NowMs: time.Since(s.start).Milliseconds()})
+	body, err := json.Marshal(answer{Rows: rows, Version: version, NowMs: time.Since(s.start).Milliseconds()})
+	if err != nil {
+		panic(err)
+	}
+	_, _ = w.Write(toWire(body))
 }
 
 func (s *store) get(w http.ResponseWriter, r *http.Request) {
@@ -162,7 +167,11 @@
 
 func (s *store) transact(w http.ResponseWriter, r *http.Request) {
 	var wanted transaction
-	if err := json.NewDecoder(r.Body).Decode(&wanted); err != nil {
+	body, err := io.ReadAll(r.Body)
+	if err == nil {
+		err = json.Unmarshal(fromWire(body), &wanted)
+	}
+	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
--- a/review/stand-3/storm.go
+++ b/review/stand-3/storm.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -14,13 +15,13 @@
 	grownRoutes = 400
 	growths     = 6
 	// A storm writes stormChanges versions, stormGap apart. The next one follows after stormPause.
-	stormChanges = 25
-	stormGap     = 80 * time.Millisecond
-	stormPause   = 2 * time.Second
-	storms       = 21
+	stormChanges = 20
+	stormGap     = 100 * time.Millisecond
+	stormPause   = 1500 * time.Millisecond
+	storms       = 25
 	// unsafeRate is the number of requests a second, and unsafeWork how long an engine works on each.
 	unsafeRate = 150
-	unsafeWork = 100 * time.Millisecond
+	unsafeWork = 250 * time.Millisecond
 )
 
 // serveHold works on a request for unsafeWork.
@@ -35,17 +36,21 @@
 func idleRoute(number int) map[string]any {
 	one := route(fmt.Sprintf("r-idle%05d", number), fmt.Sprintf("/idle%05d/", number), "stream", "library", 20000, 500, 2)
 	one["sticky"] = true
+	if number%2 == 0 { // Split between two services, as the first one of the page.
+		delete(one, "service")
+		one[names["split"]] = []map[string]any{{"service": "library", "weight": 90}, {"service": "archive", "weight": 10}}
+	}
 	return one
 }
 
 // playStorm changes a configuration of many routes often, while requests go on over kept channels.
 func playStorm(p *platform) (bool, error) {
-	routes := []map[string]any{route("r-hold", "/hold/", "unsafe", "library", 5000, 200, 1)}
+	routes := []map[string]any{route("r-hold", "/hold/", "unsafe", "library", 5000, 500, 1)}
 	for number := range firstRoutes {
 		routes = append(routes, idleRoute(number))
 	}
 	version := 7
-	p.configure(version, routes, "library")
+	p.configure(version, routes, "library", "archive")
 	for _, zone := range []string{"xinyi", "neihu", "banqiao"} {
 		if err := p.addEngines(4, "library", zone, 6, serveHold); err != nil {
 			return false, err
@@ -69,8 +74,8 @@
 			routes = append(routes, idleRoute(len(routes)))
 		}
 		version += 3
-		p.configure(version, routes, "library")
-		time.Sleep(stormPause / 2)
+		p.configure(version, routes, "library", "archive")
+		time.Sleep(time.Second)
 	}
 	p.record.add("version %d has %d routes", version, len(routes))
 	for storm := range storms {
@@ -78,7 +83,7 @@
 			if p.trouble {
 				version += 3
 				routes[1]["timeoutMs"] = 20000 + version%5
-				p.configure(version, routes, "library")
+				p.configure(version, routes, "library", "archive")
 			}
 			time.Sleep(stormGap)
 		}
@@ -112,10 +117,11 @@
 		working.Go(func() {
 			var c *channel
 			for used := 0; ; used++ {
+				const pause = callers * time.Second / unsafeRate
 				select {
 				case <-stop:
 					return
-				case <-time.After(callers * time.Second / unsafeRate):
+				case <-time.After(pause/2 + time.Duration(rand.Int64N(int64(pause)))):
 				}
 				if c == nil {
 					var err error
