--- a/review/stand-3/storm.go
+++ b/review/stand-3/storm.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -62,10 +63,12 @@
 	time.Sleep(4 * time.Second)
 	stop, working := make(chan struct{}), sync.WaitGroup{}
 	held := &holds{}
+	var ended atomic.Int32
 	for _, d := range p.daemons {
 		working.Go(func() {
 			peak, killed := p.limitMemory(d, stop)
 			p.record.add("%s held %d MB at most, killed %t", d.name, peak>>20, killed)
+			ended.Add(1)
 		})
 	}
 	working.Go(func() { p.sendHolds(held, stop, &working) })
@@ -78,7 +81,7 @@
 		time.Sleep(time.Second)
 	}
 	p.record.add("version %d has %d routes", version, len(routes))
-	for storm := range storms {
+	for storm := 0; storm < storms && int(ended.Load()) < len(p.daemons); storm++ {
 		for range stormChanges {
 			if p.trouble {
 				version += 3
