Requests keep a copy of their rule, not all rules of their version

Cause: an exchange kept a pointer to its rule, an element of the slice of all rules of that version, for as long as the request.

Change: the exchange has a copy of the rule.

--- a/passthrough/callerexchange.go
+++ b/passthrough/callerexchange.go
@@ -52,10 +52,11 @@
 	nonce string
 
 	callerHeaders chicoryhall.CallerHeaders
-	rule          *chicoryhall.Rule
-	rulesVersion  int64
-	organisation  chicoryhall.Organisation
-	fingerprint   quarantine.Fingerprint
+	// rule is a copy, as a request may outlive many rule sets and would keep them in memory.
+	rule         chicoryhall.Rule
+	rulesVersion int64
+	organisation chicoryhall.Organisation
+	fingerprint  quarantine.Fingerprint
 	// parts are the fingerprints of the parts of its prompt that it may share with other requests.
 	parts   []quarantine.Fingerprint
 	service chicoryhall.ServiceName
@@ -152,7 +153,7 @@
 		x.refuse(http.StatusNotFound, 0, "no rule for the host and path")
 		return
 	}
-	x.rule = rule
+	x.rule = *rule
 	priority, ok := x.authenticate(table)
 	if !ok {
 		x.refuse(http.StatusUnauthorized, 0, "the credential is not known")
