--- a/cmd/chicoryhall/platformdaemon/neighbours.go
+++ b/cmd/chicoryhall/platformdaemon/neighbours.go
@@ -304,6 +304,7 @@
 	for _, name := range platform.FollowedTables() {
 		if age, known := n.copies.Age(name, now); known {
 			metrics.WriteGaugeFloat64(w, fmt.Sprintf("chicoryhall_neighbour_copy_age_seconds{table=%q}", name), age.Seconds())
+			metrics.WriteGaugeUint64(w, fmt.Sprintf("chicoryhall_neighbour_copy_bytes{table=%q}", name), uint64(n.copies.Bytes(name)))
 		}
 	}
 }
--- a/neighbour/copies.go
+++ b/neighbour/copies.go
@@ -12,9 +12,9 @@
 	"chicoryhall.example/chicoryhall"
 )
 
-// maxKeptChanges bounds the changes of a table that are kept for daemons that know an older version. Those that need more get
-// the whole table.
-const maxKeptChanges = 512
+// maxKeptRemovals bounds the removed rows of a table whose keys are kept for daemons that know an older version. Those that need
+// more get the whole table.
+const maxKeptRemovals = 512
 
 // Copies holds copies of tables of the store. It is safe for concurrent use.
 type Copies struct {
@@ -24,21 +24,33 @@
 
 // tableCopy is a copy of one table.
 type tableCopy struct {
-	rows     map[string]chicoryhall.StoredRow
+	// rows holds the latest change of each row, removals since keptSince included. Earlier changes are not kept, as a row may be
+	// large and may change often.
+	rows     map[string]rowChange
 	position chicoryhall.StorePosition
 	// confirmedAt is the latest time at which the store is known to have had no change after the position.
 	confirmedAt time.Time
-	// changes are those after keptSince, in order.
-	changes   []keptChange
+	// removals are the removed rows of rows, the earliest first.
+	removals  []removal
 	keptSince int64
+	// changes counts the changes that were applied.
+	changes uint64
 	// changed is closed when the position moves.
 	changed chan struct{}
 }
 
-// keptChange is a change, and the version that the copy had with it.
-type keptChange struct {
+// rowChange is the latest change of a row, and the version that the copy had with it. Among the changes of a table, order is the
+// number of the change.
+type rowChange struct {
 	row     chicoryhall.StoredRow
 	version int64
+	order   uint64
+}
+
+// removal is the removal of the row with a key, and its order.
+type removal struct {
+	key   string
+	order uint64
 }
 
 // Update is what brings a copy of a table up to date.
@@ -95,11 +107,11 @@
 		return
 	}
 	whole := &tableCopy{
-		rows: make(map[string]chicoryhall.StoredRow, len(rows)), position: at, confirmedAt: confirmedAt, keptSince: at.Version,
+		rows: make(map[string]rowChange, len(rows)), position: at, confirmedAt: confirmedAt, keptSince: at.Version,
 		changed: make(chan struct{}),
 	}
 	for _, row := range rows {
-		whole.rows[row.Key] = row
+		whole.rows[row.Key] = rowChange{row: row, version: at.Version}
 	}
 	c.tables[name] = whole
 	if before == nil {
@@ -131,18 +143,28 @@
 	t.changed = make(chan struct{})
 }
 
-// apply adds one change.
+// apply adds one change, which replaces an earlier one of the same row.
 func (t *tableCopy) apply(row chicoryhall.StoredRow, version int64) {
+	t.changes++
 	if row.Removed {
-		delete(t.rows, row.Key)
-	} else {
-		t.rows[row.Key] = row
+		row.Value = nil
+		t.removals = append(t.removals, removal{key: row.Key, order: t.changes})
 	}
-	t.changes = append(t.changes, keptChange{row: row, version: version})
-	if len(t.changes) > maxKeptChanges {
-		dropped := len(t.changes) - maxKeptChanges
-		t.keptSince = t.changes[dropped-1].version
-		t.changes = slices.Clone(t.changes[dropped:])
+	t.rows[row.Key] = rowChange{row: row, version: version, order: t.changes}
+	t.forgetRemovals()
+}
+
+// forgetRemovals drops the earliest removals beyond maxKeptRemovals.
+func (t *tableCopy) forgetRemovals() {
+	for len(t.removals) > maxKeptRemovals {
+		earliest := t.removals[0]
+		t.removals = t.removals[1:]
+		change := t.rows[earliest.key]
+		if change.order != earliest.order {
+			continue // The row was written or removed again.
+		}
+		t.keptSince = change.version
+		delete(t.rows, earliest.key)
 	}
 }
 
@@ -171,6 +193,21 @@
 	return now.Sub(t.confirmedAt), true
 }
 
+// Bytes returns the size of the keys and values that the copy of a table holds.
+func (c *Copies) Bytes(name string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.tables[name]
+	if t == nil {
+		return 0
+	}
+	size := 0
+	for key, change := range t.rows {
+		size += len(key) + len(change.row.Value)
+	}
+	return size
+}
+
 // Since returns what brings a copy at a position up to date with this one, or false if there is none. The changes are empty if
 // that copy is the newer one.
 func (c *Copies) Since(name string, after chicoryhall.StorePosition, now time.Time) (Update, bool) {
@@ -185,12 +222,27 @@
 		update.Whole, update.Rows = true, t.sorted()
 		return update, true
 	}
-	for _, change := range t.changes {
-		if change.version > after.Version {
-			update.Rows = append(update.Rows, change.row)
+	update.Rows = t.changedAfter(after.Version)
+	return update, true
+}
+
+// changedAfter returns the latest change of each row that has changed after a version, in the order of these changes.
+func (t *tableCopy) changedAfter(version int64) []chicoryhall.StoredRow {
+	if version >= t.position.Version {
+		return nil
+	}
+	var changes []rowChange
+	for _, change := range t.rows {
+		if change.version > version {
+			changes = append(changes, change)
 		}
 	}
-	return update, true
+	slices.SortFunc(changes, func(a, b rowChange) int { return cmp.Compare(a.order, b.order) })
+	rows := make([]chicoryhall.StoredRow, 0, len(changes))
+	for _, change := range changes {
+		rows = append(rows, change.row)
+	}
+	return rows
 }
 
 // Read returns the rows of a table in the order of their keys, and whether there is a copy.
@@ -224,11 +276,13 @@
 	c.Apply(name, asked, update.Rows, update.Position, confirmedAt)
 }
 
-// sorted returns the rows in the order of their keys.
+// sorted returns the rows that are there in the order of their keys.
 func (t *tableCopy) sorted() []chicoryhall.StoredRow {
 	rows := make([]chicoryhall.StoredRow, 0, len(t.rows))
-	for _, row := range t.rows {
-		rows = append(rows, row)
+	for _, change := range t.rows {
+		if !change.row.Removed {
+			rows = append(rows, change.row)
+		}
 	}
 	slices.SortFunc(rows, func(a, b chicoryhall.StoredRow) int { return cmp.Compare(a.Key, b.Key) })
 	return rows
--- a/neighbour/copies_test.go
+++ b/neighbour/copies_test.go
@@ -120,22 +120,42 @@
 	})
 }
 
+// TestFollowerThatIsFarBehindGetsTheWholeTable lets a follower miss changes of a table of 600 rows. It needs the whole table only if
+// it has missed more removals than are kept.
 func TestFollowerThatIsFarBehindGetsTheWholeTable(t *testing.T) {
+	const rows = 600
 	for _, c := range []struct {
+		name    string
 		changes int
+		keys    int
+		removes bool
 		whole   bool
-	}{{512, false}, {513, true}} {
-		t.Run(fmt.Sprint(c.changes), func(t *testing.T) {
+		want    int
+	}{
+		{"changes of few rows", 513, 7, false, false, 7},
+		{"changes of all rows", 5 * rows, rows, false, false, rows},
+		{"as many removals as are kept", 512, rows, true, false, 512},
+		{"one removal more", 513, rows, true, true, rows - 513},
+		{"removals of few rows", 3000, 7, true, false, 7},
+	} {
+		t.Run(c.name, func(t *testing.T) {
 			source, follower := neighbour.NewCopies(), neighbour.NewCopies()
-			source.Replace("t", nil, at(0), start)
+			var table []chicoryhall.StoredRow
+			for i := range rows {
+				table = append(table, row(fmt.Sprint(i), "first"))
+			}
+			source.Replace("t", table, at(0), start)
 			update, _ := source.Since("t", follower.Position("t"), start)
 			follower.Merge("t", follower.Position("t"), update, start)
 			for i := range c.changes {
-				source.Apply("t", at(int64(i)), []chicoryhall.StoredRow{row(fmt.Sprint(i%7), fmt.Sprint(i))}, at(int64(i+1)), start)
+				change := row(fmt.Sprint(i%c.keys), fmt.Sprint(i))
+				change.Removed = c.removes
+				source.Apply("t", at(int64(i)), []chicoryhall.StoredRow{change}, at(int64(i+1)), start)
 			}
 			asked := follower.Position("t")
 			update, _ = source.Since("t", asked, start)
 			must.Eq(t, c.whole, update.Whole)
+			must.Len(t, c.want, update.Rows)
 			follower.Merge("t", asked, update, start)
 			must.Eq(t, content(source, "t"), content(follower, "t"))
 		})
