A daemon that others read from gives up a lost answer when it is due

A daemon that reads the store for its neighbours asks for changes within 0.4 to 0.6 s, but waited for an answer as long as it may without neighbours: 15.6 s for endpoints, 29.6 s for alerts. Its neighbours leave it after 1.5 s; it kept its own old copy.

Cause: CachedStore shortens the wait that the store is asked for, while its caller bounds the call by the wait that it asked for itself.

Change: the answer to a call for changes is due 0.6 s after the end of its wait. Then the call counts as failed: the table is read again and replaced, also for the neighbours.

--- a/neighbour/cachedstore.go
+++ b/neighbour/cachedstore.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"chicoryhall.example/chicoryhall"
+	"chicoryhall.example/chicoryhall/follow"
 )
 
 // ErrHistoryGone is what a CachedStore returns if the store, or the copy that stands for it, has no history from a position on.
@@ -24,6 +25,12 @@
 	servingPauseDivisor = 5
 )
 
+// answerMargin is how long after the end of a wait for changes the store's answer may come. After it, the answer counts as lost.
+const answerMargin = follow.AnswerMargin
+
+// errServing is why a wait for changes ends once other daemons read the copies.
+var errServing = errors.New("other daemons read the copies")
+
 // followingPause is the pause after changes that came from another daemon, which cost no call to the store.
 const followingPause = 20 * time.Millisecond
 
@@ -46,14 +53,14 @@
 	mu sync.Mutex
 	// serves is set while other daemons read the copies. waits are the functions that end the calls which wait for changes.
 	serves bool
-	waits  map[string]context.CancelFunc
+	waits  map[string]context.CancelCauseFunc
 	// broken holds the tables of which changes may have been missed since the last answer of the store.
 	broken map[string]bool
 }
 
 // NewCachedStore returns a CachedStore that reads from the store.
 func NewCachedStore(config CachedStoreConfig) *CachedStore {
-	return &CachedStore{config: config, waits: make(map[string]context.CancelFunc), broken: make(map[string]bool)}
+	return &CachedStore{config: config, waits: make(map[string]context.CancelCauseFunc), broken: make(map[string]bool)}
 }
 
 // SetFollowing sets whether another daemon keeps the copies up to date.
@@ -69,7 +76,7 @@
 	defer c.mu.Unlock()
 	if serves && !c.serves {
 		for _, end := range c.waits {
-			end()
+			end(errServing)
 		}
 	}
 	c.serves = serves
@@ -143,9 +150,9 @@
 		wait = min(wait, c.config.MaxAge/servingWaitDivisor)
 	}
 	begun := c.config.Timer.Now()
-	changes, at, ended, err := c.waitForStore(ctx, name, after, wait)
+	changes, at, err := c.waitForStore(ctx, name, after, wait)
 	switch {
-	case ended:
+	case errors.Is(err, errServing):
 		return nil, after, nil
 	case err != nil:
 		c.setBroken(name, err)
@@ -155,20 +162,24 @@
 	return changes, at, nil
 }
 
-// waitForStore asks the store for the changes of a table. ended is set if SetServing has ended the call.
-func (c *CachedStore) waitForStore(ctx context.Context, name string, after chicoryhall.StorePosition, wait time.Duration) (
-	changes []chicoryhall.StoredRow, at chicoryhall.StorePosition, ended bool, err error,
-) {
-	waitCtx, end := context.WithCancel(ctx)
-	defer end()
+// waitForStore asks the store for the changes of a table. The error is errServing if SetServing has ended the call, and
+// context.DeadlineExceeded if no answer came by the end of the wait.
+func (c *CachedStore) waitForStore(ctx context.Context, name string, after chicoryhall.StorePosition, wait time.Duration) ([]chicoryhall.StoredRow, chicoryhall.StorePosition, error) {
+	waitCtx, end := context.WithCancelCause(ctx)
+	defer end(context.Canceled)
+	deadline := c.config.Timer.After(wait+answerMargin, func(time.Time) { end(context.DeadlineExceeded) })
+	defer deadline.Cancel()
 	c.setWait(name, end)
-	changes, at, err = c.config.Store.WaitForChanges(waitCtx, name, after, wait)
-	c.setWait(name, nil)
-	return changes, at, err != nil && waitCtx.Err() != nil && ctx.Err() == nil, err
+	defer c.setWait(name, nil)
+	changes, at, err := c.config.Store.WaitForChanges(waitCtx, name, after, wait)
+	if err != nil && waitCtx.Err() != nil && ctx.Err() == nil {
+		err = errors.WithMessagef(context.Cause(waitCtx), "follow table %q", name)
+	}
+	return changes, at, err
 }
 
 // setWait sets the function that ends the call which waits for changes of a table, or nil if there is none.
-func (c *CachedStore) setWait(name string, end context.CancelFunc) {
+func (c *CachedStore) setWait(name string, end context.CancelCauseFunc) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if end == nil {
--- a/neighbour/cachedstore_test.go
+++ b/neighbour/cachedstore_test.go
@@ -192,3 +192,63 @@
 		})
 	}
 }
+
+// TestLostAnswerEndsWait guards against a daemon that others read from and that hears of no change for as long as it may wait without
+// them: an answer that does not come counts as lost soon after the wait that the store was asked for, and changes may be missed.
+func TestLostAnswerEndsWait(t *testing.T) {
+	const answerMargin = 600 * time.Millisecond
+	for _, c := range []struct {
+		name   string
+		serves bool
+		wait   time.Duration
+		limit  time.Duration
+	}{
+		{"for others", true, 15 * time.Second, testMaxAge/4 + answerMargin},
+		{"for itself", false, 4 * time.Second, 4*time.Second + answerMargin},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			clock := timer.NewManual(start)
+			store, copies := &fakeStore{clock: clock, hangs: true}, neighbour.NewCopies()
+			copies.Replace("t", []chicoryhall.StoredRow{row("a", "copy")}, at(10), start)
+			cached := neighbour.NewCachedStore(neighbour.CachedStoreConfig{Store: store, Copies: copies, MaxAge: testMaxAge, Timer: clock})
+			cached.SetServing(c.serves)
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			ended := make(chan error, 1)
+			go func() {
+				_, _, err := cached.WaitForChanges(ctx, "t", at(10), c.wait)
+				ended <- err
+			}()
+			store.awaitCall(t)
+			clock.Advance(c.limit - time.Millisecond)
+			select {
+			case err := <-ended:
+				t.Fatalf("the wait ended early: %v", err)
+			case <-time.After(20 * time.Millisecond):
+			}
+			clock.Advance(time.Millisecond)
+			must.ErrorIs(t, <-ended, context.DeadlineExceeded)
+			must.NoError(t, ctx.Err())
+			_, _, err := cached.ReadTable(ctx, "t")
+			must.NoError(t, err)
+			update, _ := copies.Since("t", at(10), clock.Now())
+			must.True(t, update.Whole)
+		})
+	}
+}
+
+// awaitCall waits until the store has been called.
+func (s *fakeStore) awaitCall(t *testing.T) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		s.mu.Lock()
+		calls := len(s.calls)
+		s.mu.Unlock()
+		if calls > 0 {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the store was not called")
+		}
+	}
+}
