--- a/cmd/chicoryhall/platformdaemon/builder.go
+++ b/cmd/chicoryhall/platformdaemon/builder.go
@@ -43,8 +43,8 @@
 const routeSpread = 0.25
 
 const (
-	// hangMargin is the difference between the HangTimeout of the settings, within which a store that does not answer must
-	// be noticed, and the time after which a request for rule changes is abandoned.
+	// hangMargin is the difference between the time within which a lost answer must be noticed and the time after which a call
+	// for changes is given up. In it, the whole table is read.
 	hangMargin = 500 * time.Millisecond
 	// endpointsWait is how long the store may wait for endpoint changes before it answers. It may be longer than the
 	// HangTimeout, as the endpoints are read again at once if the rules feed finds the store unavailable.
@@ -54,11 +54,10 @@
 	// two seconds.
 	endpointsPause = 800 * time.Millisecond
 	rulesPause     = 500 * time.Millisecond
-	// alertsWait is how long the store may wait for alerts of other daemons before it answers, alertsPause the pause after
-	// one, and alertsBackoff the longest pause after a failure: while the store does not answer, nobody can write alerts.
-	alertsWait    = 29 * time.Second
+	// alertsPause is the pause after alerts of other daemons, and alertsBackoff the longest one after a failure to read them:
+	// while the store is down, nobody can write them.
 	alertsPause   = 1500 * time.Millisecond
-	alertsBackoff = 3 * time.Second
+	alertsBackoff = 800 * time.Millisecond
 	// daemonRowRetention is the time after which a daemon's row is removed that has not changed. A daemon keeps its report
 	// of a convicted request unchanged for as long as the conviction lasts.
 	daemonRowRetention = quarantine.ConvictionLifetime + 15*time.Minute
@@ -190,11 +189,17 @@
 	supervisor.Add(b.endpointsFeed)
 	supervisor.Add(follow.New(follow.Config[*chicoryhall.RuleSet]{
 		Name: "rules", Source: platform.NewRuleSource(b.cachedStore, b.log), Sink: platform.RuleSink{Current: b.rules, Log: b.log},
-		MaxWait: b.settings.Store.HangTimeout - hangMargin - follow.AnswerMargin, BatchDelay: b.pauseOf(rulesPause), OnUnavailable: b.endpointsFeed.Refresh,
+		MaxWait: changesWait(b.settings.Store.HangTimeout), BatchDelay: b.pauseOf(rulesPause), OnUnavailable: b.endpointsFeed.Refresh,
 		Timer: b.timer, Log: b.log,
 	}))
 }
 
+// changesWait returns how long the store may wait for changes of a table before it answers, if a lost answer must be noticed within a
+// time.
+func changesWait(noticed time.Duration) time.Duration {
+	return noticed - hangMargin - follow.AnswerMargin
+}
+
 // pauseOf returns the function for the pause after changes of a table.
 func (b *builder) pauseOf(usual time.Duration) func() time.Duration {
 	return func() time.Duration { return b.cachedStore.Pause(usual) }
@@ -265,7 +270,7 @@
 	supervisor.Add(follow.New(follow.Config[platform.Alert]{
 		Name: "alerts", Source: platform.NewAlertSource(b.cachedStore, b.log),
 		Sink:    &platform.AlertSink{Self: b.settings.ID, OnAlert: reports.onAlert},
-		MaxWait: alertsWait, BatchDelay: b.pauseOf(alertsPause), MaxBackoff: alertsBackoff, Timer: b.timer, Log: b.log,
+		MaxWait: changesWait(b.settings.Store.HangTimeout), BatchDelay: b.pauseOf(alertsPause), MaxBackoff: alertsBackoff, Timer: b.timer, Log: b.log,
 	}))
 }
 
