--- a/cmd/chicoryhall/platformdaemon/builder.go
+++ b/cmd/chicoryhall/platformdaemon/builder.go
@@ -46,12 +46,11 @@
 	// hangMargin is the difference between the time within which a lost answer must be noticed and the time after which a call
 	// for changes is given up. In it, the whole table is read.
 	hangMargin = 500 * time.Millisecond
-	// endpointsWait is how long the store may wait for endpoint changes before it answers. It may be longer than the
-	// HangTimeout, as the endpoints are read again at once if the rules feed finds the store unavailable.
-	endpointsWait = 15 * time.Second
+	// leaveTime is how long an endpoint at least serves on after the news that it is leaving. Such news may thus come that much
+	// later than those of rules and alerts, which bind at once.
+	leaveTime = 2 * time.Second
 	// endpointsPause and rulesPause are the pauses after changes, which reduce the number of calls to the store, as all
-	// daemons share it. A pause delays the news that an endpoint is leaving, but such an endpoint still works for at least
-	// two seconds.
+	// daemons share it. A pause delays the news that an endpoint is leaving, but is short against leaveTime.
 	endpointsPause = 800 * time.Millisecond
 	rulesPause     = 500 * time.Millisecond
 	// alertsPause is the pause after alerts of other daemons, and alertsBackoff the longest one after a failure to read them:
@@ -184,7 +183,7 @@
 	b.documents = routing.NewDocuments(b.rules, b.endpoints)
 	b.endpointsFeed = follow.New(follow.Config[chicoryhall.Listing]{
 		Name: "endpoints", Source: platform.NewListingSource(b.cachedStore, b.log), Sink: platform.ListingSink{ListedEndpoints: b.endpoints},
-		MaxWait: endpointsWait, BatchDelay: b.pauseOf(endpointsPause), Timer: b.timer, Log: b.log,
+		MaxWait: changesWait(b.settings.Store.HangTimeout + leaveTime), BatchDelay: b.pauseOf(endpointsPause), Timer: b.timer, Log: b.log,
 	})
 	supervisor.Add(b.endpointsFeed)
 	supervisor.Add(follow.New(follow.Config[*chicoryhall.RuleSet]{
--- a/cmd/chicoryhall/platformdaemon/lostanswers_test.go
+++ b/cmd/chicoryhall/platformdaemon/lostanswers_test.go
@@ -145,7 +145,8 @@
 }
 
 // TestLostAnswerIsNoticed guards against a daemon that waits for changes of a table for long after an answer of the store was lost,
-// while its calls about other tables are answered: it ran requests that others knew to crash endpoints (alerts, BUDGET).
+// while its calls about other tables are answered: it ran requests that others knew to crash endpoints (alerts, BUDGET), and sent
+// requests to endpoints that were leaving (servers, DRAIN).
 func TestLostAnswerIsNoticed(t *testing.T) {
 	cases := []struct {
 		table string
@@ -153,6 +154,8 @@
 	}{
 		{"op", testHangTimeout},
 		{"alerts", testHangTimeout},
+		// An endpoint that is leaving serves on for two seconds at least.
+		{"servers", testHangTimeout + 2*time.Second},
 	}
 	for _, c := range cases {
 		t.Run(c.table, func(t *testing.T) {
