A failed call to the store makes the daemon distrust its open calls for changes

While some answers of the store get lost, a daemon trusts its open calls about other tables until their own time is over, although a failed call shows that the store, or the way to it, is in trouble.

Cause: each follower knew its own calls only.

Change: platform.Store tells of each call that has no answer or an error of the store, unlike those that their caller gave up or that were too many. Followers then end their wait and read the whole table, as after a failure of their own, at most once a second; a reader for neighbours replaces its copies.

Follower.OnUnavailable is gone, as that is what Distrust does for all tables. TestOnUnavailableIsCalled checked with it that a hanging wait is given up in time; TestHangingWaitIsGivenUp checks the same, with the same bound, by the call of the sink.

--- a/cmd/chicoryhall/platformdaemon/builder.go
+++ b/cmd/chicoryhall/platformdaemon/builder.go
@@ -49,13 +49,12 @@
 	// leaveTime is how long an endpoint at least serves on after the news that it is leaving. Such news may thus come that much
 	// later than those of rules and alerts, which bind at once.
 	leaveTime = 2 * time.Second
-	// endpointsPause and rulesPause are the pauses after changes, which reduce the number of calls to the store, as all
-	// daemons share it. A pause delays the news that an endpoint is leaving, but is short against leaveTime.
+	// endpointsPause, rulesPause and alertsPause are the pauses after changes, which reduce the number of calls to the store, as
+	// all daemons share it. A pause delays the news that an endpoint is leaving, but is short against leaveTime.
 	endpointsPause = 800 * time.Millisecond
 	rulesPause     = 500 * time.Millisecond
-	// alertsPause is the pause after alerts of other daemons, and alertsBackoff the longest one after a failure to read them:
-	// while the store is down, nobody can write them.
-	alertsPause   = 1500 * time.Millisecond
+	alertsPause    = 1500 * time.Millisecond
+	// alertsBackoff is the longest pause after a failure to read alerts: while the store is down, nobody can write them.
 	alertsBackoff = 800 * time.Millisecond
 	// daemonRowRetention is the time after which a daemon's row is removed that has not changed. A daemon keeps its report
 	// of a convicted request unchanged for as long as the conviction lasts.
@@ -153,6 +152,7 @@
 	b.cachedStore = neighbour.NewCachedStore(neighbour.CachedStoreConfig{
 		Store: b.store, Copies: b.copies, MaxAge: b.settings.Store.HangTimeout / maxAgeDivisor, Timer: b.timer,
 	})
+	b.store.SubscribeFailed(b.cachedStore.Distrust)
 	b.table = neighbour.NewSharedTable(b.storeTable, sharedRows, b.askNeighbour)
 }
 
@@ -181,15 +181,15 @@
 	}, b.timer.Now(), b.members.Alive)
 	b.buildNeighbours(supervisor)
 	b.documents = routing.NewDocuments(b.rules, b.endpoints)
+	hangTimeout := b.settings.Store.HangTimeout
 	b.endpointsFeed = follow.New(follow.Config[chicoryhall.Listing]{
 		Name: "endpoints", Source: platform.NewListingSource(b.cachedStore, b.log), Sink: platform.ListingSink{ListedEndpoints: b.endpoints},
-		MaxWait: changesWait(b.settings.Store.HangTimeout + leaveTime), BatchDelay: b.pauseOf(endpointsPause), Timer: b.timer, Log: b.log,
+		MaxWait: changesWait(hangTimeout + leaveTime), BatchDelay: b.pauseOf(endpointsPause), Timer: b.timer, Log: b.log,
 	})
-	supervisor.Add(b.endpointsFeed)
-	supervisor.Add(follow.New(follow.Config[*chicoryhall.RuleSet]{
+	b.addFollower(supervisor, b.endpointsFeed)
+	b.addFollower(supervisor, follow.New(follow.Config[*chicoryhall.RuleSet]{
 		Name: "rules", Source: platform.NewRuleSource(b.cachedStore, b.log), Sink: platform.RuleSink{Current: b.rules, Log: b.log},
-		MaxWait: changesWait(b.settings.Store.HangTimeout), BatchDelay: b.pauseOf(rulesPause), OnUnavailable: b.endpointsFeed.Refresh,
-		Timer: b.timer, Log: b.log,
+		MaxWait: changesWait(hangTimeout), BatchDelay: b.pauseOf(rulesPause), Timer: b.timer, Log: b.log,
 	}))
 }
 
@@ -199,6 +199,18 @@
 	return noticed - hangMargin - follow.AnswerMargin
 }
 
+// follower is a service that keeps a copy of a table of the store.
+type follower interface {
+	suture.Service
+	Distrust()
+}
+
+// addFollower adds a follower, which distrusts its calls to the store once any other one has failed.
+func (b *builder) addFollower(supervisor *suture.Supervisor, added follower) {
+	supervisor.Add(added)
+	b.store.SubscribeFailed(added.Distrust)
+}
+
 // pauseOf returns the function for the pause after changes of a table.
 func (b *builder) pauseOf(usual time.Duration) func() time.Duration {
 	return func() time.Duration { return b.cachedStore.Pause(usual) }
@@ -266,7 +278,7 @@
 	supervisor.Add(reports)
 	supervisor.Add(b.quarantine)
 	supervisor.Add(sweeper)
-	supervisor.Add(follow.New(follow.Config[platform.Alert]{
+	b.addFollower(supervisor, follow.New(follow.Config[platform.Alert]{
 		Name: "alerts", Source: platform.NewAlertSource(b.cachedStore, b.log),
 		Sink:    &platform.AlertSink{Self: b.settings.ID, OnAlert: reports.onAlert},
 		MaxWait: changesWait(b.settings.Store.HangTimeout), BatchDelay: b.pauseOf(alertsPause), MaxBackoff: alertsBackoff, Timer: b.timer, Log: b.log,
--- a/cmd/chicoryhall/platformdaemon/lostanswers_test.go
+++ b/cmd/chicoryhall/platformdaemon/lostanswers_test.go
@@ -170,3 +170,17 @@
 		})
 	}
 }
+
+// TestFailedCallMakesAllTablesBeReadAgain guards against a daemon that trusts the open calls for changes of some tables, while a call
+// about another one shows that the store is in trouble.
+func TestFailedCallMakesAllTablesBeReadAgain(t *testing.T) {
+	t.Parallel()
+	store := newFeedStore()
+	startFollowing(t, store)
+	store.awaitOpen(t)
+	failing := store.lose("op")
+	failedAt := store.awaitCall(t, "op", failing)
+	for _, name := range platform.FollowedTables() {
+		must.Less(t, 300*time.Millisecond, store.awaitCall(t, name, failedAt.Add(-50*time.Millisecond)).Sub(failedAt))
+	}
+}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -16,6 +16,12 @@
 // given version. Like any other failure, it makes the Follower read the whole table.
 var ErrHistoryGone = errors.New("the store has dropped the history of the table")
 
+// errRefresh ends a wait for changes because of Refresh. errDistrusted is the failure of one that Distrust has ended.
+var (
+	errRefresh    = errors.New("the copy is out of date")
+	errDistrusted = errors.New("another call to the same store has failed")
+)
+
 const (
 	// AnswerMargin is added to MaxWait for the timeout of a request for changes.
 	AnswerMargin = 600 * time.Millisecond
@@ -23,8 +29,8 @@
 	listTimeout = 2 * time.Second
 	// refreshPeriod is the time between two reads of the whole table if nothing fails.
 	refreshPeriod = 30 * time.Second
-	// minRefreshPause is the least time between a read of the whole table and another one requested by
-	// Refresh.
+	// minRefreshPause is the least time between a read of the whole table and another one because of Refresh or
+	// Distrust.
 	minRefreshPause = time.Second
 	// minBackoff and defaultMaxBackoff bound the pause after a failure, which doubles with each consecutive failure.
 	minBackoff        = 50 * time.Millisecond
@@ -72,11 +78,8 @@
 	BatchDelay func() time.Duration
 	// MaxBackoff bounds the pause after a failure; if it is 0, defaultMaxBackoff does.
 	MaxBackoff time.Duration
-	// OnUnavailable is called after Sink.Unavailable. It may be nil. It lets followers of other tables refresh
-	// their copies.
-	OnUnavailable func()
-	Timer         chicoryhall.Timer
-	Log           *event.Logger
+	Timer      chicoryhall.Timer
+	Log        *event.Logger
 }
 
 // Follower keeps a sink up to date while Serve runs.
@@ -91,8 +94,10 @@
 	mu sync.Mutex
 	// lastRead is when the whole table was last read; the zero time makes a read due.
 	lastRead time.Time
-	// cancelWait cancels the current wait for changes; it is nil if there is none.
-	cancelWait context.CancelFunc
+	// isDistrusted is set from Distrust until a read of the whole table begins.
+	isDistrusted bool
+	// endWait ends the current wait for changes; it is nil if there is none.
+	endWait context.CancelCauseFunc
 }
 
 // New returns a Follower that has read nothing yet.
@@ -114,11 +119,37 @@
 	now := f.config.Timer.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.cancelWait == nil || now.Sub(f.lastRead) < minRefreshPause {
+	if f.endWait == nil || now.Sub(f.lastRead) < minRefreshPause {
 		return
 	}
 	f.lastRead = time.Time{}
-	f.cancelWait()
+	f.endWait(errRefresh)
+}
+
+// Distrust takes the current wait for changes for one that hangs, as another call to the same store has failed: the answer to this
+// one may be lost as well. The Follower reads the whole table as after a failure, at the earliest minRefreshPause after the last time.
+func (f *Follower[T]) Distrust() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.isDistrusted {
+		f.isDistrusted = true
+		f.planEndOfWait()
+	}
+}
+
+// planEndOfWait ends the current wait for changes as soon as the whole table may be read again. The caller holds f.mu.
+func (f *Follower[T]) planEndOfWait() {
+	pause := minRefreshPause - f.config.Timer.Now().Sub(f.lastRead)
+	f.config.Timer.After(max(0, pause), func(time.Time) { f.endDistrustedWait() })
+}
+
+// endDistrustedWait ends the current wait for changes if Distrust was called since the last read of the whole table.
+func (f *Follower[T]) endDistrustedWait() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.isDistrusted && f.endWait != nil {
+		f.endWait(errDistrusted)
+	}
 }
 
 // Serve follows the table until ctx ends.
@@ -146,17 +177,40 @@
 	return f.config.Timer.Now().Sub(f.lastRead) >= refreshPeriod
 }
 
-// setCancelWait sets the function that cancels the current wait for changes.
-func (f *Follower[T]) setCancelWait(cancel context.CancelFunc) {
+// beginWait sets the function that ends the wait for changes which begins. It returns errDistrusted if the whole table has to be read
+// first.
+func (f *Follower[T]) beginWait(end context.CancelCauseFunc) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.isDistrusted && f.config.Timer.Now().Sub(f.lastRead) >= minRefreshPause {
+		return errDistrusted
+	}
+	if f.isDistrusted {
+		f.planEndOfWait()
+	}
+	f.endWait = end
+	return nil
+}
+
+// markWaitEnded records that there is no wait for changes.
+func (f *Follower[T]) markWaitEnded() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.endWait = nil
+}
+
+// beginRead records that a read of the whole table begins, which shows all changes before.
+func (f *Follower[T]) beginRead() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.cancelWait = cancel
+	f.isDistrusted = false
 }
 
 // readTable reads the whole table into the sink.
 func (f *Follower[T]) readTable(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	f.beginRead()
 	values, version, err := f.config.Source.List(ctx)
 	if err != nil {
 		return errors.WithMessage(err, "read the whole table")
@@ -173,16 +227,17 @@
 
 // waitForChanges waits for the next changes and passes them to the sink.
 func (f *Follower[T]) waitForChanges(ctx context.Context) error {
-	waitCtx, cancel := context.WithTimeout(ctx, f.config.MaxWait+AnswerMargin)
+	limited, cancel := context.WithTimeout(ctx, f.config.MaxWait+AnswerMargin)
 	defer cancel()
-	f.setCancelWait(cancel)
-	changes, version, err := f.config.Source.Changes(waitCtx, f.version, f.config.MaxWait)
-	f.setCancelWait(nil)
-	if err != nil && f.isReadDue() {
-		return nil // Refresh canceled the wait, or the whole table is read next anyway.
+	waitCtx, end := context.WithCancelCause(limited)
+	defer end(context.Canceled)
+	if err := f.beginWait(end); err != nil {
+		return err
 	}
+	changes, version, err := f.config.Source.Changes(waitCtx, f.version, f.config.MaxWait)
+	f.markWaitEnded()
 	if err != nil {
-		return errors.WithMessage(err, "wait for changes")
+		return waitError(waitCtx, err)
 	}
 	f.failures = 0
 	// If the answer's version is lower than the known one, changes after it would be sent again.
@@ -194,6 +249,18 @@
 	return nil
 }
 
+// waitError returns the failure of a wait for changes that ended with an error, or nil if Refresh has ended it.
+func waitError(waitCtx context.Context, err error) error {
+	cause := context.Cause(waitCtx)
+	if errors.Is(cause, errRefresh) {
+		return nil
+	}
+	if errors.Is(err, context.Canceled) {
+		err = cause
+	}
+	return errors.WithMessage(err, "wait for changes")
+}
+
 // markAvailable resets the failures and notifies the sink if the store was unavailable.
 func (f *Follower[T]) markAvailable() {
 	if f.unavailable {
@@ -210,9 +277,6 @@
 		f.unavailable = true
 		f.config.Log.Log(event.StoreUnavailable, "table", f.config.Name, "version", f.version, "error", err)
 		f.config.Sink.Unavailable()
-		if f.config.OnUnavailable != nil {
-			f.config.OnUnavailable()
-		}
 	}
 	pause := min(f.config.MaxBackoff, minBackoff<<min(f.failures, 8)) // Bounded to avoid an overflow.
 	f.failures++
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -60,8 +60,11 @@
 	return result.changes, result.version, result.err
 }
 
-// recordingSink records the calls that it receives.
-type recordingSink struct{ calls []string }
+// recordingSink records the calls that it receives. The first call of Unavailable is signalled unless unavailable is nil.
+type recordingSink struct {
+	calls       []string
+	unavailable chan struct{}
+}
 
 func (s *recordingSink) Replace(values []string) {
 	s.calls = append(s.calls, append([]string{"replace"}, values...)...)
@@ -73,7 +76,13 @@
 	}
 }
 
-func (s *recordingSink) Unavailable() { s.calls = append(s.calls, "unavailable") }
+func (s *recordingSink) Unavailable() {
+	s.calls = append(s.calls, "unavailable")
+	select {
+	case s.unavailable <- struct{}{}:
+	default:
+	}
+}
 
 func (s *recordingSink) Available() { s.calls = append(s.calls, "available") }
 
@@ -182,6 +191,10 @@
 	waits chan struct{}
 }
 
+func newHangingSource() *hangingSource {
+	return &hangingSource{lists: make(chan struct{}), waits: make(chan struct{})}
+}
+
 func (s *hangingSource) List(context.Context) ([]string, int64, error) {
 	s.lists <- struct{}{}
 	return []string{"a"}, 1, nil
@@ -197,7 +210,7 @@
 // a read, and that the store doesn't count as unavailable because of it.
 func TestRefreshReadsTable(t *testing.T) {
 	clock := timer.NewManual(time.Unix(1000, 0))
-	source, sink := &hangingSource{lists: make(chan struct{}), waits: make(chan struct{})}, &recordingSink{}
+	source, sink := newHangingSource(), &recordingSink{}
 	follower := follow.New(follow.Config[string]{
 		Name: "t", Source: source, Sink: sink, MaxWait: time.Second, Timer: clock, Log: event.NewLogger(io.Discard, "test", log.InfoLevel),
 	})
@@ -221,17 +234,14 @@
 	must.Eq(t, []string{"replace", "a", "replace", "a"}, sink.calls)
 }
 
-// TestOnUnavailableIsCalled checks that a hanging wait for changes is given up in time and that OnUnavailable
-// is called then.
-func TestOnUnavailableIsCalled(t *testing.T) {
+// TestHangingWaitIsGivenUp checks that a hanging wait for changes is given up in time, and that the sink is told then.
+func TestHangingWaitIsGivenUp(t *testing.T) {
 	clock := timer.New()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	unavailable := make(chan struct{}, 1)
-	source, sink := &hangingSource{lists: make(chan struct{}), waits: make(chan struct{})}, &recordingSink{}
+	source, sink := newHangingSource(), &recordingSink{unavailable: make(chan struct{}, 1)}
 	follower := follow.New(follow.Config[string]{
-		Name: "t", Source: source, Sink: sink, MaxWait: 50 * time.Millisecond, OnUnavailable: func() { unavailable <- struct{}{} },
-		Timer: clock, Log: event.NewLogger(io.Discard, "test", log.InfoLevel),
+		Name: "t", Source: source, Sink: sink, MaxWait: 50 * time.Millisecond, Timer: clock, Log: event.NewLogger(io.Discard, "test", log.InfoLevel),
 	})
 	ended := make(chan error, 2)
 	runInBackground(ended, func() error { return clock.Serve(ctx) })
@@ -239,7 +249,7 @@
 	<-source.lists
 	<-source.waits
 	start := time.Now()
-	<-unavailable
+	<-sink.unavailable
 	must.Less(t, 2*follow.AnswerMargin, time.Since(start))
 	<-source.lists
 	<-source.waits
@@ -248,3 +258,74 @@
 	<-ended
 	must.Eq(t, []string{"replace", "a", "unavailable", "available", "replace", "a"}, sink.calls[:6])
 }
+
+// TestDistrustedWaitIsGivenUp guards against a follower that waits on for an answer which was lost, while a call about another table
+// has shown that the store's answers get lost. It reads the whole table as after a failure of its own, but not twice within
+// minRefreshPause.
+func TestDistrustedWaitIsGivenUp(t *testing.T) {
+	const minRefreshPause = time.Second
+	cases := []struct {
+		name string
+		// age is the time since the last read of the whole table, and pause the time after which it is read again.
+		age   time.Duration
+		pause time.Duration
+	}{
+		{"long after a read", 10 * time.Second, 0},
+		{"soon after a read", 300 * time.Millisecond, 700 * time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			clock := timer.NewManual(time.Unix(1000, 0))
+			source, sink := newHangingSource(), &recordingSink{}
+			follower := follow.New(follow.Config[string]{
+				Name: "t", Source: source, Sink: sink, MaxWait: time.Minute, Timer: clock, Log: event.NewLogger(io.Discard, "test", log.InfoLevel),
+			})
+			ctx, cancel := context.WithCancel(context.Background())
+			ended := make(chan error, 1)
+			runInBackground(ended, func() error { return follower.Serve(ctx) })
+			<-source.lists
+			<-source.waits
+			clock.Advance(c.age)
+			follower.Distrust()
+			follower.Distrust()
+			if c.pause > 0 {
+				clock.Advance(c.pause - time.Millisecond)
+				source.checkNoRead(t)
+				clock.Advance(time.Millisecond)
+			} else {
+				clock.Advance(0)
+			}
+			source.awaitRead(t, clock)
+			<-source.waits
+			clock.Advance(2 * minRefreshPause)
+			source.checkNoRead(t)
+			cancel()
+			must.ErrorIs(t, <-ended, context.Canceled)
+			must.Eq(t, []string{"replace", "a", "unavailable", "available", "replace", "a"}, sink.calls)
+		})
+	}
+}
+
+// checkNoRead fails the test if the whole table is read within 20 ms.
+func (s *hangingSource) checkNoRead(t *testing.T) {
+	t.Helper()
+	select {
+	case <-s.lists:
+		t.Fatal("the table was read again")
+	case <-time.After(20 * time.Millisecond):
+	}
+}
+
+// awaitRead waits until the whole table is read, while the pause after a failure passes.
+func (s *hangingSource) awaitRead(t *testing.T, clock *timer.Manual) {
+	t.Helper()
+	for range 1000 {
+		select {
+		case <-s.lists:
+			return
+		case <-time.After(5 * time.Millisecond):
+			clock.Advance(time.Millisecond)
+		}
+	}
+	t.Fatal("the table is not read again")
+}
