--- a/http1/head.go
+++ b/http1/head.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -28,6 +29,9 @@
 // parseResponse parses the head of an answer to a request with the given method and determines how its body is
 // framed.
 func parseResponse(head []byte, method string) (*http.Response, bodyFraming, error) {
+	if err := checkStatus(head); err != nil {
+		return nil, bodyFraming{}, err
+	}
 	if err := checkFraming(head); err != nil {
 		return nil, bodyFraming{}, err
 	}
@@ -47,6 +51,25 @@
 	}
 }
 
+// The statuses that an answer can have.
+const (
+	minStatus = http.StatusContinue
+	maxStatus = 599
+)
+
+// checkStatus rejects heads whose status is no number of three digits from minStatus to maxStatus, and those that switch to another
+// protocol, which no request asks for. net/http accepts some of them.
+func checkStatus(head []byte) error {
+	line, _, _ := bytes.Cut(head, []byte("\r\n"))
+	_, rest, _ := strings.Cut(string(line), " ")
+	text, _, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
+	status, err := strconv.ParseUint(text, 10, 16)
+	if err != nil || len(text) != 3 || status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols {
+		return errors.Errorf("%.40q is no status line of an answer", line)
+	}
+	return nil
+}
+
 func hasNoBody(status int, method string) bool {
 	return method == http.MethodHead || status < http.StatusOK || status == http.StatusNoContent || status == http.StatusNotModified
 }
