--- a/passthrough/holdback.go
+++ b/passthrough/holdback.go
@@ -1,15 +1,22 @@
 package passthrough
 
-const (
-	// An endpoint's answer is held back while more than maxUnsent bytes of it wait for its caller, and more than the Account's MaxUnsent
-	// for all callers together. It goes on once no more than unsentToResume bytes wait for its caller, or once the total has fallen.
-	maxUnsent      = 256 << 10
-	unsentToResume = 128 << 10
+// unsentBound says how many bytes of an answer may wait for its caller.
+type unsentBound struct {
+	// shared applies while more than the Account's MaxUnsent wait for all callers together, alone always.
+	shared, alone int64
+}
+
+// An endpoint's answer is held back while more than maxUnsent waits for its caller, and goes on once no more than unsentToResume does, or
+// once the total has fallen.
+var (
+	maxUnsent      = unsentBound{shared: 256 << 10, alone: 4 << 20}
+	unsentToResume = unsentBound{shared: 128 << 10, alone: 2 << 20}
 )
 
-// mustHoldBack reports whether the callers have too much to read, and this one more than a number of bytes.
-func (conn *connection) mustHoldBack(bytes int64) bool {
-	return conn.unsent.Load() > bytes && conn.server.loop.Queued() > conn.server.account.MaxUnsent()
+// mustHoldBack reports whether this caller has more than a bound to read.
+func (conn *connection) mustHoldBack(bound unsentBound) bool {
+	unsent := conn.unsent.Load()
+	return unsent > bound.alone || unsent > bound.shared && conn.server.loop.Queued() > conn.server.account.MaxUnsent()
 }
 
 // holdBack stops reading the endpoint's answer while its caller reads too slowly.
