--- a/cmd/chicorystand/hall/faulty.go
+++ b/cmd/chicorystand/hall/faulty.go
@@ -28,6 +28,8 @@
 	ClosePercent int `yaml:"closePercent,omitempty"`
 	// RefusePercent of the requests are refused.
 	RefusePercent int `yaml:"refusePercent,omitempty"`
+	// Flood is sent in place of some answers.
+	Flood Flood `yaml:"flood,omitempty"`
 }
 
 // happens decides at random whether something happens that does so with percent of 100 requests.
@@ -66,6 +68,10 @@
 		if _, err := io.Copy(io.Discard, request.Body); err != nil {
 			return
 		}
+		if flood := &e.settings.AnswerFaults.Flood; flood.isFor(request) {
+			flood.send(conn, request)
+			return
+		}
 		if !e.sendFaulty(conn, e.answerFaulty(request)) {
 			return
 		}
--- a/exchange/events.go
+++ b/exchange/events.go
@@ -74,6 +74,9 @@
 // AtBoundary reports whether the bytes so far end with a complete event.
 func (s *EventSplitter) AtBoundary() bool { return len(s.pending) == 0 }
 
+// Pending returns the memory in bytes that the beginning of an incomplete event takes.
+func (s *EventSplitter) Pending() int { return cap(s.pending) }
+
 // Feed handles the next bytes of the stream and appends the events that are complete now to out.
 func (s *EventSplitter) Feed(out, piece []byte) ([]byte, error) {
 	data, searched := piece, len(s.pending)
--- a/http1/head.go
+++ b/http1/head.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"net/http"
 	"strconv"
 	"strings"
@@ -29,7 +30,7 @@
 // parseResponse parses the head of an answer to a request with the given method and determines how its body is
 // framed.
 func parseResponse(head []byte, method string) (*http.Response, bodyFraming, error) {
-	if err := checkStatus(head); err != nil {
+	if err := cmp.Or(checkStatus(head), checkFieldCount(head)); err != nil {
 		return nil, bodyFraming{}, err
 	}
 	if err := checkFraming(head); err != nil {
@@ -57,6 +58,17 @@
 	maxStatus = 599
 )
 
+// maxAnswerFields bounds the fields of an answer's head. Each takes more than a hundred bytes of memory, however short it is.
+const maxAnswerFields = 512
+
+// checkFieldCount rejects heads with more fields than an answer has.
+func checkFieldCount(head []byte) error {
+	if fields := bytes.Count(head, []byte("\n")) - 2; fields > maxAnswerFields { // The status line and the empty line are none.
+		return errors.Errorf("the head of an answer has %d fields, which are more than %d", fields, maxAnswerFields)
+	}
+	return nil
+}
+
 // checkStatus rejects heads whose status is no number of three digits from minStatus to maxStatus, and those that switch to another
 // protocol, which no request asks for. net/http accepts some of them.
 func checkStatus(head []byte) error {
--- a/http1/reader_test.go
+++ b/http1/reader_test.go
@@ -214,3 +214,15 @@
 		must.Eq(t, []string{body}, c.bodies)
 	}
 }
+
+// TestAnswersWithTooManyFieldsAreRejected guards against heads whose fields take many times the memory of their text.
+func TestAnswersWithTooManyFieldsAreRejected(t *testing.T) {
+	for _, c := range []struct {
+		fields  int
+		isValid bool
+	}{{0, true}, {512, true}, {513, false}, {10_000, false}} {
+		reader := http1.NewResponseReader(&answerCollector{}, func() string { return http.MethodGet }, http1.Limits{Head: 64 << 10})
+		err := reader.Feed([]byte("HTTP/1.1 200 OK\r\n" + strings.Repeat("a:\r\n", c.fields) + "\r\n"))
+		must.Eq(t, c.isValid, err == nil, must.Sprint(c.fields))
+	}
+}
--- a/memory/account.go
+++ b/memory/account.go
@@ -22,6 +22,9 @@
 	CauseEncoded
 	// CauseUnsent is what was written, to callers for the most part, and not taken by the kernel.
 	CauseUnsent
+	// CauseAnswer is what of endpoints' answers cannot be passed on yet: heads and events that are incomplete, and answers that are
+	// passed on once they are complete.
+	CauseAnswer
 	// CauseReceive is what the kernel has received on connections that are not read.
 	CauseReceive
 )
@@ -31,6 +34,8 @@
 	readAheadShare = 1.0 / 16
 	// unsentShare is the part up to which answers may wait for callers before endpoints are held back.
 	unsentShare = 1.0 / 4
+	// answerShare is the part up to which answers may be held that cannot be passed on yet.
+	answerShare = 1.0 / 4
 	// maxReadAhead and maxUnsent bound these parts where there is much memory.
 	maxReadAhead = 8 << 20
 	maxUnsent    = 32 << 20
@@ -74,5 +79,10 @@
 	return a.Held(CauseReadAhead) < min(maxReadAhead, int64(readAheadShare*float64(a.limit)))
 }
 
+// MayHoldAnswers reports whether more of answers may be held that cannot be passed on yet.
+func (a *Account) MayHoldAnswers() bool {
+	return a.Held(CauseAnswer) < int64(answerShare*float64(a.limit))
+}
+
 // MaxUnsent returns the number of bytes of answers that may wait for callers before endpoints are held back.
 func (a *Account) MaxUnsent() int64 { return min(maxUnsent, int64(unsentShare*float64(a.limit))) }
--- a/memory/cause_enumer.go
+++ b/memory/cause_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _CauseName = "headbodyread-aheadencodedunsentreceive"
+const _CauseName = "headbodyread-aheadencodedunsentanswerreceive"
 
-var _CauseIndex = [...]uint8{0, 4, 8, 18, 25, 31, 38}
+var _CauseIndex = [...]uint8{0, 4, 8, 18, 25, 31, 37, 44}
 
-const _CauseLowerName = "headbodyread-aheadencodedunsentreceive"
+const _CauseLowerName = "headbodyread-aheadencodedunsentanswerreceive"
 
 func (i Cause) String() string {
 	if i < 0 || i >= Cause(len(_CauseIndex)-1) {
@@ -29,10 +29,11 @@
 	_ = x[CauseReadAhead-(2)]
 	_ = x[CauseEncoded-(3)]
 	_ = x[CauseUnsent-(4)]
-	_ = x[CauseReceive-(5)]
+	_ = x[CauseAnswer-(5)]
+	_ = x[CauseReceive-(6)]
 }
 
-var _CauseValues = []Cause{CauseHead, CauseBody, CauseReadAhead, CauseEncoded, CauseUnsent, CauseReceive}
+var _CauseValues = []Cause{CauseHead, CauseBody, CauseReadAhead, CauseEncoded, CauseUnsent, CauseAnswer, CauseReceive}
 
 var _CauseNameToValueMap = map[string]Cause{
 	_CauseName[0:4]:   CauseHead,
@@ -40,7 +41,8 @@
 	_CauseName[8:18]:  CauseReadAhead,
 	_CauseName[18:25]: CauseEncoded,
 	_CauseName[25:31]: CauseUnsent,
-	_CauseName[31:38]: CauseReceive,
+	_CauseName[31:37]: CauseAnswer,
+	_CauseName[37:44]: CauseReceive,
 }
 
 var _CauseLowerNameToValueMap = map[string]Cause{
@@ -49,7 +51,8 @@
 	_CauseLowerName[8:18]:  CauseReadAhead,
 	_CauseLowerName[18:25]: CauseEncoded,
 	_CauseLowerName[25:31]: CauseUnsent,
-	_CauseLowerName[31:38]: CauseReceive,
+	_CauseLowerName[31:37]: CauseAnswer,
+	_CauseLowerName[37:44]: CauseReceive,
 }
 
 var _CauseNames = []string{
@@ -58,7 +61,8 @@
 	_CauseName[8:18],
 	_CauseName[18:25],
 	_CauseName[25:31],
-	_CauseName[31:38],
+	_CauseName[31:37],
+	_CauseName[37:44],
 }
 
 // CauseString retrieves an enum value from the enum constants string name.
--- a/passthrough/answer.go
+++ b/passthrough/answer.go
@@ -116,49 +116,6 @@
 	return a.response.StatusCode < http.StatusMultipleChoices && !a.answerHeaders.NotRun
 }
 
-// bufferPiece buffers a piece of an answer. An answer that becomes too long for that is forwarded from then on, unless it is no
-// success: the request may then run again.
-func (a *attempt) bufferPiece(piece []byte) {
-	a.buffered = append(a.buffered, piece...)
-	if len(a.buffered) <= maxBufferedAnswer {
-		return
-	}
-	if a.isFailure() {
-		a.failTooLong()
-		return
-	}
-	if a.exchange.machine.IsAnswerStarted() || len(a.exchange.held) > 0 && !a.isSuccess() {
-		a.fail(exchange.FailureLost, errors.Errorf("an answer of more than %d bytes that does not continue the stream", maxBufferedAnswer))
-		return
-	}
-	a.goOn()
-	a.forwarding = true
-	a.startAnswer()
-	a.forwardPiece(a.buffered)
-	a.buffered = nil
-}
-
-// isFailure reports whether the answer that has begun says that the request has failed or has not run.
-func (a *attempt) isFailure() bool {
-	status := a.response.StatusCode
-	return a.answerHeaders.NotRun || status >= http.StatusInternalServerError || impliesNotRun(status)
-}
-
-// failTooLong ends the attempt as its answer, which is no success, does not end.
-func (a *attempt) failTooLong() {
-	a.buffered = nil
-	cause := errors.Errorf("an answer with status %d and more than %d bytes", a.response.StatusCode, maxBufferedAnswer)
-	switch {
-	case !a.answerHeaders.NotRun:
-		a.excludeFirst()
-		a.fail(exchange.FailureLost, cause)
-	case a.peer != nil:
-		a.fail(exchange.FailureRefused, cause)
-	default:
-		a.handleRefusal()
-	}
-}
-
 // handleEvents forwards the events of a stream that are complete now, also those before an invalid one. Those of a hedge that
 // fails are left to the attempt that goes on.
 func (a *attempt) handleEvents(piece []byte) {
@@ -168,6 +125,10 @@
 		a.continueStream()
 		a.forwardPiece(out)
 	}
+	a.recordHeld()
+	if err == nil && !a.mayHold(a.events.Pending()) {
+		err = errNoMemoryForAnswer
+	}
 	if err != nil {
 		a.observeFirst(chicoryhall.ObservedBrokenConnection)
 		a.excludeFirst()
@@ -277,11 +238,3 @@
 	}
 	x.finishAnswered(status, routeText(a.route))
 }
-
-// forwardAnswer forwards an attempt's buffered answer unchanged.
-func (x *callerExchange) forwardAnswer(a *attempt) {
-	x.closeAfterAnswer = x.closesConnection()
-	x.recordPiece()
-	x.conn.writeWhole(a.response.StatusCode, http1.EndToEndFields(a.response.Header), a.buffered, x.closeAfterAnswer)
-	x.finishAnswered(a.response.StatusCode, routeText(a.route))
-}
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -23,9 +23,6 @@
 	recentProgress = 250 * time.Millisecond
 	// progressReportPeriod is the least time between two reports of progress by one attempt.
 	progressReportPeriod = 50 * time.Millisecond
-	// maxBufferedAnswer bounds the buffered part of an answer in bytes. Answers up to it are forwarded once
-	// they are complete, so that a failed attempt can be repeated; longer ones are forwarded as they arrive.
-	maxBufferedAnswer = 1 << 20
 )
 
 // attempt is one attempt to run a request at an endpoint. Its fields are only used in the mailbox of the
@@ -54,9 +51,11 @@
 	response      *http.Response
 	answerHeaders chicoryhall.AnswerHeaders
 	// buffered collects an answer that is forwarded once it is complete. forwarding is set if the answer is
-	// forwarded as it arrives: an event stream, or an answer longer than maxBufferedAnswer.
-	buffered   []byte
+	// forwarded as it arrives: an event stream, or an answer that is too long to be held. held is what the account
+	// says that the attempt holds.
+	buffered   bodyBuffer
 	forwarding bool
+	held       int
 	// withdrawn is what the answer withdraws of what is held against the parts of the prompt, once it has gone on.
 	withdrawn []quarantine.Clearance
 	// pieces counts the pieces of the answer's body, the first of which arrived at firstPieceAt. wentOn is set once the answer
@@ -217,6 +216,7 @@
 // release releases what the attempt holds, but for the connection.
 func (a *attempt) release() {
 	a.ended = true
+	a.setHeld(0)
 	a.reportMissingFirstEvent()
 	a.exchange.server.progress.remove(a)
 	a.endAt(a.route)
--- a/passthrough/connection.go
+++ b/passthrough/connection.go
@@ -425,9 +425,24 @@
 	conn.write(http1.AppendResponseHead(nil, status, header, http1.FramingLength, len(body), last))
 }
 
+// headSpace is the space for the head of an answer that is sent with its body, in bytes. Larger ones need more.
+const headSpace = 512
+
 // writeWhole sends a complete answer.
 func (conn *connection) writeWhole(status int, header http.Header, body []byte, last bool) {
-	out := make([]byte, 0, len(body)+512)
+	out := make([]byte, 0, len(body)+headSpace)
 	out = http1.AppendResponseHead(out, status, header, http1.FramingLength, len(body), last)
 	conn.write(append(out, body...))
 }
+
+// writeBuffered sends a complete answer with a body that was collected. A large one is not copied into one piece of memory.
+func (conn *connection) writeBuffered(status int, header http.Header, body *bodyBuffer, last bool) {
+	if body.size <= maxPiece {
+		conn.writeWhole(status, header, body.join(), last)
+		return
+	}
+	conn.write(http1.AppendResponseHead(nil, status, header, http1.FramingLength, body.size, last))
+	for _, piece := range body.pieces {
+		conn.write(piece)
+	}
+}
--- a/passthrough/endpoint.go
+++ b/passthrough/endpoint.go
@@ -15,6 +15,7 @@
 	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/event"
 	"chicoryhall.example/chicoryhall/http1"
+	"chicoryhall.example/chicoryhall/memory"
 	"chicoryhall.example/chicoryhall/tcp"
 )
 
@@ -70,6 +71,8 @@
 	maxIdle time.Duration
 	// answerCount counts the answers received on the connection.
 	answerCount int
+	// held is what the account says that the reader holds.
+	held int
 }
 
 func newEndpointConnection(p *pool, address string, socket *tcp.Conn) *endpointConnection {
@@ -165,6 +168,10 @@
 func (conn *endpointConnection) OnData(data []byte) {
 	conn.answerEnded = false
 	err := conn.reader.Feed(data)
+	conn.recordHeld(conn.reader.Held())
+	if err == nil && conn.held > smallAnswer && !conn.pool.account.MayHoldAnswers() {
+		err = errNoMemoryForAnswer
+	}
 	switch {
 	case conn.answerEnded:
 		// Invalid bytes after a complete answer don't invalidate it, but prevent reuse of the connection.
@@ -175,6 +182,14 @@
 	}
 }
 
+// recordHeld records how many bytes of an incomplete head or line the reader holds.
+func (conn *endpointConnection) recordHeld(bytes int) {
+	if bytes != conn.held {
+		conn.pool.account.Add(memory.CauseAnswer, int64(bytes-conn.held))
+		conn.held = bytes
+	}
+}
+
 // finish completes the request in progress and makes the connection available for the next one, or closes it.
 func (conn *endpointConnection) finish() {
 	conn.answerCount++
@@ -207,6 +222,7 @@
 // OnClose ends the request in progress. An answer that is delimited by the end of its connection is complete
 // only if the endpoint closed the connection without a reset.
 func (conn *endpointConnection) OnClose(err error) {
+	conn.recordHeld(0)
 	conn.mu.Lock()
 	conn.closed = true
 	conn.mu.Unlock()
