--- a/membership/tablemembers.go
+++ b/membership/tablemembers.go
@@ -26,6 +26,10 @@
 	rowLifetime = 3*rowPeriod + rowPeriod/2
 	// rowTimeout bounds one call to the table.
 	rowTimeout = 2 * time.Second
+	// minStartPause and maxStartPause bound the pause after a call that failed while this daemon does not know the others yet; it
+	// doubles each time. Later calls are repeated with the next period, as nothing is lost by then.
+	minStartPause = 250 * time.Millisecond
+	maxStartPause = time.Second
 	// countsLifetime is how long the numbers of live daemons are cached.
 	countsLifetime = time.Second
 	// rowRetention is the time after its last change at which a row is removed.
@@ -96,12 +100,7 @@
 }
 
 // Restored makes Serve write this daemon's row again, as the table has returned to an earlier state.
-func (m *TableMembers) Restored() {
-	select {
-	case m.restored <- struct{}{}:
-	default:
-	}
-}
+func (m *TableMembers) Restored() { signal(m.restored) }
 
 // String returns the name of this service in the logs of the suture supervisor.
 func (m *TableMembers) String() string { return "table members" }
@@ -173,46 +172,66 @@
 	m.subscribers = append(m.subscribers, changed)
 }
 
-// Serve writes this daemon's row and reads all rows periodically until ctx ends.
+// Serve writes this daemon's row and reads all rows until ctx ends: periodically, once more soon after the first time, and until it
+// knows the others, again after each failure.
 func (m *TableMembers) Serve(ctx context.Context) error {
-	writeDue := make(chan struct{}, 1)
-	m.writeOwnRow(ctx)
-	m.readRows(ctx)
-	readDue := make(chan struct{}, 1)
-	readAgain := func() chicoryhall.Subscription {
-		return m.timer.After(secondReadDelay, func(time.Time) {
-			select {
-			case readDue <- struct{}{}:
-			default:
-			}
-		})
-	}
-	secondRead := readAgain()
-	defer func() { secondRead.Cancel() }()
-	ticks := m.timer.Every(rowPeriod, func(time.Time) {
-		select {
-		case writeDue <- struct{}{}:
-		default:
-		}
-	})
+	due := make(chan struct{}, 1)
+	ticks := m.timer.Every(rowPeriod, func(time.Time) { signal(due) })
 	defer ticks.Cancel()
-	for {
+	again := m.exchangeAndPlan(ctx, due, minStartPause)
+	defer func() { again.Cancel() }()
+	for pause := minStartPause; ; {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-readDue:
-			m.readRows(ctx)
+		case <-due:
+			pause = min(maxStartPause, 2*pause)
+			again.Cancel()
+			again = m.exchangeAndPlan(ctx, due, pause)
 		case <-m.restored:
 			m.writeOwnRow(ctx)
-			secondRead.Cancel()
-			secondRead = readAgain()
-		case <-writeDue:
-			m.writeOwnRow(ctx)
-			m.readRows(ctx)
+			again.Cancel()
+			again = m.timer.After(secondReadDelay, func(time.Time) { signal(due) })
 		}
 	}
 }
 
+// exchangeAndPlan writes this daemon's row and reads all rows. It makes the next time due after a pause if a call has failed, and after
+// secondReadDelay if the rows were read for the first time, unless this daemon has known the others before.
+func (m *TableMembers) exchangeAndPlan(ctx context.Context, due chan<- struct{}, pause time.Duration) chicoryhall.Subscription {
+	wasSettled := m.isSettled()
+	written := m.writeOwnRow(ctx)
+	read := (written || wasSettled) && m.readRows(ctx) // At the start, a call that hangs is not followed by another one.
+	switch {
+	case wasSettled || m.isSettled() && written:
+		return noSubscription{}
+	case written && read:
+		pause = secondReadDelay
+	}
+	return m.timer.After(pause, func(time.Time) { signal(due) })
+}
+
+// noSubscription is a subscription to nothing.
+type noSubscription struct{}
+
+// Cancel does nothing.
+func (noSubscription) Cancel() {}
+
+// signal puts a token into a channel, unless it is full.
+func signal(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// isSettled reports whether daemons that started together with this one are known.
+func (m *TableMembers) isSettled() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.settled
+}
+
 // RemoveRow removes this daemon's row when it stops, so that the other daemons no longer count it after their next read.
 func (m *TableMembers) RemoveRow(ctx context.Context) {
 	change := table.Change{Key: m.key(), IfVersion: table.AnyVersion, Delete: true}
@@ -222,7 +241,8 @@
 
 func (m *TableMembers) key() string { return RowPrefix + string(m.self.ID) }
 
-func (m *TableMembers) writeOwnRow(ctx context.Context) {
+// writeOwnRow writes this daemon's row and reports whether that succeeded.
+func (m *TableMembers) writeOwnRow(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, rowTimeout)
 	defer cancel()
 	value := memberRow{
@@ -232,15 +252,17 @@
 	change := table.Change{Key: m.key(), Value: table.EncodeValue(value), IfVersion: table.AnyVersion}
 	_, err := m.table.Transact(ctx, table.Transaction{Nonce: rand.Text(), Changes: []table.Change{change}})
 	m.noteResult("write the daemon's row", err)
+	return err == nil
 }
 
-func (m *TableMembers) readRows(ctx context.Context) {
+// readRows reads the rows of all daemons and reports whether that succeeded.
+func (m *TableMembers) readRows(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, rowTimeout)
 	defer cancel()
 	rows, err := m.table.Rows(ctx, RowPrefix)
 	m.noteResult("read the daemons' rows", err)
 	if err != nil {
-		return
+		return false
 	}
 	now := m.timer.Now()
 	m.updateRows(rows, now)
@@ -248,6 +270,7 @@
 		m.notify(member)
 	}
 	m.removeExpired(ctx, now)
+	return true
 }
 
 // updateRows stores the rows as read at now.
--- a/membership/tablemembers_test.go
+++ b/membership/tablemembers_test.go
@@ -123,3 +123,49 @@
 func runAsync(ended chan<- error, function func() error) {
 	go func() { ended <- function() }()
 }
+
+// TestFirstReadIsRepeatedUntilItSucceeds guards against a daemon that starts while the store is away and knows no other one for a period of the
+// rows after its return: it took the whole slack of the retries for itself, and ordered no layers.
+func TestFirstReadIsRepeatedUntilItSucceeds(t *testing.T) {
+	const (
+		step = 50 * time.Millisecond
+		// knownWithin and settledWithin are the times after the store's return; settled takes a second read 3 s after the first one.
+		knownWithin   = time.Second
+		settledWithin = knownWithin + 3*time.Second + step
+	)
+	for _, outage := range []time.Duration{0, time.Second, 4500 * time.Millisecond, 20 * time.Second} {
+		t.Run(outage.String(), func(t *testing.T) {
+			store, clock := &tabletest.Store{}, timer.NewManual(time.Unix(1000, 0))
+			writeRow(t, store, "b", `{"failureDomain":"f","run":1}`)
+			store.SetDown(outage > 0)
+			members := membership.NewTableMembers(chicoryhall.Member{ID: "a", FailureDomain: "f"}, store, clock, event.NewLogger(io.Discard, "test", log.InfoLevel))
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := make(chan error, 1)
+			runAsync(ended, func() error { return members.Serve(ctx) })
+			awaitWithin := func(limit time.Duration, holds func() bool) {
+				t.Helper()
+				for passed := time.Duration(0); !holds(); passed += step {
+					must.LessEq(t, limit, passed)
+					clock.Advance(step)
+					time.Sleep(2 * time.Millisecond) // For the calls that have become due.
+				}
+			}
+			for passed := time.Duration(0); passed < outage; passed += step {
+				clock.Advance(step)
+				time.Sleep(2 * time.Millisecond)
+				must.False(t, members.Known())
+			}
+			store.SetDown(false)
+			awaitWithin(knownWithin, members.Known)
+			must.Eq(t, 2, members.Alive())
+			awaitWithin(settledWithin, func() bool {
+				_, settled := members.SettledInDomain()
+				return settled
+			})
+			_, hasRow := store.Snapshot()["daemons/a"]
+			must.True(t, hasRow)
+			cancel()
+			<-ended
+		})
+	}
+}
