--- a/cmd/chicoryhall/platformdaemon/builder.go
+++ b/cmd/chicoryhall/platformdaemon/builder.go
@@ -179,6 +179,7 @@
 	b.retries = retry.NewSlidingBudgets(retry.SlidingLimits{
 		Window: b.settings.Retries.Window, Ratio: b.settings.Retries.Ratio, Slack: b.settings.Retries.Slack,
 	}, b.timer.Now(), b.members.Alive)
+	b.retries.SetCountKnown(b.members.Known)
 	b.buildNeighbours(supervisor)
 	b.documents = routing.NewDocuments(b.rules, b.endpoints)
 	hangTimeout := b.settings.Store.HangTimeout
--- a/retry/slidingbudgets.go
+++ b/retry/slidingbudgets.go
@@ -35,6 +35,8 @@
 	limits      SlidingLimits
 	startedAt   time.Time
 	daemonCount func() int
+	// isCountKnown reports whether daemonCount counts all daemons.
+	isCountKnown func() bool
 
 	mu        sync.Mutex
 	byService map[chicoryhall.ServiceName]*window
@@ -50,11 +52,15 @@
 // daemonCount returns the number of daemons that share the slack, this one included.
 func NewSlidingBudgets(limits SlidingLimits, startedAt time.Time, daemonCount func() int) *SlidingBudgets {
 	return &SlidingBudgets{
-		limits: limits, startedAt: startedAt, daemonCount: daemonCount, byService: make(map[chicoryhall.ServiceName]*window),
+		limits: limits, startedAt: startedAt, daemonCount: daemonCount, isCountKnown: func() bool { return true }, byService: make(map[chicoryhall.ServiceName]*window),
 		accounts: make(map[chicoryhall.ServiceName]*account), loanNumber: startedAt.UnixMilli(), short: func() {},
 	}
 }
 
+// SetCountKnown sets the function that reports whether the number of daemons is known. While it is not, nothing of the slack is spent, as
+// the part of this daemon may be small. It must be called before the first retry.
+func (b *SlidingBudgets) SetCountKnown(isKnown func() bool) { b.isCountKnown = isKnown }
+
 // CountRequest counts a caller's request.
 func (b *SlidingBudgets) CountRequest(service chicoryhall.ServiceName, now time.Time) {
 	b.mu.Lock()
@@ -100,6 +106,9 @@
 
 // slackPart returns this daemon's part of the slack.
 func (b *SlidingBudgets) slackPart(now time.Time) float64 {
+	if !b.isCountKnown() {
+		return 0
+	}
 	return b.slackAt(now) / float64(max(1, b.daemonCount()))
 }
 
--- a/retry/slidingbudgets_test.go
+++ b/retry/slidingbudgets_test.go
@@ -128,3 +128,21 @@
 		})
 	}
 }
+
+// TestSlackIsNotSpentWhileDaemonsAreUnknown guards against a daemon that started while the store was away, counted itself only, and took the whole
+// slack of all daemons.
+func TestSlackIsNotSpentWhileDaemonsAreUnknown(t *testing.T) {
+	known := false
+	now := time.Unix(1000, 0)
+	budgets := retry.NewSlidingBudgets(retry.SlidingLimits{Window: 10 * time.Second, Ratio: 0.2, Slack: 100}, now.Add(-time.Hour), func() int { return 1 })
+	budgets.SetCountKnown(func() bool { return known })
+	must.False(t, budgets.Take("s", now))
+	for range 10 {
+		budgets.CountRequest("s", now)
+	}
+	must.True(t, budgets.Take("s", now), must.Sprint("the ratio of its own requests"))
+	must.True(t, budgets.Take("s", now))
+	must.False(t, budgets.Take("s", now))
+	known = true
+	must.True(t, budgets.Take("s", now))
+}
