--- a/exchange/machine.go
+++ b/exchange/machine.go
@@ -76,6 +76,12 @@
 // IsRepeatable reports whether the request may run more than once.
 func (m *Machine) IsRepeatable() bool { return m.config.IsRepeatable() }
 
+// MayJoinRuns reports whether an answer of which the caller has a part may be continued by another run. A request that may only run again as a
+// whole has answers that may differ from run to run.
+func (m *Machine) MayJoinRuns() bool {
+	return m.config.Kind == chicoryhall.ExchangeStream && m.config.Resumable
+}
+
 // FailedAttempts returns the number of attempts that have failed so far, whether they ran or not.
 func (m *Machine) FailedAttempts() int { return m.possibleRuns + m.notRun }
 
--- a/passthrough/answer.go
+++ b/passthrough/answer.go
@@ -57,7 +57,7 @@
 }
 
 // startStream forwards the head of a stream, unless the stream continues an earlier attempt's answer. The stream of a hedge is
-// forwarded from its first event on.
+// forwarded from its first event on, as is one that no other run may continue: until then, the request may run again as a whole.
 func (a *attempt) startStream() {
 	x := a.exchange
 	a.forwarding = true
@@ -71,7 +71,7 @@
 		a.events = &exchange.EventSplitter{}
 		a.events.SetLastID(x.callerHeaders.LastEvent)
 	}
-	if len(x.held) == 0 {
+	if len(x.held) == 0 && (x.machine.MayJoinRuns() || !x.machine.IsRepeatable()) {
 		a.continueStream()
 	}
 }
--- a/passthrough/failure.go
+++ b/passthrough/failure.go
@@ -143,7 +143,7 @@
 
 // canContinue reports whether another attempt can go on with what the caller has got so far.
 func (x *callerExchange) canContinue() bool {
-	return !x.machine.IsAnswerStarted() || x.events != nil && x.events.CanResume()
+	return !x.machine.IsAnswerStarted() || x.machine.MayJoinRuns() && x.events != nil && x.events.CanResume()
 }
 
 // takeRetry reports whether another attempt may start, and spends a retry for it.
