--- a/cmd/chicoryhall/platformdaemon/quarantine.go
+++ b/cmd/chicoryhall/platformdaemon/quarantine.go
@@ -99,7 +99,7 @@
 // been harmless.
 func (s *quarantineService) recordLoss(crash quarantine.Incarnation, loss quarantine.Loss, isolated bool, now time.Time) {
 	involvement := quarantine.Involvement{
-		Fingerprint: loss.Fingerprint, Attempt: loss.Attempt, Incarnation: crash, Position: loss.Position,
+		Fingerprint: loss.Fingerprint, Attempt: loss.Attempt, Incarnation: crash, Position: loss.Position, Events: loss.Events,
 		Later: loss.Explained, Isolated: isolated && loss.Subject == loss.Fingerprint,
 	}
 	s.evidence.Record(involvement, now)
@@ -108,6 +108,7 @@
 			continue
 		}
 		involvement.Fingerprint, involvement.Content, involvement.Position = part, loss.Fingerprint, 0
+		involvement.Events = 0
 		involvement.Isolated = isolated && loss.Subject == part
 		s.evidence.Record(involvement, now)
 	}
--- a/exchange/events.go
+++ b/exchange/events.go
@@ -22,6 +22,8 @@
 	hasLastID bool
 	// resuming is set until the first event with a new ID if the EventSplitter was returned by Resumed.
 	resuming bool
+	// passed counts the events that were passed on, without comments.
+	passed int64
 	// hasPassed is set once an event was passed on. isUnplaced is set while the last one of them has no ID.
 	hasPassed  bool
 	isUnplaced bool
@@ -54,6 +56,9 @@
 // Position returns the number that LastID returns as a text, or 0 if there is none.
 func (s *EventSplitter) Position() int64 { return s.lastID }
 
+// Passed returns the number of events that were passed on, without those before Resumed.
+func (s *EventSplitter) Passed() int64 { return s.passed }
+
 // Resumed returns an EventSplitter for the stream of a further attempt. Events up to LastID are omitted there, and a gap
 // after it is an error, unless the IDs so far had gaps, as is an event without an ID before the first new one.
 func (s *EventSplitter) Resumed() *EventSplitter {
@@ -134,6 +139,7 @@
 		return out, errors.Errorf("events are missing in the resumed stream: event %d comes after event %d", id, s.lastID)
 	}
 	s.hasGaps = s.hasGaps || s.hasPassed && !isNext
+	s.passed++
 	s.lastID, s.hasLastID, s.resuming, s.hasPassed, s.isUnplaced = id, true, false, true, false
 	return append(out, event...), nil
 }
@@ -150,6 +156,7 @@
 	case mayBeKnown:
 		return out, errors.Errorf("an event without an ID where the stream is to go on after event %s", s.LastID())
 	default:
+		s.passed++
 		s.hasPassed, s.isUnplaced = true, true
 		return append(out, event...), nil
 	}
--- a/passthrough/quarantine.go
+++ b/passthrough/quarantine.go
@@ -160,7 +160,7 @@
 	x := a.exchange
 	x.config().Quarantine.Lost(quarantine.Loss{
 		Fingerprint: x.fingerprint, Parts: a.unprovenParts(), Subject: a.standing.Subject, Attempt: x.attemptID(a.number), Stages: a.stages,
-		Position: x.position(), Cause: cause, StartedAt: a.startedAt, LostAt: x.config().Timer.Now(),
+		Position: x.position(), Events: a.ownEvents(), Cause: cause, StartedAt: a.startedAt, LostAt: x.config().Timer.Now(),
 	})
 }
 
@@ -210,7 +210,8 @@
 // has got beyond the point at which earlier attempts were lost. A complete answer is always beyond it.
 func (a *attempt) checkProven(complete bool) {
 	x := a.exchange
-	if len(a.standing.Crashes) == 0 || !complete && x.position() < a.standing.ProvenAt {
+	isBeyond := x.position() >= a.standing.ProvenAt && a.ownEvents() >= a.standing.ProvenAfter
+	if len(a.standing.Crashes) == 0 || !complete && !isBeyond {
 		return
 	}
 	x.config().Quarantine.Passed(x.fingerprint, a.standing.Crashes)
@@ -240,6 +241,14 @@
 	}
 }
 
+// ownEvents returns the number of events of the answer that the attempt itself has made.
+func (a *attempt) ownEvents() int64 {
+	if a.events == nil {
+		return 0
+	}
+	return a.events.Passed()
+}
+
 // position returns the ID of the last event that the caller has received, or 0.
 func (x *callerExchange) position() int64 {
 	if x.events == nil {
--- a/passthrough/quarantine_test.go
+++ b/passthrough/quarantine_test.go
@@ -1,7 +1,11 @@
 package passthrough_test
 
 import (
+	"fmt"
+	"io"
 	"net"
+	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -334,3 +338,66 @@
 	must.NotEq(t, "", got.header.Get("Retry-After"))
 	must.Len(t, 0, e.requests())
 }
+
+// TestResumedRunProvesNothingByEarlierEvents guards against a stream that crashes each endpoint after three events of it, is resumed, and clears
+// itself each time, as its position is beyond that of the last crash.
+func TestResumedRunProvesNothingByEarlierEvents(t *testing.T) {
+	const lostAt = 6 // By three runs of two events each, or by one.
+	cases := []struct {
+		name string
+		// lostAfter is the greatest number of events that a lost attempt had made.
+		lostAfter int64
+		// from and to are the first and the last event of the answer.
+		from, to int
+		cleared  bool
+	}{
+		{"a run that goes on as far as those that were lost", 3, lostAt + 1, lostAt + 3, false},
+		{"one that goes on beyond it", 3, lostAt + 1, lostAt + 5, true},
+		{"one from the beginning, up to the last crash", 6, 1, lostAt + 1, false},
+		{"one from the beginning, beyond the last crash", 6, 1, lostAt + 2, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			e := newEndpoint(t, func(conn net.Conn, _ int, request *http.Request) bool {
+				events := ""
+				for id := c.from; id <= c.to; id++ {
+					events += eventText(id)
+				}
+				return send(conn, streamHead(request)+chunk(events)) && endSilent(conn)
+			})
+			w := startServer(t, testRules(), e)
+			standing := crashedBefore(quarantine.StateFree)
+			standing.ProvenAt, standing.ProvenAfter = lostAt+2, c.lostAfter+2
+			w.quarantine.setStanding(standing)
+			conn, reader := w.dial(t)
+			text := requestText("POST", "/stream/a", "1", "x")
+			if c.from > 1 {
+				text = strings.Replace(text, "Key: k\r\n", fmt.Sprintf("Key: k\r\nLast: %d\r\n", c.from-1), 1)
+			}
+			must.True(t, send(conn, text))
+			response, err := http.ReadResponse(reader, nil)
+			must.NoError(t, err)
+			wanted := 0
+			for id := c.from; id <= c.to; id++ {
+				wanted += len(eventText(id))
+			}
+			_, err = io.ReadFull(response.Body, make([]byte, wanted))
+			must.NoError(t, err)
+			_ = conn.Close()
+			w.waitIdle(t)
+			must.Eq(t, c.cleared, len(w.quarantine.cleared()) > 0)
+		})
+	}
+}
+
+func (q *fakeQuarantine) setStanding(standing quarantine.Standing) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.standing = standing
+}
+
+func (q *fakeQuarantine) cleared() []quarantine.Incarnation {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return slices.Clone(q.passed)
+}
--- a/quarantine/derivation_test.go
+++ b/quarantine/derivation_test.go
@@ -44,7 +44,7 @@
 	content := Fingerprint(rapid.IntRange(1, drawnContents).Draw(t, "content"))
 	one := Involvement{
 		Fingerprint: content, Attempt: fmt.Sprint(content, "/", rapid.IntRange(0, 6).Draw(t, "attempt")), Incarnation: drawIncarnation(t),
-		Position: rapid.Int64Range(0, 2).Draw(t, "position"), Later: rapid.IntRange(0, 3).Draw(t, "later") == 0,
+		Position: rapid.Int64Range(0, 2).Draw(t, "position"), Events: rapid.Int64Range(0, 2).Draw(t, "events"), Later: rapid.IntRange(0, 3).Draw(t, "later") == 0,
 		Isolated: rapid.IntRange(0, 3).Draw(t, "isolated") == 0,
 	}
 	if rapid.Bool().Draw(t, "isPart") {
--- a/quarantine/incident.go
+++ b/quarantine/incident.go
@@ -56,8 +56,8 @@
 	byAttempt map[string]*incident
 	byCause   map[Incarnation]*incident
 	added     int
-	// position is the highest position at which an attempt was lost.
-	position int64
+	// position is the highest position at which an attempt was lost, and events the greatest number of events that one had made.
+	position, events int64
 	// isPart is set if the fingerprint is that of a part of prompts. contents are then the lost contents that held the part,
 	// and strongestRival is the greatest weight of another part that was involved in one of the crashes, or the number of incidents
 	// in which one content was lost apart from the part, if that is greater. Contents are only counted if the part has the weight
@@ -85,7 +85,7 @@
 // become one; if there is none, the involvement makes a new one.
 func (s *subject) add(one Involvement, knownAt time.Time) {
 	s.added++
-	s.position = max(s.position, one.Position)
+	s.position, s.events = max(s.position, one.Position), max(s.events, one.Events)
 	if one.IsPart() {
 		s.addContent(one.Content)
 	}
--- a/quarantine/losses.go
+++ b/quarantine/losses.go
@@ -57,8 +57,9 @@
 	Attempt string
 	// Stages are those of the route that the attempt ran on.
 	Stages []Stage
-	// Position is the ID of the last event of the answer that the caller had received, or 0.
-	Position int64
+	// Position is the ID of the last event of the answer that the caller had received, or 0. Events is the number of events that the
+	// attempt itself had made.
+	Position, Events int64
 	// Isolated is set if the endpoints were reserved for the attempt until it was lost, see Reservations.
 	Isolated  bool
 	Cause     LossCause
@@ -126,8 +127,8 @@
 type Pending struct {
 	// Crashes are the incarnations that attempts may have crashed.
 	Crashes []Incarnation
-	// Position is the highest position at which one of the attempts was lost.
-	Position int64
+	// Position is the highest position at which one of the attempts was lost, and Events the greatest number of events that one had made.
+	Position, Events int64
 }
 
 // Pending returns the incarnations that attempts with a fingerprint may have crashed: their connections broke there, no crash is
@@ -146,7 +147,7 @@
 			continue
 		}
 		pending.Crashes = appendMissing(pending.Crashes, []Incarnation{first})
-		pending.Position = max(pending.Position, loss.Position)
+		pending.Position, pending.Events = max(pending.Position, loss.Position), max(pending.Events, loss.Events)
 	}
 	return pending
 }
--- a/quarantine/referencestanding_test.go
+++ b/quarantine/referencestanding_test.go
@@ -67,7 +67,7 @@
 	if part.State == StateFree || part.State.severity() < standing.State.severity() {
 		return standing
 	}
-	part.Crashes, part.ProvenAt = standing.Crashes, standing.ProvenAt
+	part.Crashes, part.ProvenAt, part.ProvenAfter = standing.Crashes, standing.ProvenAt, standing.ProvenAfter
 	lastCrash := e.subjects[part.Subject].lastKnownAt()
 	part.Blocked = part.State == StateSuspect && suspects > 1 && now.Sub(lastCrash) < jointTrialPause
 	return part
@@ -105,7 +105,7 @@
 	default:
 		return Standing{
 			State: known.state(now), Subject: fingerprint, Incidents: len(known.incidents), Crashes: known.crashes(),
-			ProvenAt: known.position + provenEvents, Lifetime: known.lifetime(now),
+			ProvenAt: known.position + provenEvents, ProvenAfter: known.events + provenEvents, Lifetime: known.lifetime(now),
 		}
 	}
 }
--- a/quarantine/referencesubject_test.go
+++ b/quarantine/referencesubject_test.go
@@ -51,8 +51,8 @@
 // subject is what is known of one fingerprint.
 type referenceSubject struct {
 	incidents []*referenceIncident
-	// position is the highest position at which an attempt was lost.
-	position int64
+	// position is the highest position at which an attempt was lost, and events the greatest number of events that one had made.
+	position, events int64
 	// isPart is set if the fingerprint is that of a part of prompts. contents are then the lost contents that held the part,
 	// and strongestRival is the greatest weight of another part that was involved in one of the crashes.
 	isPart         bool
@@ -70,7 +70,7 @@
 // add adds an involvement that has been known since a time.
 func (s *referenceSubject) add(one Involvement, knownAt time.Time) {
 	s.incidents = referenceAddTo(s.incidents, one, knownAt)
-	s.position = max(s.position, one.Position)
+	s.position, s.events = max(s.position, one.Position), max(s.events, one.Events)
 	if one.IsPart() {
 		s.contents[one.Content] = true
 	}
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -10,6 +10,8 @@
 	Incarnation
 	// Position is the ID of the last event of the answer that the caller had received, or 0.
 	Position int64 `json:"p,omitempty"`
+	// Events is the number of events that the attempt itself had made.
+	Events int64 `json:"m,omitempty"`
 	// Later is set if another crash had explained the loss before this one became known. The endpoint may have survived the
 	// attempt then and crashed for another reason.
 	Later bool `json:"l,omitempty"`
--- a/quarantine/standing.go
+++ b/quarantine/standing.go
@@ -19,8 +19,9 @@
 	Crashes []Incarnation
 	// Lifetime is how long the state is kept at most.
 	Lifetime time.Duration
-	// ProvenAt is the position that an answer must reach to outlive the crashes, unless it ends before.
-	ProvenAt int64
+	// ProvenAt is the position that an answer must reach to outlive the crashes, unless it ends before, and ProvenAfter the number of
+	// events that the attempt itself must make: one that goes on where others were lost has not outlived what they did.
+	ProvenAt, ProvenAfter int64
 }
 
 // WithPending returns the standing of a free content with its pending crashes, each counted as an incident. The content becomes a
@@ -32,7 +33,7 @@
 	s.State, s.Subject = StateSuspect, content
 	s.Incidents += len(pending.Crashes)
 	s.Crashes = append(slices.Clone(s.Crashes), pending.Crashes...)
-	s.ProvenAt = max(s.ProvenAt, pending.Position+provenEvents)
+	s.ProvenAt, s.ProvenAfter = max(s.ProvenAt, pending.Position+provenEvents), max(s.ProvenAfter, pending.Events+provenEvents)
 	return s
 }
 
@@ -58,7 +59,7 @@
 	if part.State == StateFree || part.State.severity() < standing.State.severity() {
 		return standing
 	}
-	part.Crashes, part.ProvenAt = standing.Crashes, standing.ProvenAt
+	part.Crashes, part.ProvenAt, part.ProvenAfter = standing.Crashes, standing.ProvenAt, standing.ProvenAfter
 	lastCrash := e.rest.subjects[part.Subject].lastKnownAt()
 	part.Blocked = part.State == StateSuspect && suspects > 1 && now.Sub(lastCrash) < jointTrialPause
 	return part
@@ -101,7 +102,7 @@
 	default:
 		return Standing{
 			State: known.state(now), Subject: fingerprint, Incidents: len(known.incidents), Crashes: known.crashes(),
-			ProvenAt: known.position + provenEvents, Lifetime: known.lifetime(now),
+			ProvenAt: known.position + provenEvents, ProvenAfter: known.events + provenEvents, Lifetime: known.lifetime(now),
 		}
 	}
 }
