--- a/cmd/chicoryhall/platformdaemon/builder.go
+++ b/cmd/chicoryhall/platformdaemon/builder.go
@@ -54,7 +54,8 @@
 	endpointsPause = 800 * time.Millisecond
 	rulesPause     = 500 * time.Millisecond
 	alertsPause    = 1500 * time.Millisecond
-	// alertsBackoff is the longest pause after a failure to read alerts: while the store is down, nobody can write them.
+	// alertsBackoff is the longest pause after a failure to read alerts. It is longer than for other tables, as nobody can write
+	// alerts while the store is down, and short enough for a read that hangs and a pause to end within a HangTimeout.
 	alertsBackoff = 800 * time.Millisecond
 	// daemonRowRetention is the time after which a daemon's row is removed that has not changed. A daemon keeps its report
 	// of a convicted request unchanged for as long as the conviction lasts.
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 
+	"chicoryhall.example/chicoryhall"
 	"chicoryhall.example/chicoryhall/event"
 	"chicoryhall.example/chicoryhall/follow"
 	"chicoryhall.example/chicoryhall/timer"
@@ -60,7 +61,7 @@
 	return result.changes, result.version, result.err
 }
 
-// recordingSink records the calls that it receives. The first call of Unavailable is signalled unless unavailable is nil.
+// recordingSink records the calls that it receives. A call of Unavailable is signalled unless unavailable is full or nil.
 type recordingSink struct {
 	calls       []string
 	unavailable chan struct{}
@@ -191,8 +192,14 @@
 	waits chan struct{}
 }
 
-func newHangingSource() *hangingSource {
-	return &hangingSource{lists: make(chan struct{}), waits: make(chan struct{})}
+// followHanging returns a follower of a hangingSource, which has not started.
+func followHanging(clock chicoryhall.Timer, maxWait time.Duration) (*follow.Follower[string], *hangingSource, *recordingSink) {
+	source := &hangingSource{lists: make(chan struct{}), waits: make(chan struct{})}
+	sink := &recordingSink{unavailable: make(chan struct{}, 1)}
+	follower := follow.New(follow.Config[string]{
+		Name: "t", Source: source, Sink: sink, MaxWait: maxWait, Timer: clock, Log: event.NewLogger(io.Discard, "test", log.InfoLevel),
+	})
+	return follower, source, sink
 }
 
 func (s *hangingSource) List(context.Context) ([]string, int64, error) {
@@ -210,10 +217,7 @@
 // a read, and that the store doesn't count as unavailable because of it.
 func TestRefreshReadsTable(t *testing.T) {
 	clock := timer.NewManual(time.Unix(1000, 0))
-	source, sink := newHangingSource(), &recordingSink{}
-	follower := follow.New(follow.Config[string]{
-		Name: "t", Source: source, Sink: sink, MaxWait: time.Second, Timer: clock, Log: event.NewLogger(io.Discard, "test", log.InfoLevel),
-	})
+	follower, source, sink := followHanging(clock, time.Second)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	runInBackground(ended, func() error { return follower.Serve(ctx) })
@@ -239,10 +243,7 @@
 	clock := timer.New()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	source, sink := newHangingSource(), &recordingSink{unavailable: make(chan struct{}, 1)}
-	follower := follow.New(follow.Config[string]{
-		Name: "t", Source: source, Sink: sink, MaxWait: 50 * time.Millisecond, Timer: clock, Log: event.NewLogger(io.Discard, "test", log.InfoLevel),
-	})
+	follower, source, sink := followHanging(clock, 50*time.Millisecond)
 	ended := make(chan error, 2)
 	runInBackground(ended, func() error { return clock.Serve(ctx) })
 	runInBackground(ended, func() error { return follower.Serve(ctx) })
@@ -276,10 +277,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			clock := timer.NewManual(time.Unix(1000, 0))
-			source, sink := newHangingSource(), &recordingSink{}
-			follower := follow.New(follow.Config[string]{
-				Name: "t", Source: source, Sink: sink, MaxWait: time.Minute, Timer: clock, Log: event.NewLogger(io.Discard, "test", log.InfoLevel),
-			})
+			follower, source, sink := followHanging(clock, time.Minute)
 			ctx, cancel := context.WithCancel(context.Background())
 			ended := make(chan error, 1)
 			runInBackground(ended, func() error { return follower.Serve(ctx) })
