A distrusted call does not make the store count as unavailable

Cause: Distrust was handled like a failure of the follower's own call.

Change: the table is read again, and nothing else; a reader for neighbours renews its copies instead of replacing them.

--- a/cmd/chicoryhall/platformdaemon/builder.go
+++ b/cmd/chicoryhall/platformdaemon/builder.go
@@ -153,7 +153,6 @@
 	b.cachedStore = neighbour.NewCachedStore(neighbour.CachedStoreConfig{
 		Store: b.store, Copies: b.copies, MaxAge: b.settings.Store.HangTimeout / maxAgeDivisor, Timer: b.timer,
 	})
-	b.store.SubscribeFailed(b.cachedStore.Distrust)
 	b.table = neighbour.NewSharedTable(b.storeTable, sharedRows, b.askNeighbour)
 }
 
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -16,11 +16,8 @@
 // given version. Like any other failure, it makes the Follower read the whole table.
 var ErrHistoryGone = errors.New("the store has dropped the history of the table")
 
-// errRefresh ends a wait for changes because of Refresh. errDistrusted is the failure of one that Distrust has ended.
-var (
-	errRefresh    = errors.New("the copy is out of date")
-	errDistrusted = errors.New("another call to the same store has failed")
-)
+// errReadDue ends a wait for changes because of Refresh or Distrust.
+var errReadDue = errors.New("the whole table is read instead")
 
 const (
 	// AnswerMargin is added to MaxWait for the timeout of a request for changes.
@@ -123,11 +120,12 @@
 		return
 	}
 	f.lastRead = time.Time{}
-	f.endWait(errRefresh)
+	f.endWait(errReadDue)
 }
 
 // Distrust takes the current wait for changes for one that hangs, as another call to the same store has failed: the answer to this
-// one may be lost as well. The Follower reads the whole table as after a failure, at the earliest minRefreshPause after the last time.
+// one may be lost as well. The Follower reads the whole table, at the earliest minRefreshPause after the last time. Unlike a failure of its
+// own, this does not make the store count as unavailable: rows that are missing from an answer are gone.
 func (f *Follower[T]) Distrust() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -148,7 +146,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.isDistrusted && f.endWait != nil {
-		f.endWait(errDistrusted)
+		f.endWait(errReadDue)
 	}
 }
 
@@ -174,22 +172,18 @@
 func (f *Follower[T]) isReadDue() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.config.Timer.Now().Sub(f.lastRead) >= refreshPeriod
+	age := f.config.Timer.Now().Sub(f.lastRead)
+	return age >= refreshPeriod || f.isDistrusted && age >= minRefreshPause
 }
 
-// beginWait sets the function that ends the wait for changes which begins. It returns errDistrusted if the whole table has to be read
-// first.
-func (f *Follower[T]) beginWait(end context.CancelCauseFunc) error {
+// beginWait sets the function that ends the wait for changes which begins.
+func (f *Follower[T]) beginWait(end context.CancelCauseFunc) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.isDistrusted && f.config.Timer.Now().Sub(f.lastRead) >= minRefreshPause {
-		return errDistrusted
-	}
+	f.endWait = end
 	if f.isDistrusted {
 		f.planEndOfWait()
 	}
-	f.endWait = end
-	return nil
 }
 
 // markWaitEnded records that there is no wait for changes.
@@ -231,13 +225,14 @@
 	defer cancel()
 	waitCtx, end := context.WithCancelCause(limited)
 	defer end(context.Canceled)
-	if err := f.beginWait(end); err != nil {
-		return err
-	}
+	f.beginWait(end)
 	changes, version, err := f.config.Source.Changes(waitCtx, f.version, f.config.MaxWait)
 	f.markWaitEnded()
-	if err != nil {
-		return waitError(waitCtx, err)
+	switch {
+	case err != nil && errors.Is(context.Cause(waitCtx), errReadDue):
+		return nil
+	case err != nil:
+		return errors.WithMessage(err, "wait for changes")
 	}
 	f.failures = 0
 	// If the answer's version is lower than the known one, changes after it would be sent again.
@@ -249,18 +244,6 @@
 	return nil
 }
 
-// waitError returns the failure of a wait for changes that ended with an error, or nil if Refresh has ended it.
-func waitError(waitCtx context.Context, err error) error {
-	cause := context.Cause(waitCtx)
-	if errors.Is(cause, errRefresh) {
-		return nil
-	}
-	if errors.Is(err, context.Canceled) {
-		err = cause
-	}
-	return errors.WithMessage(err, "wait for changes")
-}
-
 // markAvailable resets the failures and notifies the sink if the store was unavailable.
 func (f *Follower[T]) markAvailable() {
 	if f.unavailable {
--- a/neighbour/cachedstore.go
+++ b/neighbour/cachedstore.go
@@ -129,15 +129,6 @@
 	return rows, at, err
 }
 
-// Distrust records that changes of all tables may have been missed, as a call to the store has failed.
-func (c *CachedStore) Distrust() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for name := range c.broken {
-		c.broken[name] = true
-	}
-}
-
 // setBroken records how a call about a table ended, and returns whether changes may have been missed before. A call that its
 // caller has given up shows nothing.
 func (c *CachedStore) setBroken(name string, err error) bool {
