An incomplete event is bounded by its size, not by the memory that it takes

What callers would have seen, since (the account of answers): a stream ends in the middle of an event of some 0.8 to 1 MiB that arrives in pieces.

Cause: the splitter's memory grows in steps, and was compared with the bound on the size of what is held.

Change: the account decides whether there is memory; sizes are bounded where they were, by the splitter and for buffered answers.

--- a/passthrough/answer.go
+++ b/passthrough/answer.go
@@ -126,7 +126,7 @@
 		a.forwardPiece(out)
 	}
 	a.recordHeld()
-	if err == nil && !a.mayHold(a.events.Pending()) {
+	if err == nil && !mayHold(a.exchange.server.account, a.events.Pending()) {
 		err = errNoMemoryForAnswer
 	}
 	if err != nil {
--- a/passthrough/answerbuffer.go
+++ b/passthrough/answerbuffer.go
@@ -21,9 +21,9 @@
 // errNoMemoryForAnswer is why an attempt ends whose answer can neither be held nor passed on.
 var errNoMemoryForAnswer = errors.New("there is no memory to hold more of the answer, which cannot be passed on yet")
 
-// mayHold reports whether a number of bytes of the answer may be held.
-func (a *attempt) mayHold(bytes int) bool {
-	return bytes <= smallAnswer || bytes <= maxBufferedAnswer && a.exchange.server.account.MayHoldAnswers()
+// mayHold reports whether there is memory for a number of bytes of an answer that cannot be passed on yet.
+func mayHold(account *memory.Account, bytes int) bool {
+	return bytes <= smallAnswer || account.MayHoldAnswers()
 }
 
 // recordHeld brings the account up to date.
@@ -48,7 +48,7 @@
 func (a *attempt) bufferPiece(piece []byte) {
 	a.buffered.append(piece)
 	a.recordHeld()
-	if a.mayHold(a.buffered.size) {
+	if a.buffered.size <= maxBufferedAnswer && mayHold(a.exchange.server.account, a.buffered.size) {
 		return
 	}
 	if a.isFailure() {
--- a/passthrough/endpoint.go
+++ b/passthrough/endpoint.go
@@ -169,7 +169,7 @@
 	conn.answerEnded = false
 	err := conn.reader.Feed(data)
 	conn.recordHeld(conn.reader.Held())
-	if err == nil && conn.held > smallAnswer && !conn.pool.account.MayHoldAnswers() {
+	if err == nil && !mayHold(conn.pool.account, conn.held) {
 		err = errNoMemoryForAnswer
 	}
 	switch {
